--- /dev/null
+++ b/apps/celerystile/main.cpp
@@ -0,0 +1,50 @@
+#include "celerystile/base/settings.hpp"
+#include "commands.hpp"
+
+#include <iostream>
+
+/// @file
+/// @brief celerystile: the operator's tool.
+
+namespace {
+
+using namespace celerystile;
+
+void printUsage(std::ostream& out)
+{
+    out << "usage: celerystile COMMAND [flags]\n\n";
+    for (const auto& command : tool::commands())
+        out << "  " << command.name << std::string(10 - command.name.size(), ' ') << command.summary << '\n';
+    out << "\ncelerystile COMMAND --help explains each flag. Exit codes: 0 done, 1 not done, 2 wrong usage,\n"
+           "3 conflict, 4 unknown (ask again with the same id).\n";
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::vector<std::string> arguments(argv, argv + argc);
+    const std::string name = arguments.size() > 1 ? arguments[1] : "";
+    if (name == "--version") {
+        std::cout << "celerystile " << base::version << '\n';
+        return tool::exitDone;
+    }
+    if (name == "--help" || name == "-h") {
+        printUsage(std::cout);
+        return tool::exitDone;
+    }
+    const auto* command = tool::findCommand(name);
+    if (!command) {
+        printUsage(std::cerr);
+        return base::exitUsage;
+    }
+    arguments.erase(arguments.begin() + 1);
+    arguments.front() = "celerystile " + name;
+    const auto settings = base::parseSettings(arguments.front(), command->summary, command->options, arguments);
+    if (!settings) {
+        for (const auto& mistake : settings.error().mistakes)
+            std::cerr << "celerystile: " << mistake << '\n';
+        return settings.error().exitCode;
+    }
+    return command->run(*settings);
+}
--- /dev/null
+++ b/apps/celerystiled/control_plane.hpp
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "celerystile/base/datagram_socket.hpp"
+#include "celerystile/core/routing.hpp"
+#include "celerystile/peer/exchange.hpp"
+#include "celerystile/platform/client.hpp"
+#include "options.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json/object.hpp>
+
+/// @file
+/// @brief The control thread's work: membership, configuration, status.
+
+namespace celerystile::daemon {
+
+/// @brief What a role adds to the control plane. All calls come on the control thread.
+class RoleHooks {
+public:
+    virtual ~RoleHooks() = default;
+
+    /// @brief A new snapshot for the traffic threads.
+    virtual void onRouting(core::RoutingPtr routing) = 0;
+
+    /// @brief The role's part of the dump.
+    virtual boost::asio::awaitable<boost::json::object> dump() = 0;
+
+    /// @brief Gives up the flow table, if the role has one.
+    virtual boost::asio::awaitable<peer::Response> handOver(core::MemberId host) = 0;
+};
+
+/// @brief Joins the fleet, keeps the configuration in force, serves status. Control thread only.
+class ControlPlane final : public core::GossipOutput {
+public:
+    ControlPlane(boost::asio::io_context& context, CommonSettings settings, const base::Clock& clock, RoleHooks& hooks);
+
+    /// @brief Opens the sockets and starts. Errors name what could not be opened.
+    base::Result<bool> start();
+
+    /// @brief Tells the others that this process is leaving.
+    void beginLeaving();
+
+    /// @brief Says goodbye and closes the sockets.
+    void leave();
+
+    /// @brief Whether packets may be forwarded: the newest generation known is in force.
+    bool ready() const;
+    bool leaving() const { return leaving_; }
+    const core::Configuration& configuration() const { return *guard_.current(); }
+
+    void send(const core::Endpoint& to, const core::GossipMessage& message) override;
+    void newerGeneration(core::Generation generation, const core::Endpoint& peer) override;
+    void paused(base::Duration gap) override;
+
+private:
+    boost::asio::awaitable<void> runTicks();
+    boost::asio::awaitable<void> runPlatform();
+    boost::asio::awaitable<void> joinThroughPlatform();
+    boost::asio::awaitable<void> fetchText(core::Endpoint peer);
+    boost::asio::awaitable<void> fetchMembers(core::Endpoint peer);
+    boost::asio::awaitable<void> readPlatform();
+    boost::asio::awaitable<void> holdEntrySlots();
+    boost::asio::awaitable<peer::Response> answer(peer::Request request);
+    boost::asio::awaitable<base::HttpReply> serveStatus(base::HttpRequest request);
+    boost::asio::awaitable<boost::json::object> dump();
+    boost::json::object statusOf() const;
+    base::HttpReply explain(const std::string& target) const;
+
+    void onDatagram(std::span<const std::uint8_t> bytes, const core::Endpoint& from);
+    void offer(core::Generation generation, const std::string& text, const char* source);
+    void rebuild();
+    void logChanges(const core::View& before, const core::View& after);
+    void warnOfDependencies();
+    void becomeReady();
+    std::vector<core::MemberId> chosenBalancers(std::size_t count, std::uint64_t salt) const;
+    void notePlatform(bool answered, const std::string& detail);
+
+    boost::asio::io_context& context_;
+    CommonSettings settings_;
+    const base::Clock& clock_;
+    RoleHooks& hooks_;
+    base::TimePoint start_;
+    core::Gossip gossip_;
+    core::ConfigurationGuard guard_;
+    std::optional<platform::Client> platform_;
+    std::unique_ptr<base::DatagramSocket> socket_;
+    std::optional<boost::asio::ip::tcp::acceptor> requests_;
+    std::optional<boost::asio::ip::tcp::acceptor> status_;
+    boost::asio::steady_timer timer_;
+    boost::asio::steady_timer platformTimer_;
+    peer::DatagramBuffer buffer_;
+    core::ViewPtr view_;
+    core::RoutingPtr routing_;
+    bool readyAnnounced_ = false;
+    bool leaving_ = false;
+    bool closed_ = false;
+    bool fetching_ = false;
+    bool membersFetched_ = false;
+    bool platformAnswered_ = false;
+    bool platformDown_ = false;
+    core::Generation olderWarned_ = 0;
+    std::uint64_t rejected_ = 0;
+    base::TimePoint nextRejectedWarning_;
+    base::TimePoint nextDependencyWarning_;
+};
+
+/// @brief A processor time, resident memory and descriptors summary of this process.
+boost::json::object processUsage();
+
+} // namespace celerystile::daemon
--- /dev/null
+++ b/apps/celerystiled/sidecar_daemon.cpp
@@ -0,0 +1,258 @@
+#include "sidecar_daemon.hpp"
+
+#include "celerystile/backend/health.hpp"
+#include "celerystile/base/events.hpp"
+#include "control_plane.hpp"
+#include "sidecar_traffic.hpp"
+
+#include <algorithm>
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/json.hpp>
+
+namespace celerystile::daemon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    using base::asValues;
+    using base::Event;
+    using base::logEvent;
+
+    constexpr std::chrono::milliseconds drainPoll { 100 };
+    constexpr std::chrono::milliseconds healthInterval { 1000 };
+    constexpr std::chrono::milliseconds healthTimeout { 800 };
+    constexpr std::chrono::milliseconds handOverTimeout { 5000 };
+
+    /// Waits on the control thread for a value made on the traffic thread.
+    template <typename Value, typename Start> asio::awaitable<Value> awaitValue(asio::io_context& context, Start start)
+    {
+        auto value = std::make_shared<std::optional<Value>>();
+        auto timer = std::make_shared<asio::steady_timer>(context, asio::steady_timer::time_point::max());
+        start([&context, value, timer](Value made) {
+            asio::post(context, [value, timer, made = std::move(made)]() mutable {
+                *value = std::move(made);
+                timer->cancel();
+            });
+        });
+        if (!*value)
+            co_await timer->async_wait(asValues);
+        co_return std::move(**value);
+    }
+
+    class SidecarDaemon final : public RoleHooks {
+    public:
+        explicit SidecarDaemon(const SidecarSettings& settings)
+            : settings_(settings)
+            , control_(context_, settings.common, clock_, *this)
+            , traffic_(settings, clock_)
+            , signals_(context_, SIGTERM, SIGINT)
+        {
+        }
+
+        base::Result<bool> start()
+        {
+            takeOver();
+            if (auto opened = traffic_.open(); !opened)
+                return opened;
+            if (auto started = control_.start(); !started)
+                return started;
+            traffic_.run();
+            asio::co_spawn(context_, awaitStop(), asio::detached);
+            if (settings_.health)
+                asio::co_spawn(context_, watchHealth(), asio::detached);
+            return true;
+        }
+
+        void run()
+        {
+            context_.run();
+            traffic_.stop();
+        }
+
+        void onRouting(core::RoutingPtr routing) override
+        {
+            traffic_.post([this, routing](core::Sidecar& machine) { machine.setRouting(routing, clock_.now()); });
+        }
+
+        asio::awaitable<boost::json::object> dump() override
+        {
+            return awaitValue<boost::json::object>(context_, [this](auto done) { traffic_.dump(std::move(done)); });
+        }
+
+        asio::awaitable<peer::Response> handOver(core::MemberId host) override
+        {
+            if (host != settings_.common.self.id)
+                co_return peer::RefusedResponse { "another host's flows are asked for" };
+            auto flows = co_await awaitValue<std::vector<peer::FlowEntry>>(
+                context_, [this](auto done) { traffic_.surrender(std::move(done)); });
+            logEvent(Event::HandOverGiven, { { "flows", std::to_string(flows.size()) } });
+            surrendered_ = true;
+            asio::co_spawn(context_, exitSoon(), asio::detached);
+            co_return peer::FlowsResponse { std::move(flows) };
+        }
+
+    private:
+        // Before anything else is opened: the predecessor frees the ports with its answer.
+        void takeOver()
+        {
+            if (!settings_.takeOver) {
+                traffic_.setRelearning();
+                logEvent(Event::Relearning);
+                return;
+            }
+            asio::io_context exchange;
+            std::optional<base::Result<peer::Response>> outcome;
+            asio::co_spawn(exchange,
+                peer::ask(*settings_.takeOver, peer::TakeOver { settings_.common.self.id }, settings_.common.keyring,
+                    handOverTimeout),
+                [&](std::exception_ptr, base::Result<peer::Response> response) { outcome = std::move(response); });
+            exchange.run();
+            const auto* flows = outcome && *outcome ? std::get_if<peer::FlowsResponse>(&**outcome) : nullptr;
+            if (!flows) {
+                traffic_.setRelearning();
+                logEvent(Event::HandOverFailed, { { "predecessor", settings_.takeOver->toString() } });
+                return;
+            }
+            traffic_.adopt(flows->flows);
+            logEvent(Event::HandOverTaken, { { "flows", std::to_string(flows->flows.size()) } });
+            awaitExitOf(*settings_.takeOver);
+        }
+
+        // The predecessor's control ports are free once nobody listens there.
+        static void awaitExitOf(const base::Endpoint& predecessor)
+        {
+            constexpr int attempts = 100;
+            constexpr std::chrono::milliseconds step { 30 };
+            for (int i = 0; i < attempts; ++i) {
+                std::this_thread::sleep_for(step);
+                asio::io_context context;
+                asio::ip::tcp::socket probe(context);
+                boost::system::error_code error;
+                probe.connect(base::toTcp(predecessor), error);
+                if (error)
+                    return std::this_thread::sleep_for(step);
+            }
+        }
+
+        // The answer to the successor is still on its way; the control ports are freed right after it.
+        asio::awaitable<void> exitSoon()
+        {
+            asio::steady_timer timer(context_);
+            timer.expires_after(drainPoll);
+            co_await timer.async_wait(asValues);
+            context_.stop();
+        }
+
+        std::uint32_t drainLimitSeconds() const
+        {
+            std::uint32_t limit = 0;
+            for (const auto id : settings_.common.self.services) {
+                const auto* service = control_.configuration().find(id);
+                if (service)
+                    limit = std::max(limit, service->drainLimitSeconds);
+            }
+            return limit;
+        }
+
+        asio::awaitable<bool> drained()
+        {
+            co_return co_await awaitValue<bool>(context_, [this](auto done) {
+                traffic_.post([done = std::move(done)](core::Sidecar& machine) { done(machine.drained()); });
+            });
+        }
+
+        asio::awaitable<void> awaitStop()
+        {
+            co_await signals_.async_wait(asValues);
+            logEvent(Event::ProcessStopping);
+            logEvent(Event::DrainStarted);
+            traffic_.post([](core::Sidecar& machine) { machine.beginLeaving(); });
+            control_.beginLeaving();
+            asio::co_spawn(context_, noteFurtherSignals(), asio::detached);
+            asio::steady_timer timer(context_);
+            const auto begun = clock_.now();
+            while (!co_await drained()) {
+                const std::chrono::seconds limit(drainLimitSeconds());
+                if (limit.count() > 0 && clock_.now() - begun >= limit) {
+                    co_await resetAll();
+                    break;
+                }
+                timer.expires_after(drainPoll);
+                co_await timer.async_wait(asValues);
+            }
+            // Late packets of flows that have just closed are still served.
+            timer.expires_after(drainPoll * 5);
+            co_await timer.async_wait(asValues);
+            logEvent(Event::DrainFinished);
+            control_.leave();
+            signals_.cancel();
+            context_.stop();
+        }
+
+        asio::awaitable<void> resetAll()
+        {
+            const auto ended = co_await awaitValue<std::size_t>(context_, [this](auto done) {
+                traffic_.post(
+                    [this, done = std::move(done)](core::Sidecar& machine) { done(machine.resetAll(clock_.now())); });
+            });
+            logEvent(Event::DrainLimitReached, { { "flows", std::to_string(ended) } });
+        }
+
+        asio::awaitable<void> noteFurtherSignals()
+        {
+            while (true) {
+                const auto [error, signal] = co_await signals_.async_wait(asValues);
+                if (error)
+                    co_return;
+                logEvent(Event::SecondStopSignal);
+            }
+        }
+
+        asio::awaitable<void> watchHealth()
+        {
+            asio::steady_timer timer(context_);
+            bool wasReady = true;
+            while (!surrendered_) {
+                const auto hint = co_await backend::readHint(*settings_.health, clock_, healthTimeout);
+                const bool ready = hint && hint->ready;
+                if (ready != wasReady)
+                    logEvent(ready ? Event::BackendReady : Event::BackendNotReady,
+                        { { "reason", hint ? "its own word" : hint.error().detail } });
+                wasReady = ready;
+                if (hint)
+                    traffic_.post([hint = *hint](core::Sidecar& machine) { machine.noteHint(hint); });
+                timer.expires_after(healthInterval);
+                co_await timer.async_wait(asValues);
+            }
+        }
+
+        SidecarSettings settings_;
+        base::SteadyClock clock_;
+        asio::io_context context_ { 1 };
+        ControlPlane control_;
+        SidecarTraffic traffic_;
+        asio::signal_set signals_;
+        bool surrendered_ = false;
+    };
+
+} // namespace
+
+int runSidecar(const SidecarSettings& settings)
+{
+    SidecarDaemon daemon(settings);
+    if (const auto started = daemon.start(); !started) {
+        logEvent(Event::SettingsRejected, { { "mistake", started.error().detail } });
+        return base::exitUsage;
+    }
+    logEvent(Event::ProcessStarted, { { "role", "sidecar" }, { "traffic", settings.common.self.traffic.toString() } });
+    daemon.run();
+    logEvent(Event::ProcessStopped);
+    return 0;
+}
+
+} // namespace celerystile::daemon
--- /dev/null
+++ b/include/celerystile/base/events.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <array>
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+/// @file
+/// @brief Numbered log events. docs/EVENTS.md lists the same catalogue; a test compares them.
+
+namespace celerystile::base {
+
+enum class Level {
+    Info,
+    Warning,
+    Alarm, ///< somebody should look
+};
+
+enum class Event : std::uint16_t {
+    ProcessStarted = 1001,
+    ProcessStopping = 1002,
+    ProcessStopped = 1003,
+    SettingsRejected = 1004,
+    SecondStopSignal = 1005,
+    PauseNoticed = 1006,
+    Ready = 1007,
+    MemberChanged = 2001,
+    MemberFailed = 2002,
+    MemberUnreachable = 2003,
+    MessageRejected = 2004,
+    AnnouncementRefused = 2005,
+    ConfigurationApplied = 3001,
+    ConfigurationRefused = 3002,
+    ConfigurationOlder = 3003,
+    ConfigurationUnreadable = 3004,
+    PlatformUnavailable = 3101,
+    PlatformBack = 3102,
+    DrainStarted = 4001,
+    DrainFinished = 4002,
+    DrainLimitReached = 4003,
+    HandOverGiven = 4101,
+    HandOverTaken = 4102,
+    HandOverFailed = 4103,
+    Relearning = 4104,
+    BackendNotReady = 4201,
+    BackendReady = 4202,
+    DependencyWithoutHost = 5001,
+};
+
+/// @brief One row of the catalogue.
+struct EventInfo {
+    Event event;
+    Level level;
+    std::string_view name;
+    std::string_view meaning;
+    std::string_view action;
+};
+
+std::span<const EventInfo> eventCatalogue();
+const EventInfo& infoOf(Event event);
+std::string_view toString(Level level);
+
+/// @brief A `key=value` of a log line.
+struct Field {
+    std::string_view key;
+    std::string value;
+};
+
+/// @brief Sets up logging to standard error. Call once, before the first event.
+void startLogging();
+
+/// @brief Writes one line: time, level, number, name, fields. Any thread.
+///
+/// @code
+/// base::logEvent(base::Event::Ready, { { "generation", "12" } });
+/// @endcode
+void logEvent(Event event, std::initializer_list<Field> fields = {});
+
+} // namespace celerystile::base
--- /dev/null
+++ b/include/celerystile/core/directory.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "celerystile/base/clock.hpp"
+#include "celerystile/base/random.hpp"
+#include "celerystile/core/candidates.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+/// @file
+/// @brief The flow directory: pointers from the hosts where a flow is looked for to the host that owns it.
+
+namespace celerystile::core {
+
+/// @brief Pointers that one owner sends to one target; acknowledged by sequence.
+struct Publication {
+    std::uint64_t sequence = 0;
+    Candidate owner;
+    std::vector<std::uint64_t> flows; ///< fingerprints, FlowKey::hash()
+
+    bool operator==(const Publication&) const = default;
+};
+
+/// @brief Limits of the directory.
+struct DirectoryRules {
+    std::size_t maxPointers = 1'000'000; ///< a holder refuses new ones beyond this
+    base::Duration lifetime = std::chrono::minutes(15); ///< of a pointer that is not refreshed
+    base::Duration refresh = std::chrono::minutes(5);
+    std::size_t flowsPerMessage = 128;
+    double bytesPerSecond = 4'000; ///< pace of publication, of the 5,000 that a node may use for control
+    double burstBytes = 8'000;
+    base::Duration firstRetry = std::chrono::milliseconds(200);
+    base::Duration longestRetry = std::chrono::seconds(10);
+    std::size_t outstandingPerTarget = 8; ///< messages without acknowledgement
+
+    bool operator==(const DirectoryRules&) const = default;
+};
+
+/// @brief Pointers held for other owners. One thread.
+class PointerStore {
+public:
+    explicit PointerStore(DirectoryRules rules);
+
+    /// @return how many pointers were refused because the store is full.
+    std::size_t accept(const Publication& publication, base::TimePoint now);
+    const Candidate* find(std::uint64_t flow, base::TimePoint now) const;
+    void expire(base::TimePoint now);
+    std::size_t size() const { return pointers_.size(); }
+
+private:
+    struct Pointer {
+        std::uint32_t owner;
+        std::uint32_t expiresAt; // seconds of the steady clock
+    };
+
+    std::uint32_t indexOf(const Candidate& owner);
+
+    DirectoryRules rules_;
+    std::vector<Candidate> owners_;
+    boost::unordered_flat_map<std::uint64_t, Pointer> pointers_;
+};
+
+/// @brief A publication on its way.
+struct OutgoingPublication {
+    Endpoint to;
+    Publication publication;
+};
+
+/// @brief Sends an owner's pointers: batched per target, paced, retried until acknowledged. One thread.
+class Publisher {
+public:
+    Publisher(DirectoryRules rules, Candidate self, std::uint64_t seed);
+
+    void enqueue(const Candidate& target, std::uint64_t flow);
+
+    /// @brief Forgets targets that are not in the list: their pointers would serve nobody.
+    void keepTargets(const std::vector<ServiceHost>& alive);
+    void acknowledge(MemberId target, std::uint64_t sequence);
+
+    /// @brief Messages to send now, within the pace.
+    std::vector<OutgoingPublication> poll(base::TimePoint now);
+
+    /// @brief Pointers not yet acknowledged.
+    std::size_t pending() const;
+    std::uint64_t bytesSent() const { return bytesSent_; }
+    std::uint64_t retries() const { return retries_; }
+
+private:
+    struct Unacknowledged {
+        Publication publication;
+        base::TimePoint retryAt;
+        base::Duration backoff;
+    };
+
+    struct Target {
+        Candidate host;
+        std::deque<std::uint64_t> queued;
+        std::map<std::uint64_t, Unacknowledged> sent;
+    };
+
+    bool spend(std::size_t flows);
+    void retryDue(Target& target, base::TimePoint now, std::vector<OutgoingPublication>& out);
+    void sendQueued(Target& target, base::TimePoint now, std::vector<OutgoingPublication>& out);
+    base::Duration jittered(base::Duration backoff);
+
+    DirectoryRules rules_;
+    Candidate self_;
+    base::Random random_;
+    std::map<MemberId, Target> targets_;
+    std::uint64_t nextSequence_ = 1;
+    double tokens_ = 0;
+    std::optional<base::TimePoint> lastPoll_;
+    MemberId lastServed_ = 0;
+    std::uint64_t bytesSent_ = 0;
+    std::uint64_t retries_ = 0;
+};
+
+} // namespace celerystile::core
--- /dev/null
+++ b/include/celerystile/core/forwarding.hpp
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "celerystile/core/candidates.hpp"
+#include "celerystile/core/configuration.hpp"
+#include "celerystile/core/segment.hpp"
+
+#include <optional>
+
+/// @file
+/// @brief What travels with a packet between balancers and sidecars.
+
+namespace celerystile::core {
+
+/// @brief Most hand-overs of one packet between our processes.
+inline constexpr std::uint8_t maxHops = 16;
+
+/// @brief Load of a host in millionths of its capacity.
+using Load = std::uint32_t;
+
+/// @brief The best place found so far for a new flow.
+struct Offer {
+    std::uint8_t position = 0; ///< index into the candidates
+    Load load = 0;
+
+    bool operator==(const Offer&) const = default;
+};
+
+/// @brief The header of a forwarded packet.
+struct ForwardHeader {
+    ServiceId service = 0;
+    Generation generation = 0;
+    std::uint64_t viewVersion = 0;
+    std::uint8_t hops = 0;
+    std::uint8_t position = 0; ///< which candidate is being asked
+    bool extended = false; ///< a sidecar has already appended the candidates of its own view
+    bool pointed = false; ///< came by a directory pointer
+    bool selected = false; ///< the new flow is for the receiver
+    bool denied = false; ///< a restarted host's backend server did not know the flow
+    bool transient = false; ///< a host declined the new flow for a reason that passes soon
+    std::optional<Offer> best;
+    CandidateList candidates;
+
+    bool operator==(const ForwardHeader&) const = default;
+};
+
+} // namespace celerystile::core
--- /dev/null
+++ b/include/celerystile/core/routing.hpp
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "celerystile/core/candidates.hpp"
+#include "celerystile/core/configuration.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <memory>
+#include <vector>
+
+/// @file
+/// @brief The snapshot that traffic threads read: accepted services and their candidates.
+
+namespace celerystile::core {
+
+/// @brief One service with the candidates of its buckets.
+struct ServiceRoute {
+    Service service;
+    CandidateTable table;
+};
+
+using ServiceRoutePtr = std::shared_ptr<const ServiceRoute>;
+
+/// @brief Hash functor for containers keyed by Endpoint.
+struct EndpointHash {
+    std::size_t operator()(const Endpoint& endpoint) const;
+};
+
+/// @brief Immutable; a packet is decided by exactly one of these.
+struct Routing {
+    Generation generation = 0;
+    std::uint64_t viewVersion = 0;
+    boost::unordered_flat_map<Endpoint, ServiceRoutePtr, EndpointHash> routes;
+
+    /// @brief The route for a service address, or null when the accepted text has none.
+    const ServiceRoute* find(const Endpoint& address) const;
+    const ServiceRoute* find(ServiceId id) const;
+};
+
+using RoutingPtr = std::shared_ptr<const Routing>;
+
+/// @brief Builds the snapshot for a configuration and a view.
+///
+/// Services whose text and hosts did not change share their route with `previous`.
+/// @param only services to include; empty: all of them.
+/// @return a new snapshot; `previous` itself when nothing in it would change.
+RoutingPtr buildRouting(const Configuration& configuration, const View& view, const CandidateRules& rules,
+    const std::vector<ServiceId>& only, const RoutingPtr& previous);
+
+} // namespace celerystile::core
--- /dev/null
+++ b/src/celerystile/base/http.cpp
@@ -0,0 +1,90 @@
+#include "celerystile/base/http.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace celerystile::base {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+namespace {
+
+    constexpr unsigned httpVersion = 11;
+    constexpr std::chrono::seconds serverTimeout { 30 };
+
+    asio::awaitable<void> serveOne(asio::ip::tcp::socket socket, const HttpHandler& handler)
+    {
+        beast::tcp_stream stream(std::move(socket));
+        stream.expires_after(serverTimeout);
+        beast::flat_buffer buffer;
+        http::request_parser<http::string_body> parser;
+        parser.body_limit(maxHttpBodyBytes);
+        if (const auto [error, size] = co_await http::async_read(stream, buffer, parser, asValues); error)
+            co_return;
+        HttpRequest request { std::string(parser.get().target()), std::move(parser.get().body()) };
+        const auto reply = co_await handler(std::move(request));
+        http::response<http::string_body> response { static_cast<http::status>(reply.status), httpVersion };
+        response.set(http::field::content_type, reply.contentType);
+        response.keep_alive(false);
+        response.body() = reply.body;
+        response.prepare_payload();
+        co_await http::async_write(stream, response, asValues);
+        beast::error_code ignored;
+        stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
+} // namespace
+
+asio::awaitable<Result<HttpReply>> httpExchange(
+    Endpoint to, std::string target, std::string body, std::chrono::milliseconds timeout)
+{
+    auto stream = co_await connect(to, timeout);
+    if (!stream)
+        co_return tl::make_unexpected(stream.error());
+    http::request<http::string_body> request { body.empty() ? http::verb::get : http::verb::post, target, httpVersion };
+    request.set(http::field::host, to.toString());
+    request.set(http::field::content_type, "application/json");
+    request.body() = std::move(body);
+    request.prepare_payload();
+    if (const auto [error, size] = co_await http::async_write(*stream, request, asValues); error)
+        co_return failure(ErrorCode::Unavailable, to.toString() + ": " + error.message());
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maxHttpBodyBytes);
+    if (const auto [error, size] = co_await http::async_read(*stream, buffer, parser, asValues); error)
+        co_return failure(ErrorCode::Unavailable, to.toString() + ": " + error.message());
+    const auto status = static_cast<unsigned>(parser.get().result_int());
+    co_return HttpReply { status, std::move(parser.get().body()),
+        std::string(parser.get()[http::field::content_type]) };
+}
+
+asio::awaitable<void> serveHttp(asio::ip::tcp::acceptor& acceptor, HttpHandler handler)
+{
+    const auto executor = co_await asio::this_coro::executor;
+    while (acceptor.is_open()) {
+        auto [error, socket] = co_await acceptor.async_accept(asValues);
+        if (error == asio::error::operation_aborted || !acceptor.is_open())
+            co_return;
+        if (!error)
+            asio::co_spawn(executor, serveOne(std::move(socket), handler), asio::detached);
+    }
+}
+
+Result<HttpReply> httpExchangeNow(
+    const Endpoint& to, const std::string& target, const std::string& body, std::chrono::milliseconds timeout)
+{
+    asio::io_context context;
+    std::optional<Result<HttpReply>> outcome;
+    asio::co_spawn(context, httpExchange(to, target, body, timeout),
+        [&](std::exception_ptr, Result<HttpReply> result) { outcome = std::move(result); });
+    context.run();
+    return outcome ? *outcome : failure(ErrorCode::Unavailable, to.toString() + ": no answer");
+}
+
+} // namespace celerystile::base
--- /dev/null
+++ b/src/celerystile/core/configuration.cpp
@@ -0,0 +1,54 @@
+#include "celerystile/core/configuration.hpp"
+
+#include <algorithm>
+
+namespace celerystile::core {
+
+namespace {
+
+    template <typename Predicate> const Service* findService(const std::vector<Service>& services, Predicate matches)
+    {
+        const auto found = std::find_if(services.begin(), services.end(), matches);
+        return found == services.end() ? nullptr : &*found;
+    }
+
+} // namespace
+
+const Service* Configuration::find(const Endpoint& address) const
+{
+    return findService(services, [&](const Service& service) { return service.address == address; });
+}
+
+const Service* Configuration::find(ServiceId id) const
+{
+    return findService(services, [&](const Service& service) { return service.id == id; });
+}
+
+const Service* Configuration::find(std::string_view name) const
+{
+    return findService(services, [&](const Service& service) { return service.name == name; });
+}
+
+bool Configuration::allows(ServiceId id, const IpAddress& address) const
+{
+    const auto* service = find(id);
+    if (!service)
+        return false;
+    return std::any_of(service->allowedNetworks.begin(), service->allowedNetworks.end(),
+        [&](const Network& network) { return network.contains(address); });
+}
+
+OfferOutcome ConfigurationGuard::offer(ConfigurationPtr offered)
+{
+    if (offered->generation < highestSeen_)
+        return OfferOutcome::Older;
+    if (offered->generation == current_->generation)
+        return offered->text == current_->text ? OfferOutcome::AlreadyInForce : OfferOutcome::Different;
+    current_ = std::move(offered);
+    highestSeen_ = current_->generation;
+    return OfferOutcome::Applied;
+}
+
+void ConfigurationGuard::noteSeen(Generation generation) { highestSeen_ = std::max(highestSeen_, generation); }
+
+} // namespace celerystile::core
--- /dev/null
+++ b/src/celerystile/core/gossip.cpp
@@ -0,0 +1,413 @@
+#include "celerystile/core/gossip.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+// Membership: what is believed of each member, and how news of it spreads. Probing is in gossip_probe.cpp.
+
+namespace celerystile::core {
+
+namespace {
+
+    constexpr std::size_t envelopeBytes = 200; // keyed hash, message header, UDP and IP headers
+    constexpr std::size_t stateNewsBytes = 24;
+    constexpr std::size_t memberBytes = 136; // without texts and services
+
+    // At one incarnation the later of these holds. What a member says of itself only moves forward.
+    int rank(MemberState state, bool suspected)
+    {
+        switch (state) {
+        case MemberState::Joining:
+            return suspected ? 3 : 0;
+        case MemberState::Ready:
+            return suspected ? 4 : 1;
+        case MemberState::Leaving:
+            return suspected ? 5 : 2;
+        case MemberState::Failed:
+            return 6;
+        case MemberState::Unreachable:
+            return 7;
+        case MemberState::Left:
+            return 8;
+        }
+        return 0;
+    }
+
+    std::uint64_t digestOf(const Member& member)
+    {
+        return base::mix(base::mix(member.id) + member.incarnation * 8 + static_cast<std::uint64_t>(member.state));
+    }
+
+    std::size_t wireBytesOf(const Member& member)
+    {
+        return memberBytes + member.failureDomain.size() + member.place.size() + member.services.size() * 8;
+    }
+
+    bool isGone(MemberState state) { return state == MemberState::Failed || state == MemberState::Unreachable; }
+
+} // namespace
+
+std::size_t wireBytes(const GossipMessage& message)
+{
+    std::size_t bytes = envelopeBytes + message.states.size() * stateNewsBytes + message.groupDigests.size() * 8;
+    for (const auto& member : message.members)
+        bytes += wireBytesOf(member);
+    return bytes;
+}
+
+Gossip::Gossip(GossipRules rules, Member self, std::vector<Endpoint> entryPoints, GossipOutput& output,
+    std::uint64_t seed, base::TimePoint start)
+    : rules_(rules)
+    , self_(std::move(self))
+    , entryPoints_(std::move(entryPoints))
+    , output_(output)
+    , random_(seed)
+    , tokens_(rules.burstBytes)
+    , lastTick_(start)
+    , nextProbe_(start + rules.period * random_.below(1000) / 1000)
+    , nextNews_(start)
+    , nextGone_(start + rules.retryGoneInterval)
+    , nextDigest_(start + rules.digestInterval)
+    , nextPrune_(start + rules.period)
+{
+    addToDigest(self_);
+}
+
+bool Gossip::live(const Entry& entry) const { return entry.member.state < MemberState::Left; }
+
+// Digests are sums, so that a record is taken out as cheaply as it is put in.
+void Gossip::addToDigest(const Member& member) { digests_[groupOf(member.id)] ^= digestOf(member); }
+
+std::uint64_t Gossip::digest() const
+{
+    std::uint64_t all = 0;
+    for (const auto group : digests_)
+        all = base::mix(all + group);
+    return all;
+}
+
+std::array<std::uint64_t, digestGroups> Gossip::groupDigests() const { return digests_; }
+
+void Gossip::onMembers(const std::vector<Member>& members, base::TimePoint now)
+{
+    joined_ = true;
+    for (const auto& member : members)
+        mergeMember(member, now);
+}
+
+void Gossip::addEntryPoints(const std::vector<Endpoint>& entryPoints)
+{
+    for (const auto& entryPoint : entryPoints) {
+        if (std::find(entryPoints_.begin(), entryPoints_.end(), entryPoint) == entryPoints_.end())
+            entryPoints_.push_back(entryPoint);
+    }
+}
+
+void Gossip::setOwnState(MemberState state)
+{
+    addToDigest(self_);
+    self_.state = state;
+    addToDigest(self_);
+    queueNews(self_.id, true);
+    changed();
+}
+
+void Gossip::setOwnServices(std::vector<ServiceId> services)
+{
+    if (services == self_.services)
+        return;
+    self_.services = std::move(services);
+    refute(self_.incarnation);
+}
+
+void Gossip::setGeneration(Generation generation)
+{
+    if (generation <= generation_)
+        return;
+    generation_ = generation;
+    generationTransmissionsLeft_ = transmissionLimit();
+}
+
+Generation Gossip::generationOf(MemberId id) const
+{
+    if (id == self_.id)
+        return generation_;
+    const auto found = entries_.find(id);
+    return found == entries_.end() ? 0 : found->second.generation;
+}
+
+std::vector<Member> Gossip::allMembers() const
+{
+    std::vector<Member> members { self_ };
+    members.reserve(entries_.size() + 1);
+    for (const auto& [id, entry] : entries_)
+        members.push_back(entry.member);
+    std::sort(members.begin(), members.end(), [](const Member& a, const Member& b) { return a.id < b.id; });
+    return members;
+}
+
+ViewPtr Gossip::view()
+{
+    if (!view_)
+        view_ = std::make_shared<const View>(View { ++viewVersion_, allMembers() });
+    return view_;
+}
+
+void Gossip::mergeMember(const Member& member, base::TimePoint now)
+{
+    if (member.id == self_.id)
+        return hearOfSelf(member.incarnation, member.state, false);
+    const auto found = entries_.find(member.id);
+    if (found == entries_.end()) {
+        entries_[member.id] = { member, false, {}, now, 0 };
+        addToDigest(member);
+        rebuildOrder();
+        queueNews(member.id, true);
+        return changed();
+    }
+    auto& known = found->second;
+    if (member.incarnation > known.member.incarnation) {
+        addToDigest(known.member);
+        if (known.suspected)
+            --suspects_;
+        known.suspected = false;
+        known.member = member;
+        known.changedAt = now;
+        addToDigest(member);
+        queueNews(member.id, true);
+        return changed();
+    }
+    apply(known, member.incarnation, member.state, false, now);
+}
+
+void Gossip::mergeState(const StateNews& news, base::TimePoint now)
+{
+    if (news.id == self_.id)
+        return hearOfSelf(news.incarnation, news.state, news.suspected);
+    const auto found = entries_.find(news.id);
+    if (found != entries_.end())
+        apply(found->second, news.incarnation, news.state, news.suspected, now);
+}
+
+void Gossip::apply(Entry& entry, Incarnation incarnation, MemberState state, bool suspected, base::TimePoint now)
+{
+    auto& member = entry.member;
+    if (incarnation < member.incarnation)
+        return;
+    if (incarnation == member.incarnation && rank(state, suspected) <= rank(member.state, entry.suspected))
+        return;
+    addToDigest(member);
+    const bool stateChanged = member.state != state;
+    member.incarnation = incarnation;
+    member.state = state;
+    if (suspected != entry.suspected)
+        suspects_ += suspected ? 1 : -1;
+    if (suspected && !entry.suspected)
+        entry.suspectedAt = now;
+    entry.suspected = suspected;
+    entry.changedAt = now;
+    addToDigest(member);
+    queueNews(member.id, false);
+    if (stateChanged)
+        changed();
+}
+
+void Gossip::hearOfSelf(Incarnation incarnation, MemberState state, bool suspected)
+{
+    if (self_.state == MemberState::Left || !rules_.refute)
+        return;
+    const bool contradicts = suspected || isGone(state) || state == MemberState::Left;
+    if (incarnation > self_.incarnation || (incarnation == self_.incarnation && contradicts))
+        refute(incarnation);
+}
+
+void Gossip::refute(Incarnation above)
+{
+    addToDigest(self_);
+    self_.incarnation = std::max(self_.incarnation, above) + 1;
+    addToDigest(self_);
+    ++counts_.refutations;
+    queueNews(self_.id, true);
+    changed();
+}
+
+int Gossip::transmissionLimit() const
+{
+    return static_cast<int>(std::ceil(rules_.transmissionsPerLog2 * std::log2(static_cast<double>(size()) + 1)));
+}
+
+// Newest first; leaving and failed before the rest, since they stop new work from going astray.
+void Gossip::queueNews(MemberId id, bool whole)
+{
+    const auto same = std::find_if(news_.begin(), news_.end(), [&](const News& news) { return news.id == id; });
+    if (same != news_.end()) {
+        whole = whole || same->whole;
+        news_.erase(same);
+    }
+    const auto found = entries_.find(id);
+    const auto state = id == self_.id ? self_.state : found->second.member.state;
+    const News news { id, transmissionLimit(), whole };
+    if (state == MemberState::Joining || state == MemberState::Ready)
+        news_.push_back(news);
+    else
+        news_.push_front(news);
+}
+
+void Gossip::attachNews(GossipMessage& message)
+{
+    std::size_t bytes = 0;
+    std::vector<News> sent;
+    while (!news_.empty() && bytes < rules_.newsBytesPerMessage) {
+        auto news = news_.front();
+        news_.pop_front();
+        const auto found = entries_.find(news.id);
+        const bool own = news.id == self_.id;
+        if (!own && found == entries_.end())
+            continue;
+        const auto& member = own ? self_ : found->second.member;
+        const bool suspected = !own && found->second.suspected;
+        if (news.whole) {
+            message.members.push_back(member);
+            bytes += wireBytesOf(member);
+        }
+        if (!news.whole || suspected) {
+            message.states.push_back({ member.id, member.incarnation, member.state, suspected });
+            bytes += stateNewsBytes;
+        }
+        if (--news.transmissionsLeft > 0)
+            sent.push_back(news);
+    }
+    // What has been sent least goes first next time.
+    for (const auto& news : sent) {
+        const auto later = std::find_if(news_.begin(), news_.end(),
+            [&](const News& other) { return other.transmissionsLeft < news.transmissionsLeft; });
+        news_.insert(later, news);
+    }
+}
+
+GossipMessage Gossip::makeMessage(GossipKind kind)
+{
+    GossipMessage message;
+    message.kind = kind;
+    message.from = self_.id;
+    message.fromAddress = self_.control;
+    message.generation = generation_;
+    message.digest = digest();
+    return message;
+}
+
+void Gossip::post(const Endpoint& to, GossipMessage message)
+{
+    if (tokens_ > 0)
+        attachNews(message);
+    const auto bytes = wireBytes(message);
+    tokens_ -= static_cast<double>(bytes);
+    counts_.bytesSent += bytes;
+    ++counts_.messagesSent;
+    if (generationTransmissionsLeft_ > 0)
+        --generationTransmissionsLeft_;
+    output_.send(to, message);
+}
+
+void Gossip::sendNews()
+{
+    const bool anyNews = !news_.empty() || generationTransmissionsLeft_ > 0;
+    if (!anyNews || tokens_ <= 0)
+        return;
+    if (auto* peer = randomLive())
+        post(peer->member.control, makeMessage(GossipKind::News));
+}
+
+void Gossip::compareDigest(const GossipMessage& message, const Endpoint& from, base::TimePoint now)
+{
+    if (message.digest == digest() || now < nextDigest_ || tokens_ <= 0)
+        return;
+    nextDigest_ = now + rules_.digestInterval;
+    auto request = makeMessage(GossipKind::Digests);
+    const auto groups = groupDigests();
+    request.groupDigests.assign(groups.begin(), groups.end());
+    post(from, std::move(request));
+}
+
+void Gossip::answerDigests(const GossipMessage& message, const Endpoint& to)
+{
+    if (message.groupDigests.size() != digestGroups || tokens_ <= 0)
+        return;
+    auto reply = makeMessage(GossipKind::News);
+    std::vector<const Member*> differing;
+    const auto collect = [&](const Member& member) {
+        if (message.groupDigests[groupOf(member.id)] != digests_[groupOf(member.id)])
+            differing.push_back(&member);
+    };
+    collect(self_);
+    for (const auto& [id, entry] : entries_)
+        collect(entry.member);
+    std::shuffle(differing.begin(), differing.end(), random_);
+    std::size_t bytes = 0;
+    for (const auto* member : differing) {
+        if (bytes >= rules_.newsBytesPerMessage)
+            break;
+        bytes += wireBytesOf(*member);
+        reply.members.push_back(*member);
+    }
+    post(to, std::move(reply));
+}
+
+void Gossip::onMessage(const GossipMessage& message, const Endpoint& from, base::TimePoint now)
+{
+    if (message.from == self_.id)
+        return;
+    counts_.bytesReceived += wireBytes(message);
+    for (const auto& member : message.members)
+        mergeMember(member, now);
+    for (const auto& news : message.states)
+        mergeState(news, now);
+    if (const auto sender = entries_.find(message.from); sender != entries_.end())
+        sender->second.generation = std::max(sender->second.generation, message.generation);
+    if (message.generation > generation_)
+        output_.newerGeneration(message.generation, message.fromAddress);
+    switch (message.kind) {
+    case GossipKind::Ping: {
+        auto ack = makeMessage(GossipKind::Ack);
+        ack.sequence = message.sequence;
+        post(from, std::move(ack));
+        break;
+    }
+    case GossipKind::Join: {
+        auto ack = makeMessage(GossipKind::Ack);
+        ack.members.push_back(self_);
+        post(from, std::move(ack));
+        break;
+    }
+    case GossipKind::Ack:
+        joined_ = true;
+        if (probe_ && probe_->sequence == message.sequence)
+            probe_->answered = true;
+        if (const auto relay = relays_.find(message.sequence); relay != relays_.end()) {
+            auto report = makeMessage(GossipKind::IndirectAck);
+            report.sequence = relay->second.askerSequence;
+            post(relay->second.asker, std::move(report));
+            relays_.erase(relay);
+        }
+        break;
+    case GossipKind::IndirectAck:
+        if (probe_ && probe_->sequence == message.sequence)
+            probe_->answered = true;
+        break;
+    case GossipKind::PingRequest: {
+        auto ping = makeMessage(GossipKind::Ping);
+        ping.sequence = nextSequence_++;
+        relays_[ping.sequence] = { from, message.sequence, now };
+        post(message.targetAddress, std::move(ping));
+        break;
+    }
+    case GossipKind::Digests:
+        answerDigests(message, from);
+        return;
+    case GossipKind::News:
+        break;
+    }
+    compareDigest(message, from, now);
+}
+
+} // namespace celerystile::core
--- /dev/null
+++ b/src/celerystile/core/sidecar.cpp
@@ -0,0 +1,258 @@
+#include "celerystile/core/sidecar.hpp"
+
+#include <algorithm>
+
+namespace celerystile::core {
+
+namespace {
+
+    constexpr base::Duration sweepInterval = std::chrono::seconds(30);
+
+    constexpr std::array<std::string_view, sidecarCounts> countNames {
+        "delivered",
+        "answered",
+        "passed_on",
+        "pointed",
+        "flows_opened",
+        "flows_closed",
+        "flows_relearned",
+        "syn_refused",
+        "flow_reset",
+        "claim_dropped",
+        "backend_refused",
+        "drop_wrong_service",
+        "drop_unclaimed",
+        "drop_answer_without_flow",
+        "drop_hops",
+        "drop_syn_limit",
+        "drop_syn_transient",
+        "drop_table_full",
+        "pointers_refused",
+    };
+
+    // Sequence numbers wrap; the sign of the difference tells which is later.
+    bool isLater(std::uint32_t a, std::uint32_t b) { return static_cast<std::int32_t>(a - b) > 0; }
+
+    std::uint32_t endOf(const Segment& segment)
+    {
+        return segment.sequence + segment.payloadBytes + (segment.syn ? 1 : 0) + (segment.fin ? 1 : 0);
+    }
+
+} // namespace
+
+std::string_view toString(SidecarCount count) { return countNames[static_cast<std::size_t>(count)]; }
+
+Sidecar::Sidecar(SidecarRules rules, SidecarOutput& output, base::TimePoint start)
+    : rules_(rules)
+    , output_(output)
+    , start_(start)
+    , routing_(std::make_shared<const Routing>())
+    , hostsChangedAt_(start)
+    , admission_(rules.admission, start)
+    , pointers_(rules.directory)
+    , publisher_(rules.directory, rules.self, rules.seed)
+    , nextSweep_(start + sweepInterval)
+    , nextRefresh_(start + rules.directory.refresh)
+{
+}
+
+std::uint32_t Sidecar::secondsAt(base::TimePoint now) const
+{
+    return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(now - start_).count());
+}
+
+void Sidecar::onForwarded(ForwardHeader header, const Segment& segment, Bytes packet, base::TimePoint now)
+{
+    const auto* route = routing_->find(segment.key.service);
+    if (!route || route->service.id != header.service)
+        return bump(SidecarCount::DropWrongService);
+    if (header.hops >= maxHops)
+        return bump(SidecarCount::DropHops);
+    auto* record = table_.find(segment.key);
+    if (record && record->state == FlowState::Closing && segment.opens()) {
+        table_.remove(segment.key); // the caller reuses its port: a new flow
+        record = nullptr;
+    }
+    if (record)
+        return onOwned(*record, header, segment, packet, now);
+    if (segment.opens())
+        return admit(header, segment, packet, now);
+    resolve(header, segment, packet, now);
+}
+
+void Sidecar::onOwned(
+    FlowRecord& record, ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now)
+{
+    if (record.state == FlowState::Opening)
+        return onOpening(record, header, segment, packet, now);
+    deliverOwned(record, segment, packet, now);
+}
+
+// The first acknowledgement proves which host's SYN-ACK the caller took.
+void Sidecar::onOpening(
+    FlowRecord& record, ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now)
+{
+    if (segment.opens()) {
+        record.callerIsn = segment.sequence;
+        record.callerNext = segment.sequence + 1;
+        return deliverOwned(record, segment, packet, now);
+    }
+    if (segment.rst && segment.sequence == record.callerIsn + 1) {
+        forgetOpening(segment.key);
+        return deliverOwned(record, segment, packet, now);
+    }
+    const bool proven
+        = record.hostIsnKnown && segment.ack && !segment.rst && segment.acknowledgement == record.hostIsn + 1;
+    if (proven || !rules_.isnCheckEnabled) {
+        forgetOpening(segment.key);
+        table_.setState(record, FlowState::Open);
+        return deliverOwned(record, segment, packet, now);
+    }
+    if (record.hostIsnKnown && segment.ack && !segment.rst)
+        dropClaim(segment.key, record);
+    resolve(header, segment, packet, now);
+}
+
+void Sidecar::dropClaim(const FlowKey& key, const FlowRecord& record)
+{
+    output_.resetBackend(key, record.callerIsn + 1);
+    forgetOpening(key);
+    table_.remove(key);
+    bump(SidecarCount::ClaimDropped);
+}
+
+void Sidecar::deliverOwned(FlowRecord& record, const Segment& segment, Bytes packet, base::TimePoint now)
+{
+    record.lastSeen = secondsAt(now);
+    const bool exactReset = segment.rst && segment.sequence == record.callerNext;
+    record.resetSeen = segment.rst;
+    if (!segment.rst && isLater(endOf(segment), record.callerNext))
+        record.callerNext = endOf(segment);
+    if (segment.ack && !segment.rst)
+        record.callerAck = segment.acknowledgement;
+    record.callerFinished = record.callerFinished || segment.fin;
+    if (exactReset)
+        record.callerFinished = record.hostFinished = true;
+    output_.deliver(packet);
+    bump(SidecarCount::Delivered);
+    finishIfBothEnded(record, segment.key, now);
+}
+
+void Sidecar::finishIfBothEnded(FlowRecord& record, const FlowKey& key, base::TimePoint now)
+{
+    if (!record.callerFinished || !record.hostFinished || record.state == FlowState::Closing)
+        return;
+    forgetOpening(key);
+    table_.setState(record, FlowState::Closing);
+    closingQueue_.push_back({ key, now });
+    bump(SidecarCount::FlowsClosed);
+}
+
+void Sidecar::onAnswer(const Segment& segment, Bytes packet, base::TimePoint now)
+{
+    auto* record = table_.find(segment.key);
+    if (!record)
+        return onAnswerWithoutFlow(segment, packet, now);
+    if (record->state == FlowState::Opening && !record->hostIsnKnown && segment.rst)
+        return onBackendRefusal(segment, now);
+    if (record->state == FlowState::Opening && segment.syn && segment.ack) {
+        if (!record->hostIsnKnown)
+            admission_.noteAccepted(now);
+        record->hostIsn = segment.sequence;
+        record->hostIsnKnown = true;
+    }
+    record->lastSeen = secondsAt(now);
+    record->hostFinished = record->hostFinished || segment.fin || segment.rst;
+    record->callerFinished = record->callerFinished || segment.rst;
+    output_.answer(packet);
+    bump(SidecarCount::Answered);
+    finishIfBothEnded(*record, segment.key, now);
+}
+
+std::size_t Sidecar::resetAll(base::TimePoint now)
+{
+    std::size_t ended = 0;
+    for (auto& [key, record] : table_.records()) {
+        if (record.state != FlowState::Open)
+            continue;
+        Segment about;
+        about.key = key;
+        about.ack = true;
+        about.acknowledgement = record.callerAck;
+        output_.resetCaller(about);
+        output_.resetBackend(key, record.callerNext);
+        bump(SidecarCount::FlowReset);
+        record.callerFinished = record.hostFinished = true;
+        finishIfBothEnded(record, key, now);
+        ++ended;
+    }
+    return ended;
+}
+
+void Sidecar::adopt(const FlowKey& key, const FlowRecord& record)
+{
+    if (!table_.find(key))
+        table_.add(key, record);
+}
+
+void Sidecar::tick(base::TimePoint now)
+{
+    expireOpening(now);
+    expireClosing(now);
+    if (now >= nextSweep_) {
+        sweep(now);
+        nextSweep_ = now + sweepInterval;
+    }
+    if (now >= nextRefresh_) {
+        refreshPointers();
+        nextRefresh_ = now + rules_.directory.refresh;
+    }
+    for (const auto& outgoing : publisher_.poll(now))
+        output_.publish(outgoing.to, outgoing.publication);
+}
+
+void Sidecar::expireOpening(base::TimePoint now)
+{
+    while (!openingQueue_.empty() && openingQueue_.front().at + rules_.openingTimeout <= now) {
+        const auto expired = openingQueue_.front();
+        openingQueue_.pop_front();
+        const auto saved = openingSyns_.find(expired.key);
+        if (saved == openingSyns_.end() || saved->second.at != expired.at)
+            continue;
+        if (const auto* record = table_.find(expired.key); record && record->state == FlowState::Opening)
+            table_.remove(expired.key);
+        forgetOpening(expired.key);
+    }
+}
+
+void Sidecar::expireClosing(base::TimePoint now)
+{
+    while (!closingQueue_.empty() && closingQueue_.front().at + rules_.closingLinger <= now) {
+        const auto* record = table_.find(closingQueue_.front().key);
+        if (record && record->state == FlowState::Closing)
+            table_.remove(closingQueue_.front().key);
+        closingQueue_.pop_front();
+    }
+}
+
+void Sidecar::sweep(base::TimePoint now)
+{
+    const auto second = [](base::Duration duration) {
+        return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(duration).count());
+    };
+    const auto current = secondsAt(now);
+    const auto idle = second(rules_.idleTimeout);
+    const auto quiet = second(rules_.resetLinger);
+    table_.removeIf([&](const FlowKey&, const FlowRecord& record) {
+        if (record.state != FlowState::Open)
+            return false;
+        const auto age = current - record.lastSeen;
+        return age >= idle || (record.resetSeen && age >= quiet);
+    });
+    pointers_.expire(now);
+    boost::unordered::erase_if(denied_, [&](const auto& entry) { return entry.second <= now; });
+    boost::unordered::erase_if(
+        offered_, [&](const auto& entry) { return entry.second.at + rules_.openingTimeout <= now; });
+}
+
+} // namespace celerystile::core
--- /dev/null
+++ b/src/celerystile/core/sidecar_directory.cpp
@@ -0,0 +1,87 @@
+#include "celerystile/core/sidecar.hpp"
+
+#include <algorithm>
+
+// What a new snapshot means for the flows that this host owns.
+
+namespace celerystile::core {
+
+void Sidecar::setRouting(RoutingPtr routing, base::TimePoint now)
+{
+    if (routing == routing_)
+        return;
+    const auto before = std::move(routing_);
+    routing_ = std::move(routing);
+    hostsChangedAt_ = now;
+    noteFailures(*routing_, now);
+    if (!rules_.directoryEnabled)
+        return;
+    std::vector<ServiceHost> hosts;
+    for (const auto& [address, route] : routing_->routes)
+        hosts.insert(hosts.end(), route->table.hosts().begin(), route->table.hosts().end());
+    publisher_.keepTargets(hosts);
+    publishDisplaced(before.get());
+}
+
+void Sidecar::noteFailures(const Routing& routing, base::TimePoint now)
+{
+    boost::unordered_flat_map<MemberId, base::TimePoint> failed;
+    for (const auto& [address, route] : routing.routes) {
+        for (const auto& host : route->table.hosts()) {
+            if (host.state != MemberState::Failed)
+                continue;
+            const auto known = failedSince_.find(host.id);
+            failed[host.id] = known == failedSince_.end() ? now : known->second;
+        }
+    }
+    failedSince_ = std::move(failed);
+}
+
+void Sidecar::publishDisplaced(const Routing* before)
+{
+    for (auto& [key, record] : table_.records()) {
+        const auto* route = routing_->find(key.service);
+        const auto* old = before->find(key.service);
+        if (!route || route == old || record.state == FlowState::Closing)
+            continue;
+        publishIfDisplaced(key, record, old ? &old->table : nullptr);
+    }
+}
+
+void Sidecar::publishIfDisplaced(const FlowKey& key, FlowRecord& record, const CandidateTable* before)
+{
+    const auto* route = routing_->find(key.service);
+    if (!route || !rules_.directoryEnabled)
+        return;
+    const auto hash = key.hash();
+    const auto bucket = CandidateTable::bucketOf(hash);
+    const bool wasDisplaced = record.displaced;
+    record.displaced = !route->table.lists(bucket, rules_.self.host);
+    if (!record.displaced)
+        return;
+    for (const auto& candidate : route->table.bucket(bucket)) {
+        const bool alreadyTold = wasDisplaced && before && before->lists(bucket, candidate.host);
+        if (!alreadyTold)
+            publisher_.enqueue(candidate, hash);
+    }
+}
+
+void Sidecar::refreshPointers()
+{
+    for (auto& [key, record] : table_.records()) {
+        if (record.displaced && record.state != FlowState::Closing)
+            publishIfDisplaced(key, record, nullptr);
+    }
+}
+
+void Sidecar::onPublication(const Publication& publication, base::TimePoint now)
+{
+    const auto refused = pointers_.accept(publication, now);
+    counts_[static_cast<std::size_t>(SidecarCount::PointersRefused)] += refused;
+    if (refused == 0)
+        output_.acknowledge(publication.owner.traffic, publication.sequence);
+}
+
+void Sidecar::onAcknowledgement(MemberId from, std::uint64_t sequence) { publisher_.acknowledge(from, sequence); }
+
+} // namespace celerystile::core
--- /dev/null
+++ b/src/celerystile/core/sidecar_opening.cpp
@@ -0,0 +1,130 @@
+#include "celerystile/core/sidecar.hpp"
+
+#include <algorithm>
+
+// How a new flow finds its host: each candidate is asked in turn, the emptiest one takes it.
+
+namespace celerystile::core {
+
+namespace {
+
+    std::uint64_t sourceHash(const IpAddress& source) { return EndpointHash {}({ source, 0 }); }
+
+} // namespace
+
+bool Sidecar::isListed(const ForwardHeader& header) const
+{
+    return header.position < header.candidates.size() && header.candidates[header.position].host == rules_.self.host;
+}
+
+bool Sidecar::withinOpeningLimits(const IpAddress& source) const
+{
+    if (table_.opening() >= rules_.maxOpening || table_.size() >= rules_.maxFlows)
+        return false;
+    const auto found = openingBySource_.find(sourceHash(source));
+    return found == openingBySource_.end() || found->second < rules_.maxOpeningPerSource;
+}
+
+void Sidecar::admit(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now)
+{
+    if (header.selected)
+        return claim(header, segment, packet, now);
+    if (followPointer(header, segment, packet, now))
+        return;
+    if (!isListed(header))
+        return passSynOn(header, segment, packet, now);
+    const auto* route = routing_->find(segment.key.service);
+    const auto load = admission_.consider(table_.openFlows(), route->service.priority, now);
+    if (!withinOpeningLimits(segment.key.caller.address))
+        header.transient = true;
+    else if (!load)
+        header.transient = header.transient || passesSoon(load.error());
+    else if (admission_.beats(*load, header.best))
+        header.best = Offer { header.position, *load };
+    passSynOn(header, segment, packet, now);
+}
+
+void Sidecar::passSynOn(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now)
+{
+    if (!isListed(header) && header.position < header.candidates.size())
+        return send(header.candidates[header.position].traffic, header, packet); // back from a pointer
+    if (!passOn(header, packet))
+        placeOrRefuse(header, segment, packet, now);
+}
+
+void Sidecar::placeOrRefuse(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now)
+{
+    if (!header.best) {
+        if (extend(header, segment) && passOn(header, packet))
+            return;
+        return refuse(header, segment, now);
+    }
+    header.selected = true;
+    header.position = header.best->position;
+    if (isListed(header))
+        return claim(header, segment, packet, now);
+    send(header.candidates[header.position].traffic, header, packet);
+}
+
+void Sidecar::claim(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now)
+{
+    const auto* route = routing_->find(segment.key.service);
+    if (!withinOpeningLimits(segment.key.caller.address))
+        return bump(table_.size() >= rules_.maxFlows ? SidecarCount::DropTableFull : SidecarCount::DropSynLimit);
+    if (!admission_.consider(table_.openFlows(), route->service.priority, now))
+        return bump(SidecarCount::DropSynTransient);
+    FlowRecord record;
+    record.callerIsn = segment.sequence;
+    record.callerNext = segment.sequence + 1;
+    auto& added = table_.add(segment.key, record);
+    ++openingBySource_[sourceHash(segment.key.caller.address)];
+    openingSyns_[segment.key] = { header, segment, { packet.begin(), packet.end() }, now };
+    openingQueue_.push_back({ segment.key, now });
+    bump(SidecarCount::FlowsOpened);
+    publishIfDisplaced(segment.key, added, nullptr);
+    deliverOwned(added, segment, packet, now);
+}
+
+void Sidecar::forgetOpening(const FlowKey& key)
+{
+    if (openingSyns_.erase(key) == 0)
+        return;
+    const auto found = openingBySource_.find(sourceHash(key.caller.address));
+    if (found != openingBySource_.end() && --found->second == 0)
+        openingBySource_.erase(found);
+}
+
+void Sidecar::refuse(const ForwardHeader& header, const Segment& segment, base::TimePoint now)
+{
+    const bool unsettled = now - hostsChangedAt_ < rules_.synSettleTime;
+    if (header.transient || unsettled)
+        return bump(SidecarCount::DropSynTransient);
+    output_.resetCaller(segment);
+    bump(SidecarCount::SynRefused);
+}
+
+// Nobody has seen the backend server's reset, so another host may still take the flow.
+void Sidecar::onBackendRefusal(const Segment& segment, base::TimePoint now)
+{
+    bump(SidecarCount::BackendRefused);
+    admission_.noteRefused(now);
+    const auto found = openingSyns_.find(segment.key);
+    if (found == openingSyns_.end())
+        return;
+    auto saved = std::move(found->second);
+    forgetOpening(segment.key);
+    table_.remove(segment.key);
+    auto& header = saved.header;
+    auto& list = header.candidates;
+    list.erase(std::remove_if(list.begin(), list.end(),
+                   [&](const Candidate& candidate) { return candidate.host == rules_.self.host; }),
+        list.end());
+    header.best.reset();
+    header.selected = false;
+    header.position = 0;
+    if (list.empty() && !extend(header, saved.segment))
+        return refuse(header, saved.segment, now);
+    send(list.front().traffic, header, saved.packet);
+}
+
+} // namespace celerystile::core
--- /dev/null
+++ b/src/celerystile/peer/message.cpp
@@ -0,0 +1,323 @@
+#include "celerystile/peer/message.hpp"
+
+#include "wire_values.hpp"
+
+#include <kj/exception.h>
+
+namespace celerystile::peer {
+
+namespace {
+
+    using base::ErrorCode;
+    using base::failure;
+    using core::Bytes;
+
+    constexpr std::size_t scratchWords = 512;
+    constexpr std::uint64_t traversalSlackWords = 1024;
+    constexpr int maxNesting = 8;
+
+    // The bits of FlowEntry.flags.
+    constexpr std::uint8_t stateMask = 0x03;
+    constexpr std::uint8_t flagHostIsn = 0x04;
+    constexpr std::uint8_t flagCallerFinished = 0x08;
+    constexpr std::uint8_t flagHostFinished = 0x10;
+    constexpr std::uint8_t flagDisplaced = 0x20;
+
+    void seal(capnp::MessageBuilder& builder, const Keyring& keyring, DatagramBuffer& out)
+    {
+        const auto size = capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
+        auto* bytes = out.reset(tagBytes + size);
+        kj::ArrayOutputStream stream(kj::arrayPtr(bytes + tagBytes, size));
+        capnp::writeMessage(stream, builder);
+        const auto tag = keyring.tag(out.bytes().subspan(tagBytes));
+        std::copy(tag.begin(), tag.end(), bytes);
+    }
+
+    // Cap'n Proto reports malformed input by exceptions; they end here.
+    template <typename Root, typename Reader>
+    auto openSealed(Bytes sealed, std::size_t limit, const Keyring& keyring, Reader readRoot)
+        -> decltype(readRoot(std::declval<typename Root::Reader>()))
+    {
+        if (sealed.size() > limit)
+            return failure(ErrorCode::TooLarge, "message over the limit");
+        if (sealed.size() < tagBytes + sizeof(capnp::word) || sealed.size() % sizeof(capnp::word) != 0)
+            return failure(ErrorCode::Malformed, "message is cut short");
+        const auto body = sealed.subspan(tagBytes);
+        if (!keyring.accepts(body, sealed.first(tagBytes)))
+            return failure(ErrorCode::Unauthenticated, "keyed hash does not match");
+        try {
+            const auto words
+                = kj::arrayPtr(reinterpret_cast<const capnp::word*>(body.data()), body.size() / sizeof(capnp::word));
+            capnp::ReaderOptions options;
+            options.traversalLimitInWords = words.size() * 2 + traversalSlackWords;
+            options.nestingLimit = maxNesting;
+            capnp::FlatArrayMessageReader reader(words, options);
+            return readRoot(reader.template getRoot<Root>());
+        } catch (const kj::Exception& exception) {
+            return failure(ErrorCode::Malformed, exception.getDescription().cStr());
+        }
+    }
+
+    void writeForward(schema::Forward::Builder to, const ForwardMessage& message)
+    {
+        const auto& header = message.header;
+        to.setService(header.service);
+        to.setGeneration(header.generation);
+        to.setViewVersion(header.viewVersion);
+        to.setHops(header.hops);
+        to.setPosition(header.position);
+        to.setExtended(header.extended);
+        to.setPointed(header.pointed);
+        to.setSelected(header.selected);
+        to.setDenied(header.denied);
+        to.setTransient(header.transient);
+        to.setHasBest(header.best.has_value());
+        if (header.best) {
+            to.setBestPosition(header.best->position);
+            to.setBestLoad(header.best->load);
+        }
+        auto candidates = to.initCandidates(static_cast<unsigned>(header.candidates.size()));
+        for (unsigned i = 0; i < candidates.size(); ++i)
+            write(candidates[i], header.candidates[i]);
+        to.setPacket(kj::arrayPtr(message.packet.data(), message.packet.size()));
+    }
+
+    base::Result<Message> readForward(schema::Forward::Reader from)
+    {
+        ForwardMessage message;
+        auto& header = message.header;
+        header.service = from.getService();
+        header.generation = from.getGeneration();
+        header.viewVersion = from.getViewVersion();
+        header.hops = from.getHops();
+        header.position = from.getPosition();
+        header.extended = from.getExtended();
+        header.pointed = from.getPointed();
+        header.selected = from.getSelected();
+        header.denied = from.getDenied();
+        header.transient = from.getTransient();
+        const auto candidates = from.getCandidates();
+        if (candidates.size() > core::maxCandidates || header.position >= std::max(1U, candidates.size()))
+            return failure(ErrorCode::Malformed, "candidates out of range");
+        if (from.getHasBest()) {
+            header.best = core::Offer { from.getBestPosition(), from.getBestLoad() };
+            if (header.best->position >= candidates.size())
+                return failure(ErrorCode::Malformed, "offer out of range");
+        }
+        for (const auto candidate : candidates)
+            header.candidates.push_back(read(candidate));
+        const auto packet = from.getPacket();
+        message.packet = Bytes(packet.begin(), packet.size());
+        return Message { message };
+    }
+
+    void writePublication(schema::Publish::Builder to, const core::Publication& value)
+    {
+        to.setSequence(value.sequence);
+        write(to.initOwner(), value.owner);
+        auto flows = to.initFlows(static_cast<unsigned>(value.flows.size()));
+        for (unsigned i = 0; i < flows.size(); ++i)
+            flows.set(i, value.flows[i]);
+    }
+
+    base::Result<Message> readPublication(schema::Publish::Reader from)
+    {
+        core::Publication value;
+        value.sequence = from.getSequence();
+        value.owner = read(from.getOwner());
+        for (const auto flow : from.getFlows())
+            value.flows.push_back(flow);
+        return Message { std::move(value) };
+    }
+
+    base::Result<Message> readMessage(schema::Message::Reader from)
+    {
+        switch (from.which()) {
+        case schema::Message::FORWARD:
+            return readForward(from.getForward());
+        case schema::Message::PUBLISH:
+            return readPublication(from.getPublish());
+        case schema::Message::PUBLISH_ACK:
+            return Message { PublishAck { from.getPublishAck().getFrom(), from.getPublishAck().getSequence() } };
+        case schema::Message::GOSSIP:
+            if (auto gossip = read(from.getGossip()); gossip)
+                return Message { std::move(*gossip) };
+            else
+                return tl::make_unexpected(gossip.error());
+        }
+        return failure(ErrorCode::Malformed, "unknown message");
+    }
+
+    struct MessageWriter {
+        schema::Message::Builder root;
+
+        void operator()(const ForwardMessage& message) { writeForward(root.initForward(), message); }
+        void operator()(const core::Publication& value) { writePublication(root.initPublish(), value); }
+        void operator()(const PublishAck& value)
+        {
+            auto ack = root.initPublishAck();
+            ack.setFrom(value.from);
+            ack.setSequence(value.sequence);
+        }
+        void operator()(const core::GossipMessage& value) { write(root.initGossip(), value); }
+    };
+
+    void writeFlow(schema::FlowEntry::Builder to, const FlowEntry& entry)
+    {
+        const auto& record = entry.record;
+        to.setCallerHigh(halfOf(entry.key.caller.address, 0));
+        to.setCallerLow(halfOf(entry.key.caller.address, 8));
+        to.setServiceHigh(halfOf(entry.key.service.address, 0));
+        to.setServiceLow(halfOf(entry.key.service.address, 8));
+        to.setPorts(static_cast<std::uint32_t>(entry.key.caller.port) << 16 | entry.key.service.port);
+        to.setCallerIsn(record.callerIsn);
+        to.setHostIsn(record.hostIsn);
+        to.setCallerNext(record.callerNext);
+        to.setCallerAck(record.callerAck);
+        to.setLastSeen(record.lastSeen);
+        auto flags = static_cast<std::uint8_t>(record.state);
+        flags |= record.hostIsnKnown ? flagHostIsn : 0;
+        flags |= record.callerFinished ? flagCallerFinished : 0;
+        flags |= record.hostFinished ? flagHostFinished : 0;
+        flags |= record.displaced ? flagDisplaced : 0;
+        to.setFlags(flags);
+    }
+
+    base::Result<FlowEntry> readFlow(schema::FlowEntry::Reader from)
+    {
+        const auto flags = from.getFlags();
+        if ((flags & stateMask) > static_cast<std::uint8_t>(core::FlowState::Closing))
+            return failure(ErrorCode::Malformed, "unknown flow state");
+        FlowEntry entry;
+        entry.key.caller = { addressOf(from.getCallerHigh(), from.getCallerLow()),
+            static_cast<std::uint16_t>(from.getPorts() >> 16) };
+        entry.key.service
+            = { addressOf(from.getServiceHigh(), from.getServiceLow()), static_cast<std::uint16_t>(from.getPorts()) };
+        auto& record = entry.record;
+        record.callerIsn = from.getCallerIsn();
+        record.hostIsn = from.getHostIsn();
+        record.callerNext = from.getCallerNext();
+        record.callerAck = from.getCallerAck();
+        record.lastSeen = from.getLastSeen();
+        record.state = static_cast<core::FlowState>(flags & stateMask);
+        record.hostIsnKnown = (flags & flagHostIsn) != 0;
+        record.callerFinished = (flags & flagCallerFinished) != 0;
+        record.hostFinished = (flags & flagHostFinished) != 0;
+        record.displaced = (flags & flagDisplaced) != 0;
+        return entry;
+    }
+
+    struct RequestWriter {
+        schema::Request::Builder root;
+
+        void operator()(const FetchText&) { root.setFetchText(); }
+        void operator()(const FetchMembers&) { root.setFetchMembers(); }
+        void operator()(const TakeOver& request) { root.setTakeOver(request.host); }
+    };
+
+    base::Result<Request> readRequest(schema::Request::Reader from)
+    {
+        switch (from.which()) {
+        case schema::Request::FETCH_TEXT:
+            return Request { FetchText {} };
+        case schema::Request::FETCH_MEMBERS:
+            return Request { FetchMembers {} };
+        case schema::Request::TAKE_OVER:
+            return Request { TakeOver { from.getTakeOver() } };
+        }
+        return failure(ErrorCode::Malformed, "unknown request");
+    }
+
+    struct ResponseWriter {
+        schema::Response::Builder root;
+
+        void operator()(const TextResponse& response)
+        {
+            auto text = root.initText();
+            text.setGeneration(response.generation);
+            text.setText(
+                kj::arrayPtr(reinterpret_cast<const std::uint8_t*>(response.text.data()), response.text.size()));
+        }
+        void operator()(const MembersResponse& response)
+        {
+            core::GossipMessage members;
+            members.members = response.members;
+            write(root.initMembers(), members);
+        }
+        void operator()(const FlowsResponse& response)
+        {
+            auto flows = root.initFlows(static_cast<unsigned>(response.flows.size()));
+            for (unsigned i = 0; i < flows.size(); ++i)
+                writeFlow(flows[i], response.flows[i]);
+        }
+        void operator()(const RefusedResponse& response) { root.setRefused(response.reason); }
+    };
+
+    base::Result<Response> readResponse(schema::Response::Reader from)
+    {
+        if (from.isText()) {
+            const auto text = from.getText().getText();
+            return Response { TextResponse { from.getText().getGeneration(),
+                std::string(reinterpret_cast<const char*>(text.begin()), text.size()) } };
+        }
+        if (from.isMembers()) {
+            auto message = read(from.getMembers());
+            if (!message)
+                return tl::make_unexpected(message.error());
+            return Response { MembersResponse { std::move(message->members) } };
+        }
+        if (from.isRefused())
+            return Response { RefusedResponse { from.getRefused().cStr() } };
+        FlowsResponse flows;
+        for (const auto item : from.getFlows()) {
+            auto entry = readFlow(item);
+            if (!entry)
+                return tl::make_unexpected(entry.error());
+            flows.flows.push_back(*entry);
+        }
+        return Response { std::move(flows) };
+    }
+
+    template <typename Root, typename Writer, typename Value>
+    void encodeWith(const Value& value, const Keyring& keyring, DatagramBuffer& out)
+    {
+        capnp::word scratch[scratchWords];
+        std::memset(scratch, 0, sizeof(scratch));
+        capnp::MallocMessageBuilder builder(kj::arrayPtr(scratch, scratchWords));
+        std::visit(Writer { builder.initRoot<Root>() }, value);
+        seal(builder, keyring, out);
+    }
+
+} // namespace
+
+void encode(const Message& message, const Keyring& keyring, DatagramBuffer& out)
+{
+    encodeWith<schema::Message, MessageWriter>(message, keyring, out);
+}
+
+base::Result<Message> decode(Bytes datagram, const Keyring& keyring)
+{
+    return openSealed<schema::Message>(datagram, maxDatagramBytes, keyring, readMessage);
+}
+
+void encodeRequest(const Request& request, const Keyring& keyring, DatagramBuffer& out)
+{
+    encodeWith<schema::Request, RequestWriter>(request, keyring, out);
+}
+
+base::Result<Request> decodeRequest(Bytes frame, const Keyring& keyring)
+{
+    return openSealed<schema::Request>(frame, maxDatagramBytes, keyring, readRequest);
+}
+
+void encodeResponse(const Response& response, const Keyring& keyring, DatagramBuffer& out)
+{
+    encodeWith<schema::Response, ResponseWriter>(response, keyring, out);
+}
+
+base::Result<Response> decodeResponse(Bytes frame, const Keyring& keyring)
+{
+    return openSealed<schema::Response>(frame, maxFrameBytes, keyring, readResponse);
+}
+
+} // namespace celerystile::peer
--- /dev/null
+++ b/src/celerystile/platform/submit.cpp
@@ -0,0 +1,87 @@
+#include "celerystile/platform/client.hpp"
+
+#include <algorithm>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+
+namespace celerystile::platform {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr int maxAttempts = 4;
+    constexpr std::chrono::milliseconds firstBackoff { 100 };
+
+    asio::awaitable<void> pause(std::chrono::milliseconds duration)
+    {
+        asio::steady_timer timer(co_await asio::this_coro::executor);
+        timer.expires_after(duration);
+        co_await timer.async_wait(base::asValues);
+    }
+
+    /// The submission's record in the history, if it was accepted at any time.
+    asio::awaitable<base::Result<std::optional<Record>>> findAccepted(Client& client, const std::string& submission)
+    {
+        const auto records = co_await client.history();
+        if (!records)
+            co_return tl::make_unexpected(records.error());
+        const auto found = std::find_if(
+            records->begin(), records->end(), [&](const Record& record) { return record.submission == submission; });
+        if (found == records->end())
+            co_return std::optional<Record> {};
+        co_return std::optional<Record> { *found };
+    }
+
+} // namespace
+
+// The compare is on the revision that held `base`, so a write whose answer was lost can't be applied twice.
+asio::awaitable<SubmitReport> submit(Client& client, Record record, core::Generation base)
+{
+    SubmitReport report;
+    auto backoff = firstBackoff;
+    for (int attempt = 0; attempt < maxAttempts; ++attempt) {
+        if (attempt > 0) {
+            co_await pause(backoff);
+            backoff *= 2;
+        }
+        const auto accepted = co_await findAccepted(client, record.submission);
+        if (!accepted) {
+            report.detail = accepted.error().detail;
+            continue;
+        }
+        if (*accepted) {
+            report.outcome = SubmitOutcome::Accepted;
+            report.generation = (*accepted)->generation;
+            co_return report;
+        }
+        const auto current = co_await client.readCurrent();
+        if (!current) {
+            report.detail = current.error().detail;
+            continue;
+        }
+        const auto inForce = current->record ? current->record->generation : 0;
+        if (inForce != base) {
+            // Our own write may have landed between the two reads. It can't land any more: the revision has moved.
+            const auto again = co_await findAccepted(client, record.submission);
+            if (!again || *again)
+                continue;
+            report.outcome = SubmitOutcome::Conflict;
+            report.other = current->record;
+            co_return report;
+        }
+        record.generation = inForce + 1;
+        const auto swapped = co_await client.swap(record, current->revision);
+        if (!swapped)
+            report.detail = swapped.error().detail;
+        if (swapped && *swapped == SwapOutcome::Written) {
+            report.outcome = SubmitOutcome::Accepted;
+            report.generation = record.generation;
+            co_return report;
+        }
+    }
+    report.outcome = SubmitOutcome::Unknown;
+    co_return report;
+}
+
+} // namespace celerystile::platform
--- /dev/null
+++ b/tests/fleet.cpp
@@ -0,0 +1,322 @@
+#include "fleet.hpp"
+
+#include "celerystile/base/http.hpp"
+
+#include <atomic>
+#include <boost/json.hpp>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <spawn.h>
+#include <sstream>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+
+extern char** environ;
+
+namespace celerystile::tests {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr int portPlatform = 7300;
+    constexpr int portFabricEntry = 7301;
+    constexpr int portFabricStatus = 7302;
+    constexpr int portGateway = 7303;
+    constexpr int portBalancerStatus = 7400;
+    constexpr int portBalancerControl = 7450;
+    constexpr int portBalancerEntry = 7500;
+    constexpr int portSidecarStatus = 7600;
+    constexpr int portSidecarControl = 7650;
+    constexpr int portSidecarTraffic = 7700;
+    constexpr int portBackendStatus = 7800;
+    constexpr int portBackendGue = 7850;
+    constexpr int portBackendListen = 7900;
+    constexpr int portCaller = 8000;
+    constexpr auto startTimeout = 20s;
+    constexpr auto askTimeout = 2000ms;
+
+    // One loopback address per fleet keeps runs side by side apart.
+    std::string uniqueLoopback()
+    {
+        static std::atomic<unsigned> counter { 0 };
+        const auto number = static_cast<unsigned>(::getpid()) * 8 + counter++ % 8;
+        return "127." + std::to_string(64 + (number >> 16) % 128) + "." + std::to_string((number >> 8) & 255) + "."
+            + std::to_string(number & 255);
+    }
+
+    std::string binary(const std::string& name) { return std::string(CELERYSTILE_BINARY_DIR) + "/" + name; }
+
+} // namespace
+
+Process::Process(const std::string& name, std::vector<std::string> command, std::string logFile)
+    : name_(name)
+    , logFile_(std::move(logFile))
+    , pid_(0)
+{
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_addopen(&actions, 0, "/dev/null", O_RDONLY, 0);
+    posix_spawn_file_actions_addopen(&actions, 1, logFile_.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+    posix_spawn_file_actions_adddup2(&actions, 1, 2);
+    std::vector<char*> arguments;
+    for (auto& argument : command)
+        arguments.push_back(argument.data());
+    arguments.push_back(nullptr);
+    if (posix_spawn(&pid_, arguments[0], &actions, nullptr, arguments.data(), environ) != 0)
+        exitCode_ = 127;
+    posix_spawn_file_actions_destroy(&actions);
+}
+
+Process::~Process()
+{
+    if (running()) {
+        ::kill(pid_, SIGKILL);
+        ::waitpid(pid_, nullptr, 0);
+    }
+}
+
+void Process::signal(int number) const
+{
+    if (!exitCode_)
+        ::kill(pid_, number);
+}
+
+bool Process::running() { return !waitFor(0ms); }
+
+std::optional<int> Process::waitFor(std::chrono::milliseconds timeout)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    while (!exitCode_) {
+        int status = 0;
+        if (::waitpid(pid_, &status, WNOHANG) == pid_)
+            exitCode_ = WIFEXITED(status) ? WEXITSTATUS(status) : 128 + WTERMSIG(status);
+        else if (std::chrono::steady_clock::now() >= deadline)
+            return std::nullopt;
+        else
+            std::this_thread::sleep_for(5ms);
+    }
+    return exitCode_;
+}
+
+std::string Process::output() const
+{
+    std::ifstream file(logFile_);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+bool waitUntil(const std::function<bool()>& condition, std::chrono::milliseconds timeout)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    while (!condition()) {
+        if (std::chrono::steady_clock::now() >= deadline)
+            return false;
+        std::this_thread::sleep_for(20ms);
+    }
+    return true;
+}
+
+Fleet::Fleet(FleetPlan plan)
+    : plan_(std::move(plan))
+    , address_(uniqueLoopback())
+{
+    auto pattern = (std::filesystem::temp_directory_path() / "celerystile-XXXXXX").string();
+    folder_ = ::mkdtemp(pattern.data());
+    const int hosts = plan_.hosts + (plan_.archiveAddress.empty() ? 0 : 1);
+    balancers_.resize(static_cast<std::size_t>(plan_.balancers));
+    backends_.resize(static_cast<std::size_t>(hosts));
+    sidecars_.resize(static_cast<std::size_t>(hosts));
+}
+
+Fleet::~Fleet()
+{
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+}
+
+std::string Fleet::at(int port) const { return address_ + ":" + std::to_string(port); }
+
+std::unique_ptr<Process> Fleet::spawn(const std::string& name, std::vector<std::string> command) const
+{
+    command.front() = binary(command.front());
+    return std::make_unique<Process>(name, std::move(command), file(name));
+}
+
+std::vector<std::string> Fleet::common(const std::string& id, int control, int status) const
+{
+    return { "--id", id, "--control", at(control), "--status", at(status), "--platform", platform(), "--peer",
+        at(portBalancerControl), "--key", "a passphrase for tests" };
+}
+
+void Fleet::startBalancer(int index)
+{
+    std::vector<std::string> command { "celerystiled", "balancer", "--entry", at(portBalancerEntry + index),
+        "--failure-domain", "domain-" + std::to_string(index % 2) };
+    const auto id = "balancer-" + std::to_string(index);
+    const auto shared = common(id, portBalancerControl + index, portBalancerStatus + index);
+    command.insert(command.end(), shared.begin(), shared.end());
+    auto& slot = balancers_.at(static_cast<std::size_t>(index));
+    slot.reset();
+    slot = spawn(id, std::move(command));
+}
+
+void Fleet::startBackend(int index)
+{
+    const bool archive = index >= plan_.hosts;
+    auto& slot = backends_.at(static_cast<std::size_t>(index));
+    slot.reset();
+    slot = spawn("backend-" + std::to_string(index),
+        { "celerystile-fakes", "backend", "--host", "host-" + std::to_string(index), "--address",
+            archive ? plan_.archiveAddress : plan_.serviceAddress, "--services",
+            archive ? plan_.archiveServices : plan_.services, "--listen", at(portBackendGue + index), "--sidecar",
+            at(portBackendListen + index), "--status", at(portBackendStatus + index) });
+}
+
+void Fleet::startSidecar(int index, bool takeOver)
+{
+    std::string names;
+    std::stringstream services(index >= plan_.hosts ? plan_.archiveServices : plan_.services);
+    for (std::string service; std::getline(services, service, ',');)
+        names += (names.empty() ? "" : ",") + service.substr(0, service.find('='));
+    std::vector<std::string> command { "celerystiled", "sidecar", "--traffic", at(portSidecarTraffic + index),
+        "--services", names, "--backend", at(portBackendGue + index), "--backend-listen", at(portBackendListen + index),
+        "--gateway", at(portGateway), "--health", at(portBackendStatus + index), "--capacity",
+        std::to_string(plan_.capacity), "--failure-domain", "domain-" + std::to_string(index % 2) };
+    const auto id = "host-" + std::to_string(index);
+    const auto shared = common(id, portSidecarControl + index, portSidecarStatus + index);
+    command.insert(command.end(), shared.begin(), shared.end());
+    command.insert(command.end(), plan_.sidecarFlags.begin(), plan_.sidecarFlags.end());
+    auto& slot = sidecars_.at(static_cast<std::size_t>(index));
+    if (takeOver) {
+        command.insert(command.end(), { "--take-over", at(portSidecarControl + index) });
+        auto successor = spawn(id + "-successor", std::move(command));
+        if (slot)
+            slot->waitFor(startTimeout);
+        slot = std::move(successor);
+        return;
+    }
+    slot.reset();
+    slot = spawn(id, std::move(command));
+}
+
+std::string Fleet::start()
+{
+    platformProcess_ = spawn("platform", { "celerystile-fakes", "platform", "--listen", platform() });
+    if (!waitUntil([&] { return !ask(platform(), "/calls").empty(); }, startTimeout))
+        return "the platform stand-in does not answer";
+    std::string said;
+    if (tool({ "submit", std::string(CELERYSTILE_SOURCE_DIR) + "/" + plan_.text, "--platform", platform() }, &said)
+        != 0)
+        return "submit failed: " + said;
+    std::string entries;
+    std::string health;
+    for (int i = 0; i < plan_.balancers; ++i) {
+        startBalancer(i);
+        entries += (i ? "," : "") + at(portBalancerEntry + i);
+        health += (i ? "," : "") + at(portBalancerStatus + i);
+    }
+    for (std::size_t i = 0; i < sidecars_.size(); ++i) {
+        startBackend(static_cast<int>(i));
+        startSidecar(static_cast<int>(i));
+    }
+    fabric_ = spawn("fabric",
+        { "celerystile-fakes", "fabric", "--entry", at(portFabricEntry), "--gateway", at(portGateway), "--status",
+            at(portFabricStatus), "--balancers", entries, "--health", health });
+    const auto hosts = static_cast<std::int64_t>(sidecars_.size());
+    const bool up = waitUntil(
+        [&] {
+            for (int i = 0; i < plan_.balancers; ++i) {
+                const auto dump = ask(statusOfBalancer(i), "/dump");
+                std::int64_t ready = 0;
+                if (const auto* members = dump.if_contains("members")) {
+                    for (const auto& member : members->as_array())
+                        ready += member.at("role") == "sidecar" && member.at("state") == "ready" ? 1 : 0;
+                }
+                if (ready < hosts)
+                    return false;
+            }
+            return numberIn(ask(fabricStatus(), "/"), "ready_balancers") == plan_.balancers;
+        },
+        startTimeout);
+    return up ? "" : "the fleet did not become ready\n" + logs();
+}
+
+std::unique_ptr<Process> Fleet::startCaller(const CallerPlan& plan)
+{
+    const int index = callers_++;
+    std::vector<std::string> command { "celerystile-fakes", "caller", "--address",
+        "10.200." + std::to_string(index / 200) + "." + std::to_string(index % 200 + 1), "--listen",
+        at(portCaller + index), "--fabric", at(portFabricEntry), "--service", plan.service, "--name", plan.name,
+        "--duration", std::to_string(plan.duration), "--rate", std::to_string(plan.rate), "--lifetime",
+        std::to_string(plan.lifetime), "--interval", std::to_string(plan.interval), "--patience",
+        std::to_string(plan.patience), "--seed", std::to_string(plan.seed) };
+    if (plan.hold)
+        command.push_back("--hold");
+    return spawn("caller-" + std::to_string(index), std::move(command));
+}
+
+int Fleet::tool(std::vector<std::string> arguments, std::string* output)
+{
+    arguments.insert(arguments.begin(), "celerystile");
+    const auto process = spawn("tool-" + std::to_string(toolRuns_++), std::move(arguments));
+    const auto code = process->waitFor(30s);
+    if (output)
+        *output = process->output();
+    return code.value_or(-1);
+}
+
+boost::json::object Fleet::ask(const std::string& endpoint, const std::string& target, const std::string& body)
+{
+    const auto reply = base::httpExchangeNow(*base::Endpoint::parse(endpoint), target, body, askTimeout);
+    if (!reply || reply->body.empty())
+        return {};
+    boost::system::error_code error;
+    const auto value = boost::json::parse(reply->body, error);
+    return error || !value.is_object() ? boost::json::object {} : value.get_object();
+}
+
+boost::json::object Fleet::sidecarRole(int index) const
+{
+    const auto dump = ask(statusOfSidecar(index), "/dump");
+    const auto* role = dump.if_contains("role");
+    return role ? role->as_object() : boost::json::object {};
+}
+
+std::string Fleet::logs() const
+{
+    std::string all;
+    for (const auto& entry : std::filesystem::directory_iterator(folder_)) {
+        std::ifstream file(entry.path());
+        std::ostringstream text;
+        text << file.rdbuf();
+        all += "--- " + entry.path().filename().string() + "\n" + text.str();
+    }
+    return all;
+}
+
+boost::json::object reportOf(const Process& caller)
+{
+    const auto text = caller.output();
+    const auto begin = text.rfind('{');
+    if (begin == std::string::npos)
+        return {};
+    boost::system::error_code error;
+    const auto value = boost::json::parse(text.substr(begin), error);
+    return error || !value.is_object() ? boost::json::object {} : value.get_object();
+}
+
+std::int64_t numberIn(const boost::json::object& object, const std::string& key)
+{
+    const auto* value = object.if_contains(key);
+    if (!value || !value->is_number())
+        return 0;
+    return value->to_number<std::int64_t>();
+}
+
+} // namespace celerystile::tests
