A seeded workload in virtual time and the naive baselines

Every policy goes through the same changes: drain, join, replacement, cold start, both at once, rolling restart, crash.

--- /dev/null
+++ b/bench/experiment.cpp
@@ -0,0 +1,110 @@
+#include "celerystile/base/settings.hpp"
+#include "scenario.hpp"
+
+#include <chrono>
+#include <iomanip>
+#include <iostream>
+
+/// @file
+/// @brief The experiment tool: every policy, or one with other settings, through the same seeded workload.
+
+namespace {
+
+using namespace celerystile;
+using bench::PolicyKind;
+
+constexpr std::array options {
+    base::Option { "policy", "", base::OptionKind::Text, "all", false, 0, 0, "",
+        "all, celerystile, mod-n, rendezvous or random-table." },
+    base::Option { "seed", "", base::OptionKind::Number, "1", false, 0, 1e9, "", "Seed of the run." },
+    base::Option { "hosts", "", base::OptionKind::Number, "7", false, 5, 600, "hosts", "Hosts at the start." },
+    base::Option { "balancers", "", base::OptionKind::Number, "4", false, 2, 100, "balancers", "Balancers at the start." },
+    base::Option { "flows", "", base::OptionKind::Number, "8000", false, 10, 1e6, "flows", "Long flows open at a time." },
+    base::Option { "short-rate", "", base::OptionKind::Number, "25", false, 0, 1e5, "flows a second", "Short flows." },
+    base::Option { "phase", "", base::OptionKind::Number, "360", false, 10, 1e5, "seconds", "Time between changes." },
+    base::Option { "skew", "", base::OptionKind::Number, "5", false, 0, 1000, "seconds", "Skew between views." },
+    base::Option { "candidates", "", base::OptionKind::Number, "3", false, 1, 6, "hosts", "Accepting candidates." },
+    base::Option { "margin", "", base::OptionKind::Number, "0.002", false, 0, 1, "share of capacity", "Margin." },
+    base::Option { "capacity", "", base::OptionKind::Number, "2000", false, 1, 1e7, "connections", "Of a host." },
+    base::Option { "loss", "", base::OptionKind::Number, "0", false, 0, 0.9, "share", "Lost packets." },
+    base::Option { "no-directory", "", base::OptionKind::Switch, "", false, 0, 0, "", "Without the flow directory." },
+    base::Option { "drop-leaving", "", base::OptionKind::Switch, "", false, 0, 0, "",
+        "Leaving hosts are taken out of the candidates at once." },
+    base::Option { "phases", "", base::OptionKind::Switch, "", false, 0, 0, "", "Print every phase." },
+};
+
+bench::ScenarioRules rulesFrom(const base::Settings& settings, PolicyKind policy)
+{
+    bench::ScenarioRules rules;
+    rules.longFlows = static_cast<int>(settings.number("flows"));
+    rules.shortPerSecond = settings.number("short-rate");
+    rules.phase = std::chrono::seconds(static_cast<int>(settings.number("phase")));
+    auto& world = rules.world;
+    world.policy = policy;
+    world.seed = static_cast<std::uint64_t>(settings.number("seed"));
+    world.hosts = static_cast<int>(settings.number("hosts"));
+    world.balancers = static_cast<int>(settings.number("balancers"));
+    world.capacity = static_cast<std::uint32_t>(settings.number("capacity"));
+    world.viewSkew = std::chrono::milliseconds(static_cast<int>(settings.number("skew") * 1000));
+    world.loss = settings.number("loss");
+    world.candidates.acceptingHosts = static_cast<std::size_t>(settings.number("candidates"));
+    world.candidates.keepLeaving = !settings.isSet("drop-leaving");
+    world.sidecar.admission.margin = settings.number("margin");
+    world.sidecar.directoryEnabled = !settings.isSet("no-directory");
+    return rules;
+}
+
+void printHeader()
+{
+    std::cout << "policy        broken  broken   lost    misde-  run    refused unop-  open-imb new-imb  level  quarter "
+                 "extra  control\n"
+                 "              planned by crash w/host  livered twice          ened   steady   steady   s      s       "
+                 "hops   B/s/host  wall s\n";
+}
+
+void printRow(PolicyKind policy, const bench::ScenarioResult& result, double wall)
+{
+    const auto& counts = result.counts;
+    std::cout << std::left << std::setw(14) << toString(policy) << std::setw(8) << result.brokenPlanned << std::setw(9)
+              << result.brokenByCrash << std::setw(8) << counts.lostWithHost << std::setw(8) << counts.misdelivered
+              << std::setw(7) << counts.runTwice << std::setw(8) << counts.refused << std::setw(7) << counts.unopened
+              << std::fixed << std::setprecision(4) << std::setw(9) << result.steadyOpenImbalance << std::setw(9)
+              << result.steadyNewImbalance << std::setprecision(0) << std::setw(7) << result.secondsToLevel
+              << std::setw(8) << result.secondsOfQuarterTurnover << std::setprecision(3) << std::setw(7)
+              << result.extraHops << std::setprecision(1) << std::setw(10) << result.controlBytesPerHostSecond
+              << std::setprecision(1) << wall << std::defaultfloat << std::endl;
+}
+
+void runPolicy(const base::Settings& settings, PolicyKind policy)
+{
+    const auto begun = std::chrono::steady_clock::now();
+    const auto result = bench::runScenario(rulesFrom(settings, policy));
+    const std::chrono::duration<double> wall = std::chrono::steady_clock::now() - begun;
+    printRow(policy, result, wall.count());
+    if (!settings.isSet("phases"))
+        return;
+    for (const auto& phase : result.phases)
+        std::cout << std::setprecision(4) << "    " << std::left << std::setw(28) << phase.name << " broken " << std::setw(6) << phase.broken
+                  << " open imbalance at end " << std::setw(8) << phase.openImbalanceEnd << " new flows "
+                  << phase.newImbalance << '\n';
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const auto settings = base::parseSettings(
+        "celerystile-experiment", "placement policies under one workload", options, { argv, argv + argc });
+    if (!settings) {
+        for (const auto& mistake : settings.error().mistakes)
+            std::cerr << mistake << '\n';
+        return settings.error().exitCode;
+    }
+    printHeader();
+    for (const auto policy :
+        { PolicyKind::Celerystile, PolicyKind::ModN, PolicyKind::Rendezvous, PolicyKind::RandomTable }) {
+        if (settings->text("policy") == "all" || settings->text("policy") == toString(policy))
+            runPolicy(*settings, policy);
+    }
+    return 0;
+}
--- /dev/null
+++ b/bench/scenario.cpp
@@ -0,0 +1,191 @@
+#include "scenario.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace celerystile::bench {
+
+namespace {
+
+    constexpr base::Duration step = std::chrono::milliseconds(200);
+    constexpr double levelImbalance = 1.06;
+    constexpr double shortSeconds = 10;
+    constexpr std::uint64_t windowFlowsPerHost = 1000;
+
+    /// Opens flows at the rates that keep the wanted number open.
+    class Workload {
+    public:
+        Workload(World& world, const ScenarioRules& rules)
+            : world_(world)
+            , rules_(rules)
+            , random_(rules.world.seed * 31 + 7)
+        {
+            const double meanSeconds = rules.medianMinutes * 60 * std::exp(rules.sigma * rules.sigma / 2);
+            longPerSecond_ = rules.longFlows / meanSeconds;
+        }
+
+        // Flows met in mid-life: a length-biased log-normal, and a uniform share of it left.
+        void warmUp(base::Duration duration)
+        {
+            const auto steps = duration / step;
+            for (std::int64_t i = 0; i < steps; ++i) {
+                for (auto n = rules_.longFlows * i / steps; n < rules_.longFlows * (i + 1) / steps; ++n)
+                    world_.openFlow(seconds(draw(rules_.sigma * rules_.sigma) * random_.unit()) + duration);
+                world_.runFor(step);
+            }
+        }
+
+        template <typename Sample>
+        void run(base::Duration duration, Sample sample)
+        {
+            for (std::int64_t i = 0; i < duration / step; ++i) {
+                const double passed = std::chrono::duration<double>(step).count();
+                longDue_ += longPerSecond_ * passed;
+                shortDue_ += rules_.shortPerSecond * passed;
+                for (; longDue_ >= 1; --longDue_)
+                    world_.openFlow(seconds(draw(0)));
+                for (; shortDue_ >= 1; --shortDue_)
+                    world_.openFlow(seconds(shortSeconds * (0.5 + random_.unit())));
+                world_.runFor(step);
+                sample();
+            }
+        }
+
+    private:
+        static base::Duration seconds(double value)
+        {
+            return std::chrono::duration_cast<base::Duration>(std::chrono::duration<double>(value));
+        }
+
+        double draw(double shift)
+        {
+            const double gauss = std::sqrt(-2 * std::log(1 - random_.unit())) * std::cos(2 * M_PI * random_.unit());
+            return rules_.medianMinutes * 60 * std::exp(shift + rules_.sigma * gauss);
+        }
+
+        World& world_;
+        const ScenarioRules& rules_;
+        base::Random random_;
+        double longPerSecond_ = 0;
+        double longDue_ = 0;
+        double shortDue_ = 0;
+    };
+
+    class Scenario {
+    public:
+        explicit Scenario(const ScenarioRules& rules)
+            : rules_(rules)
+            , world_(rules.world)
+            , load_(world_, rules_)
+        {
+        }
+
+        ScenarioResult run()
+        {
+            load_.warmUp(std::chrono::minutes(2));
+            load_.run(std::chrono::seconds(30), [] {});
+            steady();
+            const auto first = world_.readyHosts();
+            phase("drain a host", [&] { world_.drainHost(first[1]); });
+            joinPhase();
+            phase("replace a host", [&] {
+                world_.addHost();
+                world_.drainHost(first[2]);
+            });
+            phase("replace a balancer", [&] {
+                world_.addBalancer();
+                world_.removeBalancer(0);
+            });
+            phase("cold start", [&] { cold_ = world_.addHost(rules_.phase / 2); });
+            phase("host and balancer at once", [&] {
+                world_.addHost();
+                world_.drainHost(first[3]);
+                world_.addBalancer();
+                world_.removeBalancer(1);
+            });
+            rollingRestart();
+            result_.brokenPlanned = world_.counts().broken();
+            phase("crash", [&] { world_.crashHost(first[4]); });
+            result_.brokenByCrash = world_.counts().broken() - result_.brokenPlanned;
+            finish();
+            return result_;
+        }
+
+    private:
+        void steady()
+        {
+            world_.newFlowImbalance();
+            auto openedBefore = world_.counts().established;
+            phase("steady", [] {}, [&] {
+                result_.steadyOpenImbalance = std::max(result_.steadyOpenImbalance, world_.openImbalance());
+                const auto window = windowFlowsPerHost * world_.readyHosts().size();
+                if (world_.counts().established - openedBefore >= window) {
+                    openedBefore = world_.counts().established;
+                    result_.steadyNewImbalance = std::max(result_.steadyNewImbalance, world_.newFlowImbalance());
+                }
+            });
+        }
+
+        void joinPhase()
+        {
+            const auto begun = world_.now();
+            const auto closedBefore = world_.counts().closed;
+            const auto quarter = world_.openFlows() / 4;
+            const auto since = [&] { return std::chrono::duration<double>(world_.now() - begun).count(); };
+            phase("a host joins", [&] { world_.addHost(); }, [&] {
+                if (result_.secondsToLevel < 0 && world_.openImbalance() < levelImbalance && since() > 1)
+                    result_.secondsToLevel = since();
+                if (result_.secondsOfQuarterTurnover == 0 && world_.counts().closed - closedBefore >= quarter)
+                    result_.secondsOfQuarterTurnover = since();
+            });
+        }
+
+        void rollingRestart()
+        {
+            constexpr base::Duration gap = std::chrono::milliseconds(200);
+            const auto hosts = world_.readyHosts();
+            std::size_t next = 0;
+            const auto pause = rules_.phase / static_cast<std::int64_t>(hosts.size() + 1);
+            auto due = world_.now();
+            phase("rolling restart", [] {}, [&] {
+                if (next >= hosts.size() || world_.now() < due)
+                    return;
+                world_.handOver(hosts[next++], gap);
+                world_.addBalancer();
+                world_.removeBalancer(next + 1);
+                due += pause;
+            });
+        }
+
+        void phase(const char* name, const std::function<void()>& change, const std::function<void()>& sample = [] {})
+        {
+            const auto brokenBefore = world_.counts().broken();
+            change();
+            world_.newFlowImbalance();
+            load_.run(rules_.phase, sample);
+            result_.phases.push_back(
+                { name, world_.counts().broken() - brokenBefore, world_.openImbalance(), world_.newFlowImbalance() });
+        }
+
+        void finish()
+        {
+            const auto& counts = world_.counts();
+            result_.counts = counts;
+            result_.extraHops = counts.packets == 0 ? 0 : static_cast<double>(counts.hops) / static_cast<double>(counts.packets);
+            const auto lasted = std::chrono::duration<double>(rules_.phase * static_cast<std::int64_t>(result_.phases.size()));
+            result_.controlBytesPerHostSecond = static_cast<double>(counts.pointerBytes) / lasted.count()
+                / static_cast<double>(world_.readyHosts().size());
+        }
+
+        ScenarioRules rules_;
+        World world_;
+        Workload load_;
+        core::MemberId cold_ = 0;
+        ScenarioResult result_;
+    };
+
+} // namespace
+
+ScenarioResult runScenario(const ScenarioRules& rules) { return Scenario(rules).run(); }
+
+} // namespace celerystile::bench
--- /dev/null
+++ b/bench/world.cpp
@@ -0,0 +1,303 @@
+#include "world_types.hpp"
+
+#include <algorithm>
+
+// The world's news, time and places. Packets and backend servers are in world_traffic.cpp.
+
+namespace celerystile::bench {
+
+namespace {
+
+    constexpr base::Duration tickInterval = std::chrono::milliseconds(50);
+    constexpr std::uint16_t servicePort = 7001;
+    constexpr std::uint32_t serviceAddress = 0x0a500001; // 10.80.0.1
+    constexpr std::uint32_t hostNetwork = 0x7f010000;
+
+} // namespace
+
+World::World(WorldRules rules)
+    : rules_(rules)
+    , random_(rules.seed)
+{
+    core::Service service;
+    service.name = "declarations";
+    service.id = core::hashName(service.name);
+    service.address = { core::IpAddress::fromV4(serviceAddress), servicePort };
+    service.allowedNetworks = { *core::Network::parse("127.0.0.0/8") };
+    configuration_.generation = 1;
+    configuration_.services = { service };
+    const auto skew = rules_.viewSkew;
+    rules_.viewSkew = {};
+    for (int i = 0; i < rules_.balancers; ++i)
+        addBalancer();
+    for (int i = 0; i < rules_.hosts; ++i)
+        addHost();
+    runFor(std::chrono::seconds(1));
+    rules_.viewSkew = skew;
+}
+
+World::~World() = default;
+
+void World::schedule(base::Duration after, std::function<void()> run)
+{
+    events_.push({ now_ + after, nextOrder_++, std::move(run) });
+}
+
+void World::runFor(base::Duration duration)
+{
+    const auto end = now_ + duration;
+    auto nextTick = now_;
+    while (now_ < end) {
+        const auto next = events_.empty() ? end : std::min(end, events_.top().at);
+        if (nextTick <= next) {
+            now_ = nextTick;
+            nextTick += tickInterval;
+            tickAll();
+            continue;
+        }
+        now_ = next;
+        if (events_.empty() || events_.top().at > now_)
+            break;
+        const auto event = events_.top();
+        events_.pop();
+        event.run();
+    }
+    now_ = end;
+}
+
+void World::tickAll()
+{
+    for (auto& [id, host] : hosts_) {
+        if (!host->runs(now_))
+            continue;
+        host->sidecar->tick(now_);
+        const bool leftEmpty = host->state == core::MemberState::Leaving && host->sidecar->drained()
+            && host->connections.empty() && now_ - host->leavingSince >= std::chrono::seconds(1);
+        if (leftEmpty) {
+            host->gone = true;
+            announce(id, core::MemberState::Left);
+        }
+    }
+}
+
+core::MemberId World::addHost(base::Duration ramp)
+{
+    const auto id = base::mix(rules_.seed * 1000 + nextHost_);
+    auto host = std::make_unique<Host>(*this, id);
+    host->traffic = { core::IpAddress::fromV4(hostNetwork + static_cast<std::uint32_t>(nextHost_)), servicePort };
+    host->domain = "domain-" + std::to_string(nextHost_ % 3);
+    ++nextHost_;
+    startSidecar(*host, false, ramp, {});
+    host->state = core::MemberState::Ready;
+    hosts_[id] = std::move(host);
+    announce(id, core::MemberState::Ready);
+    return id;
+}
+
+void World::startSidecar(Host& host, bool relearn, base::Duration ramp, const core::FlowTable::Map& adopted)
+{
+    for (std::size_t i = 0; host.sidecar && i < core::sidecarCounts; ++i)
+        host.countsBefore[i] += host.sidecar->count(static_cast<core::SidecarCount>(i));
+    auto rules = rules_.sidecar;
+    rules.self = { host.id, host.traffic, true };
+    rules.admission.capacity = rules_.capacity;
+    rules.admission.ramp = ramp;
+    rules.relearn = relearn;
+    rules.seed = rules_.seed ^ host.id;
+    host.sidecar = std::make_unique<core::Sidecar>(rules, host, now_);
+    for (const auto& [key, record] : adopted) {
+        if (record.state != core::FlowState::Opening)
+            host.sidecar->adopt(key, record);
+    }
+    host.version = 0;
+    if (version_ > 0)
+        host.see(version_, routingOf(version_), now_);
+}
+
+void World::announce(core::MemberId id, core::MemberState state)
+{
+    const auto& host = *hosts_.at(id);
+    const auto known = std::find_if(truth_.begin(), truth_.end(), [&](const auto& entry) { return entry.id == id; });
+    if (state == core::MemberState::Left) {
+        if (known != truth_.end())
+            truth_.erase(known);
+    } else if (known != truth_.end()) {
+        known->state = state;
+    } else {
+        truth_.push_back({ id, host.traffic, rules_.capacity, state, host.domain });
+    }
+    spreadNews();
+}
+
+// Every process hears of a change at a time of its own; the host that changes knows at once.
+void World::spreadNews()
+{
+    const auto version = ++version_;
+    const auto routing = routingOf(version);
+    const auto delay = [&] {
+        return rules_.viewSkew.count() == 0 ? base::Duration {}
+                                            : base::Duration(static_cast<base::Duration::rep>(
+                                                random_.below(static_cast<std::uint64_t>(rules_.viewSkew.count()))));
+    };
+    for (auto& [id, host] : hosts_) {
+        schedule(delay(), [this, target = host.get(), version, routing] {
+            if (target->runs(now_))
+                target->see(version, routing, now_);
+        });
+    }
+    for (auto& balancer : balancers_) {
+        schedule(delay(), [target = balancer.get(), version, routing] { target->see(version, routing); });
+    }
+}
+
+core::RoutingPtr World::routingOf(std::uint64_t version)
+{
+    auto& routing = routings_[version];
+    if (routing)
+        return routing;
+    core::View view;
+    view.version = version;
+    for (const auto& host : truth_) {
+        core::Member member;
+        member.id = host.id;
+        member.state = host.state;
+        member.traffic = host.traffic;
+        member.failureDomain = host.failureDomain;
+        member.services = { configuration_.services.front().id };
+        member.capacity = host.capacity;
+        view.members.push_back(member);
+    }
+    routing = core::buildRouting(configuration_, view, rules_.candidates, {}, nullptr);
+    return routing;
+}
+
+void World::drainHost(core::MemberId id)
+{
+    auto& host = *hosts_.at(id);
+    host.state = core::MemberState::Leaving;
+    host.leavingSince = now_;
+    host.sidecar->beginLeaving();
+    announce(id, core::MemberState::Leaving);
+}
+
+void World::crashHost(core::MemberId id)
+{
+    auto& host = *hosts_.at(id);
+    host.gone = true;
+    host.crashed = true;
+    host.connections.clear();
+    schedule(rules_.failureDetection, [this, id] { announce(id, core::MemberState::Failed); });
+}
+
+void World::killSidecar(core::MemberId id, base::Duration downTime)
+{
+    auto& host = *hosts_.at(id);
+    host.pausedUntil = now_ + downTime;
+    host.sidecarDown = true;
+    if (downTime > rules_.failureDetection)
+        schedule(rules_.failureDetection, [this, id] { announce(id, core::MemberState::Failed); });
+    schedule(downTime, [this, id, downTime] {
+        auto& back = *hosts_.at(id);
+        back.sidecarDown = false;
+        startSidecar(back, true, {}, {});
+        if (downTime > rules_.failureDetection)
+            announce(id, core::MemberState::Ready);
+    });
+}
+
+void World::handOver(core::MemberId id, base::Duration gap)
+{
+    auto& host = *hosts_.at(id);
+    const bool leaving = host.state == core::MemberState::Leaving;
+    const auto table = host.sidecar->flows().records();
+    host.sidecarDown = true;
+    host.pausedUntil = now_ + gap;
+    schedule(gap, [this, id, table, leaving] {
+        auto& successor = *hosts_.at(id);
+        successor.sidecarDown = false;
+        startSidecar(successor, false, {}, table);
+        if (leaving)
+            successor.sidecar->beginLeaving();
+    });
+}
+
+void World::pauseHost(core::MemberId id, base::Duration pause)
+{
+    auto& host = *hosts_.at(id);
+    host.pausedUntil = now_ + pause;
+    if (pause <= rules_.failureDetection)
+        return;
+    schedule(rules_.failureDetection, [this, id] { announce(id, core::MemberState::Failed); });
+    schedule(pause, [this, id] { announce(id, hosts_.at(id)->state); });
+}
+
+void World::refuseAtBackend(core::MemberId id, bool refuse) { hosts_.at(id)->refuses = refuse; }
+
+void World::hint(core::MemberId id, const core::EndpointHint& hint) { hosts_.at(id)->sidecar->noteHint(hint); }
+
+void World::addBalancer()
+{
+    auto balancer = std::make_unique<Balancer>();
+    balancer->policy = makePolicy(rules_.policy, rules_.seed * 77 + balancers_.size());
+    // A newcomer takes the newest state of its peers before it forwards.
+    if (version_ > 0)
+        balancer->see(version_, routingOf(version_));
+    balancers_.push_back(std::move(balancer));
+}
+
+void World::removeBalancer(std::size_t index) { balancers_.at(index)->gone = true; }
+
+std::vector<core::MemberId> World::readyHosts() const
+{
+    std::vector<core::MemberId> ready;
+    for (const auto& [id, host] : hosts_) {
+        if (host->state == core::MemberState::Ready && !host->gone)
+            ready.push_back(id);
+    }
+    return ready;
+}
+
+std::uint32_t World::openFlowsOf(core::MemberId id) const
+{
+    return static_cast<std::uint32_t>(hosts_.at(id)->connections.size());
+}
+
+std::uint64_t World::acceptedBy(core::MemberId id) const { return hosts_.at(id)->accepted; }
+
+double World::openImbalance() const
+{
+    double most = 0;
+    double sum = 0;
+    const auto ready = readyHosts();
+    for (const auto id : ready) {
+        most = std::max<double>(most, openFlowsOf(id));
+        sum += openFlowsOf(id);
+    }
+    return sum == 0 ? 0 : most * static_cast<double>(ready.size()) / sum;
+}
+
+double World::newFlowImbalance()
+{
+    double most = 0;
+    double sum = 0;
+    const auto ready = readyHosts();
+    for (const auto id : ready) {
+        const auto fresh = static_cast<double>(acceptedBy(id) - acceptedBefore_[id]);
+        acceptedBefore_[id] = acceptedBy(id);
+        most = std::max(most, fresh);
+        sum += fresh;
+    }
+    return sum == 0 ? 0 : most * static_cast<double>(ready.size()) / sum;
+}
+
+const core::Sidecar& World::sidecar(core::MemberId id) const { return *hosts_.at(id)->sidecar; }
+
+std::uint64_t World::sumOf(core::SidecarCount count) const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [id, host] : hosts_)
+        sum += host->sidecar->count(count) + host->countsBefore[static_cast<std::size_t>(count)];
+    return sum;
+}
+
+} // namespace celerystile::bench
--- /dev/null
+++ b/bench/world.hpp
@@ -0,0 +1,172 @@
+#pragma once
+
+#include "celerystile/base/random.hpp"
+#include "celerystile/core/balancer.hpp"
+#include "celerystile/core/sidecar.hpp"
+#include "policies.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <vector>
+
+/// @file
+/// @brief The decisions of core under a seeded workload in virtual time: callers, a spraying fabric, backend servers.
+///
+/// The machines are those of the daemons; only packets, time and backend servers are small stand-ins.
+
+namespace celerystile::bench {
+
+struct Connection;
+
+/// @brief What a caller's flow is at.
+enum class FlowStep {
+    Opening,
+    Idle,
+    Awaiting,
+    Finishing,
+};
+
+/// @brief How the world behaves.
+struct WorldRules {
+    PolicyKind policy = PolicyKind::Celerystile;
+    std::uint64_t seed = 1;
+    int balancers = 4;
+    int hosts = 7;
+    std::uint32_t capacity = 2000;
+    core::CandidateRules candidates;
+    core::SidecarRules sidecar; ///< self, capacity and seed are set per host
+    base::Duration viewSkew = std::chrono::seconds(5); ///< news reaches each process at a random time up to this
+    double loss = 0; ///< share of packets
+    double duplicate = 0;
+    double reorder = 0; ///< share of packets that come up to 50 ms later
+    base::Duration packetInterval = std::chrono::seconds(30); ///< between requests of an open flow
+    base::Duration patience = std::chrono::seconds(90); ///< a request unanswered so long counts as stalled
+    base::Duration failureDetection = std::chrono::seconds(6); ///< until others know of a crash
+};
+
+/// @brief What a world has seen.
+struct WorldCounts {
+    std::uint64_t opened = 0;
+    std::uint64_t established = 0;
+    std::uint64_t closed = 0;
+    std::uint64_t refused = 0;
+    std::uint64_t unopened = 0;
+    std::uint64_t brokenReset = 0;
+    std::uint64_t brokenStalled = 0;
+    std::uint64_t lostWithHost = 0; ///< flows whose host crashed: lost, but not by us
+    std::uint64_t misdelivered = 0; ///< bytes taken by a connection that is not the caller's
+    std::uint64_t runTwice = 0; ///< a request that two connections took
+    std::uint64_t refusedButTaken = 0; ///< a caller was refused while a connection of that SYN went on to serve
+    std::uint64_t takenWhileLeaving = 0; ///< new flows delivered by a host over 3 s after it began to leave
+    std::uint64_t packets = 0; ///< from callers, mid-flow
+    std::uint64_t hops = 0; ///< between sidecars, mid-flow
+    std::uint64_t pointerMessages = 0;
+    std::uint64_t pointerBytes = 0;
+
+    bool operator==(const WorldCounts&) const = default;
+    std::uint64_t broken() const { return brokenReset + brokenStalled; }
+};
+
+/// @brief Callers, balancers, hosts and the network between them.
+class World {
+public:
+    explicit World(WorldRules rules);
+    ~World();
+
+    // What operators and fate do.
+    core::MemberId addHost(base::Duration ramp = {});
+    void drainHost(core::MemberId host); ///< leaves once its last flow has ended
+    void crashHost(core::MemberId host);
+    void killSidecar(core::MemberId host, base::Duration downTime); ///< the backend server lives on
+    void handOver(core::MemberId host, base::Duration gap); ///< planned restart of the sidecar
+    void pauseHost(core::MemberId host, base::Duration pause); ///< sidecar and backend server stand still
+    void refuseAtBackend(core::MemberId host, bool refuse);
+    void hint(core::MemberId host, const core::EndpointHint& hint);
+    void addBalancer();
+    void removeBalancer(std::size_t index);
+
+    /// @brief Opens a flow that lives so long.
+    void openFlow(base::Duration lifetime);
+
+    /// @brief A SYN alone, from an address of its own, that is never followed up.
+    void sendStraySyn(std::uint32_t source);
+    void runFor(base::Duration duration);
+    base::TimePoint now() const { return now_; }
+
+    const WorldCounts& counts() const { return counts_; }
+    std::vector<core::MemberId> readyHosts() const;
+    std::uint32_t openFlowsOf(core::MemberId host) const;
+    std::uint64_t acceptedBy(core::MemberId host) const;
+    std::size_t openFlows() const { return flows_.size(); }
+
+    /// @brief max / mean of open flows over ready hosts.
+    double openImbalance() const;
+
+    /// @brief max / mean of flows accepted since the last call, over hosts ready now.
+    double newFlowImbalance();
+    const core::Sidecar& sidecar(core::MemberId host) const;
+    std::uint64_t sumOf(core::SidecarCount count) const;
+    WorldRules& rules() { return rules_; }
+
+private:
+    struct Host;
+    struct Balancer;
+    struct Flow;
+    struct Event {
+        base::TimePoint at;
+        std::uint64_t order;
+        std::function<void()> run;
+        bool operator<(const Event& other) const { return at != other.at ? at > other.at : order > other.order; }
+    };
+
+    void schedule(base::Duration after, std::function<void()> run);
+    void deliverPacket(const core::Segment& segment, std::function<void(const core::Segment&)> receive);
+    void announce(core::MemberId host, core::MemberState state);
+    void spreadNews();
+    core::RoutingPtr routingOf(std::uint64_t version);
+    void tickAll();
+    void startSidecar(Host& host, bool relearn, base::Duration ramp, const core::FlowTable::Map& adopted);
+
+    void toBalancer(const core::Segment& segment);
+    void atBalancer(std::size_t index, const core::Segment& segment);
+    void atSidecar(core::MemberId host, const core::ForwardHeader& header, const core::Segment& segment);
+    void atBackend(core::MemberId host, const core::Segment& segment);
+    void fromBackend(core::MemberId host, const core::Segment& segment);
+    void establish(Host& host, const core::Segment& segment, Connection& connection);
+    void takeRequest(Host& host, const core::Segment& segment, Connection& connection);
+    void atCaller(const core::Segment& segment, core::MemberId from);
+    void atOpeningCaller(Flow& flow, const core::Segment& segment, core::MemberId from);
+    void sendSyn(Flow& flow);
+    void sendRequest(Flow& flow);
+    void sendFin(Flow& flow);
+    void nextStep(Flow& flow);
+    void advance(Flow& flow, FlowStep state);
+    void armTimer(Flow& flow, std::function<void(Flow&)> again);
+    void breakFlow(Flow& flow, std::uint64_t& cause);
+    Host* hostAt(const core::Endpoint& traffic);
+
+    WorldRules rules_;
+    base::Random random_;
+    base::TimePoint now_ { std::chrono::hours(1) };
+    std::priority_queue<Event> events_;
+    std::uint64_t nextOrder_ = 0;
+    core::Configuration configuration_;
+    std::map<core::MemberId, std::unique_ptr<Host>> hosts_;
+    std::vector<std::unique_ptr<Balancer>> balancers_;
+    std::map<core::FlowKey, std::unique_ptr<Flow>> flows_;
+    std::vector<core::ServiceHost> truth_;
+    std::map<std::uint64_t, core::RoutingPtr> routings_;
+    std::uint64_t version_ = 0;
+    core::MemberId nextHost_ = 1;
+    std::uint32_t nextCaller_ = 0;
+    std::map<core::MemberId, std::uint64_t> acceptedBefore_;
+    std::set<core::FlowKey> refused_;
+    std::map<std::pair<core::FlowKey, std::uint32_t>, core::MemberId> taken_; // requests by flow and sequence
+    WorldCounts counts_;
+};
+
+} // namespace celerystile::bench
--- /dev/null
+++ b/bench/world_types.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "world.hpp"
+
+/// @file
+/// @brief What a World is made of. Private to world*.cpp.
+
+namespace celerystile::bench {
+
+/// A backend server's end of a connection.
+struct Connection {
+    std::uint32_t callerIsn = 0;
+    std::uint32_t hostIsn = 0;
+    std::uint32_t expected = 0; // next sequence number from the caller
+    std::uint32_t sent = 0; // next own sequence number
+    bool established = false;
+};
+
+struct World::Host final : core::SidecarOutput {
+    Host(World& owner, core::MemberId hostId)
+        : world(owner)
+        , id(hostId)
+    {
+    }
+
+    bool runs(base::TimePoint now) const { return !gone && !sidecarDown && now >= pausedUntil; }
+
+    void see(std::uint64_t newer, const core::RoutingPtr& routing, base::TimePoint now)
+    {
+        if (newer <= version)
+            return;
+        version = newer;
+        sidecar->setRouting(routing, now);
+    }
+
+    void deliver(core::Bytes packet) override;
+    void forward(const core::Endpoint& to, const core::ForwardHeader& header, core::Bytes packet) override;
+    void answer(core::Bytes packet) override;
+    void resetCaller(const core::Segment& about) override;
+    void resetBackend(const core::FlowKey& key, std::uint32_t sequence) override;
+    void publish(const core::Endpoint& to, const core::Publication& publication) override;
+    void acknowledge(const core::Endpoint& to, std::uint64_t sequence) override;
+
+    World& world;
+    core::MemberId id;
+    core::Endpoint traffic;
+    std::string domain;
+    std::unique_ptr<core::Sidecar> sidecar;
+    std::array<std::uint64_t, core::sidecarCounts> countsBefore {}; // of earlier sidecars on this host
+    std::uint64_t version = 0;
+    core::MemberState state = core::MemberState::Joining;
+    base::TimePoint leavingSince;
+    base::TimePoint pausedUntil;
+    bool sidecarDown = false;
+    bool gone = false;
+    bool crashed = false;
+    bool refuses = false;
+    std::map<core::FlowKey, Connection> connections;
+    std::uint64_t accepted = 0;
+};
+
+struct World::Balancer {
+    void see(std::uint64_t newer, const core::RoutingPtr& newest)
+    {
+        if (newer <= version)
+            return;
+        version = newer;
+        routing = newest;
+    }
+
+    std::uint64_t version = 0;
+    core::RoutingPtr routing;
+    std::unique_ptr<PlacementPolicy> policy;
+    bool gone = false;
+};
+
+struct World::Flow {
+    core::FlowKey key;
+    FlowStep state = FlowStep::Opening;
+    std::uint32_t isn = 0;
+    std::uint32_t next = 0; // own next sequence number
+    std::uint32_t expected = 0; // next sequence number from the service
+    core::MemberId owner = 0;
+    base::TimePoint endsAt;
+    base::TimePoint since; // of the state, for patience
+    base::Duration lifetime {};
+    base::Duration timeout {};
+    std::uint64_t step = 0; // so that a timer knows whether it is still meant
+};
+
+} // namespace celerystile::bench
