--- a/apps/celerystiled/options.cpp
+++ b/apps/celerystiled/options.cpp
@@ -117,6 +117,7 @@
         common.self.id = core::hashName(settings.text("id"));
         common.self.role = role;
         common.self.incarnation = startIncarnation();
+        common.self.epoch = common.self.incarnation;
         common.self.control = endpoint(settings, "control");
         common.self.failureDomain = settings.text("failure-domain");
         common.self.place = settings.text("place");
--- a/apps/celerystiled/sidecar_daemon.cpp
+++ b/apps/celerystiled/sidecar_daemon.cpp
@@ -88,12 +88,12 @@
         {
             if (host != settings_.common.self.id)
                 co_return peer::RefusedResponse { "another host's flows are asked for" };
-            auto flows = co_await awaitValue<std::vector<peer::FlowEntry>>(
+            auto handOver = co_await awaitValue<peer::HandOverResponse>(
                 context_, [this](auto done) { traffic_.surrender(std::move(done)); });
-            logEvent(Event::HandOverGiven, { { "flows", std::to_string(flows.size()) } });
+            logEvent(Event::HandOverGiven, { { "flows", std::to_string(handOver.flows.size()) } });
             surrendered_ = true;
             asio::co_spawn(context_, exitSoon(), asio::detached);
-            co_return peer::FlowsResponse { std::move(flows) };
+            co_return std::move(handOver);
         }
 
     private:
@@ -101,7 +101,7 @@
         void takeOver()
         {
             if (!settings_.takeOver) {
-                traffic_.setRelearning();
+                traffic_.beginRelearning();
                 logEvent(Event::Relearning);
                 return;
             }
@@ -112,14 +112,14 @@
                     handOverTimeout),
                 [&](std::exception_ptr, base::Result<peer::Response> response) { outcome = std::move(response); });
             exchange.run();
-            const auto* flows = outcome && *outcome ? std::get_if<peer::FlowsResponse>(&**outcome) : nullptr;
-            if (!flows) {
-                traffic_.setRelearning();
+            const auto* handOver = outcome && *outcome ? std::get_if<peer::HandOverResponse>(&**outcome) : nullptr;
+            if (!handOver) {
+                traffic_.beginRelearning();
                 logEvent(Event::HandOverFailed, { { "predecessor", settings_.takeOver->toString() } });
                 return;
             }
-            traffic_.adopt(flows->flows);
-            logEvent(Event::HandOverTaken, { { "flows", std::to_string(flows->flows.size()) } });
+            traffic_.beginAfter(*handOver);
+            logEvent(Event::HandOverTaken, { { "flows", std::to_string(handOver->flows.size()) } });
             awaitExitOf(*settings_.takeOver);
         }
 
--- a/apps/celerystiled/sidecar_traffic.cpp
+++ b/apps/celerystiled/sidecar_traffic.cpp
@@ -43,13 +43,18 @@
     return true;
 }
 
-void SidecarTraffic::adopt(const std::vector<peer::FlowEntry>& flows)
+void SidecarTraffic::beginAfter(const peer::HandOverResponse& predecessor)
 {
-    for (const auto& flow : flows)
+    const auto now = clock_.now();
+    settings_.rules.admission.ramp = {}; // the backend server is warm
+    machine_ = std::make_unique<core::Sidecar>(settings_.rules, *this, now);
+    for (const auto& flow : predecessor.flows)
         machine_->adopt(flow.key, flow.record);
+    for (const auto& pointers : predecessor.pointers)
+        machine_->adopt(pointers, now);
 }
 
-void SidecarTraffic::setRelearning()
+void SidecarTraffic::beginRelearning()
 {
     settings_.rules.relearn = true;
     machine_ = std::make_unique<core::Sidecar>(settings_.rules, *this, clock_.now());
@@ -76,19 +81,19 @@
     });
 }
 
-void SidecarTraffic::surrender(std::function<void(std::vector<peer::FlowEntry>)> done)
+void SidecarTraffic::surrender(std::function<void(peer::HandOverResponse)> done)
 {
     asio::post(context_, [this, done = std::move(done)] {
         traffic_->close();
         backend_->close();
         timer_.cancel();
-        std::vector<peer::FlowEntry> flows;
+        peer::HandOverResponse handOver { {}, machine_->pointers().all() };
         for (const auto& [key, record] : machine_->flows().records()) {
             // Opening flows are left to the caller's retransmission.
             if (record.state != core::FlowState::Opening)
-                flows.push_back({ key, record });
+                handOver.flows.push_back({ key, record });
         }
-        done(std::move(flows));
+        done(std::move(handOver));
     });
 }
 
--- a/apps/celerystiled/sidecar_traffic.hpp
+++ b/apps/celerystiled/sidecar_traffic.hpp
@@ -31,9 +31,11 @@
     /// @brief Opens the sockets. Call before run().
     base::Result<bool> open();
 
-    /// @brief Records from a predecessor. Call before run().
-    void adopt(const std::vector<peer::FlowEntry>& flows);
-    void setRelearning();
+    /// @brief Starts with what a predecessor handed over. Call before run().
+    void beginAfter(const peer::HandOverResponse& predecessor);
+
+    /// @brief Starts beside a backend server that may hold flows. Call before run().
+    void beginRelearning();
 
     void run();
     void stop();
@@ -42,7 +44,7 @@
     void post(std::function<void(core::Sidecar&)> work);
 
     /// @brief Closes the sockets and passes the flow records on; nothing is delivered afterwards.
-    void surrender(std::function<void(std::vector<peer::FlowEntry>)> done);
+    void surrender(std::function<void(peer::HandOverResponse)> done);
 
     /// @brief The role's part of the dump, made on the traffic thread.
     void dump(std::function<void(boost::json::object)> done);
--- a/bench/experiment.cpp
+++ b/bench/experiment.cpp
@@ -21,10 +21,16 @@
     base::Option { "balancers", "", base::OptionKind::Number, "4", false, 2, 100, "balancers", "Balancers at the start." },
     base::Option { "flows", "", base::OptionKind::Number, "8000", false, 10, 1e6, "flows", "Long flows open at a time." },
     base::Option { "short-rate", "", base::OptionKind::Number, "25", false, 0, 1e5, "flows a second", "Short flows." },
-    base::Option { "phase", "", base::OptionKind::Number, "360", false, 10, 1e5, "seconds", "Time between changes." },
+    base::Option { "phase", "", base::OptionKind::Number, "900", false, 10, 1e5, "seconds", "Time between changes." },
     base::Option { "skew", "", base::OptionKind::Number, "5", false, 0, 1000, "seconds", "Skew between views." },
     base::Option { "candidates", "", base::OptionKind::Number, "3", false, 1, 6, "hosts", "Accepting candidates." },
     base::Option { "margin", "", base::OptionKind::Number, "0.002", false, 0, 1, "share of capacity", "Margin." },
+    base::Option { "recent-weight", "", base::OptionKind::Number, "3", false, 0, 100, "flows",
+        "What a recently accepted flow adds to the load." },
+    base::Option { "recent-time", "", base::OptionKind::Number, "60", false, 1, 3600, "seconds",
+        "Time constant of recently." },
+    base::Option { "recent-band", "", base::OptionKind::Number, "0.02", false, 0, 1, "share of capacity",
+        "Most that recent flows can outweigh." },
     base::Option { "capacity", "", base::OptionKind::Number, "2000", false, 1, 1e7, "connections", "Of a host." },
     base::Option { "loss", "", base::OptionKind::Number, "0", false, 0, 0.9, "share", "Lost packets." },
     base::Option { "no-directory", "", base::OptionKind::Switch, "", false, 0, 0, "", "Without the flow directory." },
@@ -50,6 +56,9 @@
     world.candidates.acceptingHosts = static_cast<std::size_t>(settings.number("candidates"));
     world.candidates.keepLeaving = !settings.isSet("drop-leaving");
     world.sidecar.admission.margin = settings.number("margin");
+    world.sidecar.admission.recentWeight = settings.number("recent-weight");
+    world.sidecar.admission.recentTime = std::chrono::seconds(static_cast<int>(settings.number("recent-time")));
+    world.sidecar.admission.recentBand = settings.number("recent-band");
     world.sidecar.directoryEnabled = !settings.isSet("no-directory");
     return rules;
 }
@@ -86,7 +95,7 @@
     for (const auto& phase : result.phases)
         std::cout << std::setprecision(4) << "    " << std::left << std::setw(28) << phase.name << " broken " << std::setw(6) << phase.broken
                   << " open imbalance at end " << std::setw(8) << phase.openImbalanceEnd << " new flows "
-                  << phase.newImbalance << '\n';
+                  << std::setw(8) << phase.newImbalance << " extra hops " << phase.extraHops << '\n';
 }
 
 } // namespace
--- a/bench/scenario.cpp
+++ b/bench/scenario.cpp
@@ -83,7 +83,7 @@
         ScenarioResult run()
         {
             load_.warmUp(std::chrono::minutes(2));
-            load_.run(std::chrono::seconds(30), [] {});
+            load_.run(std::chrono::minutes(5), [] {}); // until short flows have their share
             steady();
             const auto first = world_.readyHosts();
             phase("drain a host", [&] { world_.drainHost(first[1]); });
@@ -129,13 +129,13 @@
         void joinPhase()
         {
             const auto begun = world_.now();
-            const auto closedBefore = world_.counts().closed;
+            world_.markFlows();
             const auto quarter = world_.openFlows() / 4;
             const auto since = [&] { return std::chrono::duration<double>(world_.now() - begun).count(); };
             phase("a host joins", [&] { world_.addHost(); }, [&] {
                 if (result_.secondsToLevel < 0 && world_.openImbalance() < levelImbalance && since() > 1)
                     result_.secondsToLevel = since();
-                if (result_.secondsOfQuarterTurnover == 0 && world_.counts().closed - closedBefore >= quarter)
+                if (result_.secondsOfQuarterTurnover == 0 && world_.closedOfMarked() >= quarter)
                     result_.secondsOfQuarterTurnover = since();
             });
         }
@@ -160,11 +160,15 @@
         void phase(const char* name, const std::function<void()>& change, const std::function<void()>& sample = [] {})
         {
             const auto brokenBefore = world_.counts().broken();
+            const auto packetsBefore = world_.counts().packets;
+            const auto hopsBefore = world_.counts().hops;
             change();
             world_.newFlowImbalance();
             load_.run(rules_.phase, sample);
-            result_.phases.push_back(
-                { name, world_.counts().broken() - brokenBefore, world_.openImbalance(), world_.newFlowImbalance() });
+            const auto packets = static_cast<double>(std::max<std::uint64_t>(1, world_.counts().packets - packetsBefore));
+            const auto hops = static_cast<double>(world_.counts().hops - hopsBefore) / packets;
+            result_.phases.push_back({ name, world_.counts().broken() - brokenBefore, world_.openImbalance(),
+                world_.newFlowImbalance(), hops });
         }
 
         void finish()
--- a/bench/scenario.hpp
+++ b/bench/scenario.hpp
@@ -24,6 +24,7 @@
     std::uint64_t broken = 0;
     double openImbalanceEnd = 0; ///< max / mean over ready hosts at the phase's end
     double newImbalance = 0; ///< of flows opened in the phase
+    double extraHops = 0; ///< per mid-flow packet
 };
 
 /// @brief What a run has shown.
--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -123,8 +123,9 @@
             truth_.erase(known);
     } else if (known != truth_.end()) {
         known->state = state;
+        known->epoch = host.epoch;
     } else {
-        truth_.push_back({ id, host.traffic, rules_.capacity, state, host.domain });
+        truth_.push_back({ id, host.traffic, rules_.capacity, state, host.domain, host.epoch });
     }
     spreadNews();
 }
@@ -163,6 +164,7 @@
         member.state = host.state;
         member.traffic = host.traffic;
         member.failureDomain = host.failureDomain;
+        member.epoch = host.epoch;
         member.services = { configuration_.services.front().id };
         member.capacity = host.capacity;
         view.members.push_back(member);
@@ -196,12 +198,12 @@
     host.sidecarDown = true;
     if (downTime > rules_.failureDetection)
         schedule(rules_.failureDetection, [this, id] { announce(id, core::MemberState::Failed); });
-    schedule(downTime, [this, id, downTime] {
+    schedule(downTime, [this, id] {
         auto& back = *hosts_.at(id);
         back.sidecarDown = false;
         startSidecar(back, true, {}, {});
-        if (downTime > rules_.failureDetection)
-            announce(id, core::MemberState::Ready);
+        ++back.epoch;
+        announce(id, back.state);
     });
 }
 
@@ -212,12 +214,17 @@
     const auto table = host.sidecar->flows().records();
     host.sidecarDown = true;
     host.pausedUntil = now_ + gap;
-    schedule(gap, [this, id, table, leaving] {
+    const auto pointers = rules_.handOverPointers ? host.sidecar->pointers().all() : std::vector<core::Publication> {};
+    schedule(gap, [this, id, table, pointers, leaving] {
         auto& successor = *hosts_.at(id);
         successor.sidecarDown = false;
         startSidecar(successor, false, {}, table);
+        for (const auto& held : pointers)
+            successor.sidecar->adopt(held, now_);
         if (leaving)
             successor.sidecar->beginLeaving();
+        ++successor.epoch;
+        announce(id, successor.state);
     });
 }
 
@@ -264,6 +271,12 @@
 
 std::uint64_t World::acceptedBy(core::MemberId id) const { return hosts_.at(id)->accepted; }
 
+void World::markFlows()
+{
+    mark_ = nextCaller_;
+    closedOfMarked_ = 0;
+}
+
 double World::openImbalance() const
 {
     double most = 0;
--- a/bench/world.hpp
+++ b/bench/world.hpp
@@ -45,6 +45,7 @@
     double reorder = 0; ///< share of packets that come up to 50 ms later
     base::Duration packetInterval = std::chrono::seconds(30); ///< between requests of an open flow
     base::Duration patience = std::chrono::seconds(90); ///< a request unanswered so long counts as stalled
+    bool handOverPointers = true; ///< off only to measure what it is worth
     base::Duration failureDetection = std::chrono::seconds(6); ///< until others know of a crash
 };
 
@@ -103,6 +104,10 @@
     std::uint64_t acceptedBy(core::MemberId host) const;
     std::size_t openFlows() const { return flows_.size(); }
 
+    /// @brief Of the flows opened so far, remembers which they are, to tell how many of them have closed.
+    void markFlows();
+    std::uint64_t closedOfMarked() const { return closedOfMarked_; }
+
     /// @brief max / mean of open flows over ready hosts.
     double openImbalance() const;
 
@@ -164,6 +169,8 @@
     core::MemberId nextHost_ = 1;
     std::uint32_t nextCaller_ = 0;
     std::map<core::MemberId, std::uint64_t> acceptedBefore_;
+    std::uint32_t mark_ = 0;
+    std::uint64_t closedOfMarked_ = 0;
     std::set<core::FlowKey> refused_;
     std::map<std::pair<core::FlowKey, std::uint32_t>, core::MemberId> taken_; // requests by flow and sequence
     WorldCounts counts_;
--- a/bench/world_traffic.cpp
+++ b/bench/world_traffic.cpp
@@ -257,6 +257,7 @@
     ++counts_.opened;
     auto flow = std::make_unique<Flow>();
     const auto number = nextCaller_++;
+    flow->number = number;
     flow->key.caller = { core::IpAddress::fromV4(callerNetwork + number / portsPerCaller),
         static_cast<std::uint16_t>(firstPort + number % portsPerCaller) };
     flow->key.service = configuration_.services.front().address;
@@ -369,6 +370,7 @@
         return toBalancer(make(flow.key, flow.next, flow.expected));
     if (flow.state == FlowStep::Finishing && segment.fin) {
         ++counts_.closed;
+        closedOfMarked_ += flow.number < mark_ ? 1 : 0;
         toBalancer(make(flow.key, flow.next + 1, segment.sequence + 1));
         flows_.erase(found);
         return;
--- a/bench/world_types.hpp
+++ b/bench/world_types.hpp
@@ -48,6 +48,7 @@
     std::unique_ptr<core::Sidecar> sidecar;
     std::array<std::uint64_t, core::sidecarCounts> countsBefore {}; // of earlier sidecars on this host
     std::uint64_t version = 0;
+    core::Incarnation epoch = 1;
     core::MemberState state = core::MemberState::Joining;
     base::TimePoint leavingSince;
     base::TimePoint pausedUntil;
@@ -76,6 +77,7 @@
 
 struct World::Flow {
     core::FlowKey key;
+    std::uint32_t number = 0;
     FlowStep state = FlowStep::Opening;
     std::uint32_t isn = 0;
     std::uint32_t next = 0; // own next sequence number
--- a/include/celerystile/core/admission.hpp
+++ b/include/celerystile/core/admission.hpp
@@ -15,6 +15,9 @@
 struct AdmissionRules {
     std::uint32_t capacity = 2000; ///< connections the backend server holds
     double margin = 0.01; ///< a later candidate must be emptier by this share of capacity
+    double recentWeight = 3.0; ///< how much a recently taken flow adds to the load, beside being open
+    double recentBand = 0.02; ///< most that a difference in recent flows can outweigh, as a share of capacity
+    base::Duration recentTime = std::chrono::seconds(60); ///< time constant of "recently"
     base::Duration ramp = std::chrono::seconds(0); ///< time from start to full capacity; 0: none
     double rampFloor = 0.1; ///< share of capacity open at the start of the ramp
     std::uint32_t refusalsToPause = 3; ///< consecutive refusals by the backend server that pause new flows
@@ -55,11 +58,14 @@
     tl::expected<Load, Decline> consider(std::uint32_t openFlows, int priority, base::TimePoint now);
 
     /// @brief Whether a candidate with `own` load takes the flow from the best one so far.
-    bool beats(Load own, const std::optional<Offer>& best) const;
+    bool beats(const Load& own, const std::optional<Offer>& best) const;
 
     void beginLeaving() { leaving_ = true; }
     bool leaving() const { return leaving_; }
 
+    /// @brief A new flow was taken here.
+    void noteTaken(base::TimePoint now);
+
     /// @brief The backend server answered a SYN with SYN-ACK.
     void noteAccepted(base::TimePoint now);
 
@@ -73,12 +79,15 @@
     const AdmissionRules& rules() const { return rules_; }
 
 private:
+    double recentlyTaken(base::TimePoint now) const;
     bool hintSaysNotReady(base::TimePoint now) const;
     bool probeDue(base::TimePoint now);
 
     AdmissionRules rules_;
     base::TimePoint start_;
     bool leaving_ = false;
+    double recent_ = 0; // decaying count of flows taken
+    base::TimePoint recentAt_ {};
     std::uint32_t consecutiveRefusals_ = 0;
     base::Duration pause_ { 0 };
     base::TimePoint pausedUntil_ {};
--- a/include/celerystile/core/candidates.hpp
+++ b/include/celerystile/core/candidates.hpp
@@ -13,7 +13,7 @@
 namespace celerystile::core {
 
 /// @brief Buckets per service. Fixed, so that a flow never changes its bucket.
-inline constexpr std::size_t bucketCount = 1024;
+inline constexpr std::size_t bucketCount = 4096;
 
 /// @brief Most candidates a packet can carry, leaving hosts included.
 inline constexpr std::size_t maxCandidates = 8;
@@ -25,6 +25,7 @@
     std::uint32_t capacity = 1; ///< weight, at least 1
     MemberState state = MemberState::Ready;
     std::string failureDomain;
+    Incarnation epoch = 0; ///< start of the sidecar's process: another one holds no pointers yet
 
     bool operator==(const ServiceHost&) const = default;
 };
@@ -73,6 +74,9 @@
     /// @brief Whether a host in this state would stand in the list if it were ready. For failed hosts.
     bool wouldList(std::size_t index, const ServiceHost& host) const;
 
+    /// @brief The host, whatever its state; null when the table does not know it.
+    const ServiceHost* find(MemberId host) const;
+
     /// @brief All hosts the table was built from, whatever their state, ordered by id.
     const std::vector<ServiceHost>& hosts() const { return hosts_; }
 
--- a/include/celerystile/core/directory.hpp
+++ b/include/celerystile/core/directory.hpp
@@ -49,6 +49,9 @@
     std::size_t accept(const Publication& publication, base::TimePoint now);
     const Candidate* find(std::uint64_t flow, base::TimePoint now) const;
     void expire(base::TimePoint now);
+
+    /// @brief All pointers, one publication per owner, for a successor.
+    std::vector<Publication> all() const;
     std::size_t size() const { return pointers_.size(); }
 
 private:
--- a/include/celerystile/core/forwarding.hpp
+++ b/include/celerystile/core/forwarding.hpp
@@ -14,13 +14,18 @@
 /// @brief Most hand-overs of one packet between our processes.
 inline constexpr std::uint8_t maxHops = 16;
 
-/// @brief Load of a host in millionths of its capacity.
-using Load = std::uint32_t;
+/// @brief Load of a host, in millionths of its capacity.
+struct Load {
+    std::uint32_t open = 0; ///< open flows
+    std::uint32_t recent = 0; ///< flows taken of late, a decaying count
+
+    bool operator==(const Load&) const = default;
+};
 
 /// @brief The best place found so far for a new flow.
 struct Offer {
     std::uint8_t position = 0; ///< index into the candidates
-    Load load = 0;
+    Load load;
 
     bool operator==(const Offer&) const = default;
 };
--- a/include/celerystile/core/sidecar.hpp
+++ b/include/celerystile/core/sidecar.hpp
@@ -125,6 +125,9 @@
     /// @brief Takes over the flow table of a predecessor.
     void adopt(const FlowKey& key, const FlowRecord& record);
 
+    /// @brief Takes over the pointers that a predecessor held for others.
+    void adopt(const Publication& pointers, base::TimePoint now);
+
     const FlowTable& flows() const { return table_; }
     const PointerStore& pointers() const { return pointers_; }
     const Publisher& publisher() const { return publisher_; }
--- a/include/celerystile/core/view.hpp
+++ b/include/celerystile/core/view.hpp
@@ -51,6 +51,7 @@
     Role role = Role::Sidecar;
     MemberState state = MemberState::Joining;
     Incarnation incarnation = 0;
+    Incarnation epoch = 0; ///< the incarnation at the process's start; kept while it lives
     Endpoint control; ///< gossip over UDP and fetches over TCP
     Endpoint traffic; ///< packets from balancers and other sidecars
     std::string failureDomain;
--- a/include/celerystile/peer/message.hpp
+++ b/include/celerystile/peer/message.hpp
@@ -78,10 +78,12 @@
     bool operator==(const MembersResponse&) const = default;
 };
 
-struct FlowsResponse {
+/// @brief All that a sidecar's successor needs.
+struct HandOverResponse {
     std::vector<FlowEntry> flows;
+    std::vector<core::Publication> pointers; ///< held for other owners
 
-    bool operator==(const FlowsResponse&) const = default;
+    bool operator==(const HandOverResponse&) const = default;
 };
 
 struct RefusedResponse {
@@ -90,7 +92,7 @@
     bool operator==(const RefusedResponse&) const = default;
 };
 
-using Response = std::variant<TextResponse, MembersResponse, FlowsResponse, RefusedResponse>;
+using Response = std::variant<TextResponse, MembersResponse, HandOverResponse, RefusedResponse>;
 
 /// @brief Bytes aligned for Cap'n Proto and reused between messages. One thread.
 class DatagramBuffer {
--- a/src/celerystile/core/admission.cpp
+++ b/src/celerystile/core/admission.cpp
@@ -1,6 +1,7 @@
 #include "celerystile/core/admission.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace celerystile::core {
 
@@ -38,7 +39,20 @@
         return tl::make_unexpected(Decline::Shedding);
     if (fresh && hintSaysNotReady(now) && !probeDue(now))
         return tl::make_unexpected(Decline::NotReady);
-    return static_cast<Load>(loadUnit * openFlows / rules_.capacity);
+    const auto share = [&](double flows) { return static_cast<std::uint32_t>(loadUnit * flows / rules_.capacity); };
+    return Load { share(openFlows), share(recentlyTaken(now)) };
+}
+
+double Admission::recentlyTaken(base::TimePoint now) const
+{
+    const double passed = std::chrono::duration<double>(now - recentAt_).count();
+    return recent_ * std::exp(-passed / std::chrono::duration<double>(rules_.recentTime).count());
+}
+
+void Admission::noteTaken(base::TimePoint now)
+{
+    recent_ = recentlyTaken(now) + 1;
+    recentAt_ = now;
 }
 
 // The endpoint lags or misleads: an accepted connection since then outweighs it.
@@ -56,9 +70,16 @@
     return true;
 }
 
-bool Admission::beats(Load own, const std::optional<Offer>& best) const
+// Open flows alone would leave a host with short-lived ones a larger share of the new ones for good; the band keeps
+// a host that has just joined, and takes many, from being held back by it.
+bool Admission::beats(const Load& own, const std::optional<Offer>& best) const
 {
-    return !best || own + static_cast<Load>(rules_.margin * loadUnit) < best->load;
+    if (!best)
+        return true;
+    const double band = rules_.recentBand * loadUnit;
+    const double moreRecent = static_cast<double>(own.recent) - static_cast<double>(best->load.recent);
+    const double handicap = std::clamp(rules_.recentWeight * moreRecent, -band, band);
+    return own.open + handicap + rules_.margin * loadUnit < best->load.open;
 }
 
 void Admission::noteAccepted(base::TimePoint now)
--- a/src/celerystile/core/candidates.cpp
+++ b/src/celerystile/core/candidates.cpp
@@ -143,6 +143,13 @@
     return std::any_of(first, last, [&](std::uint16_t entry) { return hosts_[entry].id == host; });
 }
 
+const ServiceHost* CandidateTable::find(MemberId host) const
+{
+    const auto found = std::lower_bound(
+        hosts_.begin(), hosts_.end(), host, [](const ServiceHost& entry, MemberId id) { return entry.id < id; });
+    return found == hosts_.end() || found->id != host ? nullptr : &*found;
+}
+
 bool CandidateTable::wouldList(std::size_t index, const ServiceHost& host) const
 {
     if (begin_.empty() || begin_[index + 1] - begin_[index] < rules_.acceptingHosts)
--- a/src/celerystile/core/directory.cpp
+++ b/src/celerystile/core/directory.cpp
@@ -63,6 +63,16 @@
     boost::unordered::erase_if(pointers_, [&](const auto& entry) { return entry.second.expiresAt < seconds; });
 }
 
+std::vector<Publication> PointerStore::all() const
+{
+    std::vector<Publication> publications(owners_.size());
+    for (std::size_t i = 0; i < owners_.size(); ++i)
+        publications[i].owner = owners_[i];
+    for (const auto& [flow, pointer] : pointers_)
+        publications[pointer.owner].flows.push_back(flow);
+    return publications;
+}
+
 Publisher::Publisher(DirectoryRules rules, Candidate self, std::uint64_t seed)
     : rules_(rules)
     , self_(std::move(self))
--- a/src/celerystile/core/sidecar_directory.cpp
+++ b/src/celerystile/core/sidecar_directory.cpp
@@ -60,8 +60,8 @@
     if (!record.displaced)
         return;
     for (const auto& candidate : route->table.bucket(bucket)) {
-        const bool alreadyTold = wasDisplaced && before && before->lists(bucket, candidate.host);
-        if (!alreadyTold)
+        if (!wasDisplaced || !before || !before->lists(bucket, candidate.host)
+            || before->find(candidate.host)->epoch != route->table.find(candidate.host)->epoch)
             publisher_.enqueue(candidate, hash);
     }
 }
@@ -82,6 +82,8 @@
         output_.acknowledge(publication.owner.traffic, publication.sequence);
 }
 
+void Sidecar::adopt(const Publication& pointers, base::TimePoint now) { pointers_.accept(pointers, now); }
+
 void Sidecar::onAcknowledgement(MemberId from, std::uint64_t sequence) { publisher_.acknowledge(from, sequence); }
 
 } // namespace celerystile::core
--- a/src/celerystile/core/sidecar_opening.cpp
+++ b/src/celerystile/core/sidecar_opening.cpp
@@ -80,6 +80,7 @@
     ++openingBySource_[sourceHash(segment.key.caller.address)];
     openingSyns_[segment.key] = { header, segment, { packet.begin(), packet.end() }, now };
     openingQueue_.push_back({ segment.key, now });
+    admission_.noteTaken(now);
     bump(SidecarCount::FlowsOpened);
     publishIfDisplaced(segment.key, added, nullptr);
     deliverOwned(added, segment, packet, now);
--- a/src/celerystile/peer/message.cpp
+++ b/src/celerystile/peer/message.cpp
@@ -74,7 +74,8 @@
         to.setHasBest(header.best.has_value());
         if (header.best) {
             to.setBestPosition(header.best->position);
-            to.setBestLoad(header.best->load);
+            to.setBestLoad(header.best->load.open);
+            to.setBestRecent(header.best->load.recent);
         }
         auto candidates = to.initCandidates(static_cast<unsigned>(header.candidates.size()));
         for (unsigned i = 0; i < candidates.size(); ++i)
@@ -100,7 +101,7 @@
         if (candidates.size() > core::maxCandidates || header.position >= std::max(1U, candidates.size()))
             return failure(ErrorCode::Malformed, "candidates out of range");
         if (from.getHasBest()) {
-            header.best = core::Offer { from.getBestPosition(), from.getBestLoad() };
+            header.best = core::Offer { from.getBestPosition(), { from.getBestLoad(), from.getBestRecent() } };
             if (header.best->position >= candidates.size())
                 return failure(ErrorCode::Malformed, "offer out of range");
         }
@@ -120,14 +121,14 @@
             flows.set(i, value.flows[i]);
     }
 
-    base::Result<Message> readPublication(schema::Publish::Reader from)
+    core::Publication readPublication(schema::Publish::Reader from)
     {
         core::Publication value;
         value.sequence = from.getSequence();
         value.owner = read(from.getOwner());
         for (const auto flow : from.getFlows())
             value.flows.push_back(flow);
-        return Message { std::move(value) };
+        return value;
     }
 
     base::Result<Message> readMessage(schema::Message::Reader from)
@@ -136,7 +137,7 @@
         case schema::Message::FORWARD:
             return readForward(from.getForward());
         case schema::Message::PUBLISH:
-            return readPublication(from.getPublish());
+            return Message { readPublication(from.getPublish()) };
         case schema::Message::PUBLISH_ACK:
             return Message { PublishAck { from.getPublishAck().getFrom(), from.getPublishAck().getSequence() } };
         case schema::Message::GOSSIP:
@@ -244,11 +245,15 @@
             members.members = response.members;
             write(root.initMembers(), members);
         }
-        void operator()(const FlowsResponse& response)
+        void operator()(const HandOverResponse& response)
         {
-            auto flows = root.initFlows(static_cast<unsigned>(response.flows.size()));
+            auto handOver = root.initHandOver();
+            auto flows = handOver.initFlows(static_cast<unsigned>(response.flows.size()));
             for (unsigned i = 0; i < flows.size(); ++i)
                 writeFlow(flows[i], response.flows[i]);
+            auto pointers = handOver.initPointers(static_cast<unsigned>(response.pointers.size()));
+            for (unsigned i = 0; i < pointers.size(); ++i)
+                writePublication(pointers[i], response.pointers[i]);
         }
         void operator()(const RefusedResponse& response) { root.setRefused(response.reason); }
     };
@@ -268,14 +273,16 @@
         }
         if (from.isRefused())
             return Response { RefusedResponse { from.getRefused().cStr() } };
-        FlowsResponse flows;
-        for (const auto item : from.getFlows()) {
+        HandOverResponse handOver;
+        for (const auto item : from.getHandOver().getFlows()) {
             auto entry = readFlow(item);
             if (!entry)
                 return tl::make_unexpected(entry.error());
-            flows.flows.push_back(*entry);
+            handOver.flows.push_back(*entry);
         }
-        return Response { std::move(flows) };
+        for (const auto item : from.getHandOver().getPointers())
+            handOver.pointers.push_back(readPublication(item));
+        return Response { std::move(handOver) };
     }
 
     template <typename Root, typename Writer, typename Value>
--- a/src/celerystile/peer/schema/message.capnp
+++ b/src/celerystile/peer/schema/message.capnp
@@ -31,6 +31,7 @@
   bestLoad @12 :UInt32;
   candidates @13 :List(Candidate);
   packet @14 :Data;
+  bestRecent @15 :UInt32;
 }
 
 struct Publish {
@@ -55,6 +56,7 @@
   place @7 :Text;
   services @8 :List(UInt64);
   capacity @9 :UInt32;
+  epoch @10 :UInt64;
 }
 
 struct StateNews {            # a change of state alone, for members already known
@@ -126,7 +128,10 @@
       text @1 :Data;
     }
     members @2 :Gossip;
-    flows @3 :List(FlowEntry);
+    handOver :group {
+      flows @3 :List(FlowEntry);
+      pointers @5 :List(Publish);
+    }
     refused @4 :Text;
   }
 }
--- a/src/celerystile/peer/schema/message.capnp.h
+++ b/src/celerystile/peer/schema/message.capnp.h
@@ -40,6 +40,7 @@
 CAPNP_DECLARE_SCHEMA(9e4a5a8585ff511d);
 CAPNP_DECLARE_SCHEMA(e5475a19dc5c0908);
 CAPNP_DECLARE_SCHEMA(c81bca43caf803e3);
+CAPNP_DECLARE_SCHEMA(e79720ead45972b3);
 
 }  // namespace schemas
 }  // namespace capnp
@@ -86,7 +87,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ce356d96ef6bfcdd, 4, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ce356d96ef6bfcdd, 5, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -131,7 +132,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b7aac5a2e7fe4b34, 3, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(b7aac5a2e7fe4b34, 4, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -235,13 +236,14 @@
   enum Which: uint16_t {
     TEXT,
     MEMBERS,
-    FLOWS,
+    HAND_OVER,
     REFUSED,
   };
   struct Text;
+  struct HandOver;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(e5475a19dc5c0908, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(e5475a19dc5c0908, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -256,7 +258,22 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c81bca43caf803e3, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(c81bca43caf803e3, 2, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct Response::HandOver {
+  HandOver() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(e79720ead45972b3, 2, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -492,6 +509,8 @@
   inline bool hasPacket() const;
   inline  ::capnp::Data::Reader getPacket() const;
 
+  inline  ::uint32_t getBestRecent() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -573,6 +592,9 @@
   inline void adoptPacket(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownPacket();
 
+  inline  ::uint32_t getBestRecent();
+  inline void setBestRecent( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -820,6 +842,8 @@
 
   inline  ::uint32_t getCapacity() const;
 
+  inline  ::uint64_t getEpoch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -899,6 +923,9 @@
   inline  ::uint32_t getCapacity();
   inline void setCapacity( ::uint32_t value);
 
+  inline  ::uint64_t getEpoch();
+  inline void setEpoch( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1538,9 +1565,8 @@
   inline bool hasMembers() const;
   inline  ::celerystile::peer::schema::Gossip::Reader getMembers() const;
 
-  inline bool isFlows() const;
-  inline bool hasFlows() const;
-  inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Reader getFlows() const;
+  inline bool isHandOver() const;
+  inline typename HandOver::Reader getHandOver() const;
 
   inline bool isRefused() const;
   inline bool hasRefused() const;
@@ -1587,13 +1613,9 @@
   inline void adoptMembers(::capnp::Orphan< ::celerystile::peer::schema::Gossip>&& value);
   inline ::capnp::Orphan< ::celerystile::peer::schema::Gossip> disownMembers();
 
-  inline bool isFlows();
-  inline bool hasFlows();
-  inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Builder getFlows();
-  inline void setFlows( ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Builder initFlows(unsigned int size);
-  inline void adoptFlows(::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>> disownFlows();
+  inline bool isHandOver();
+  inline typename HandOver::Builder getHandOver();
+  inline typename HandOver::Builder initHandOver();
 
   inline bool isRefused();
   inline bool hasRefused();
@@ -1715,6 +1737,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class Response::HandOver::Reader {
+public:
+  typedef HandOver Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlows() const;
+  inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Reader getFlows() const;
+
+  inline bool hasPointers() const;
+  inline  ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>::Reader getPointers() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Response::HandOver::Builder {
+public:
+  typedef HandOver Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasFlows();
+  inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Builder getFlows();
+  inline void setFlows( ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Builder initFlows(unsigned int size);
+  inline void adoptFlows(::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>> disownFlows();
+
+  inline bool hasPointers();
+  inline  ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>::Builder getPointers();
+  inline void setPointers( ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>::Builder initPointers(unsigned int size);
+  inline void adoptPointers(::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>> disownPointers();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Response::HandOver::Pipeline {
+public:
+  typedef HandOver Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 // =======================================================================================
 
 inline  ::uint64_t Endpoint::Reader::getHigh() const {
@@ -2076,6 +2189,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t Forward::Reader::getBestRecent() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t Forward::Builder::getBestRecent() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
+}
+inline void Forward::Builder::setBestRecent( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Publish::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2449,6 +2576,20 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t MemberNews::Reader::getEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t MemberNews::Builder::getEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void MemberNews::Builder::setEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t StateNews::Reader::getId() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3325,60 +3466,29 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool Response::Reader::isFlows() const {
-  return which() == Response::FLOWS;
+inline bool Response::Reader::isHandOver() const {
+  return which() == Response::HAND_OVER;
 }
-inline bool Response::Builder::isFlows() {
-  return which() == Response::FLOWS;
+inline bool Response::Builder::isHandOver() {
+  return which() == Response::HAND_OVER;
 }
-inline bool Response::Reader::hasFlows() const {
-  if (which() != Response::FLOWS) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool Response::Builder::hasFlows() {
-  if (which() != Response::FLOWS) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Reader Response::Reader::getFlows() const {
-  KJ_IREQUIRE((which() == Response::FLOWS),
+inline typename Response::HandOver::Reader Response::Reader::getHandOver() const {
+  KJ_IREQUIRE((which() == Response::HAND_OVER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+  return typename Response::HandOver::Reader(_reader);
 }
-inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Builder Response::Builder::getFlows() {
-  KJ_IREQUIRE((which() == Response::FLOWS),
+inline typename Response::HandOver::Builder Response::Builder::getHandOver() {
+  KJ_IREQUIRE((which() == Response::HAND_OVER),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void Response::Builder::setFlows( ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Reader value) {
-  _builder.setDataField<Response::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Response::FLOWS);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Builder Response::Builder::initFlows(unsigned int size) {
-  _builder.setDataField<Response::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Response::FLOWS);
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+  return typename Response::HandOver::Builder(_builder);
 }
-inline void Response::Builder::adoptFlows(
-    ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>&& value) {
+inline typename Response::HandOver::Builder Response::Builder::initHandOver() {
   _builder.setDataField<Response::Which>(
-      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Response::FLOWS);
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>> Response::Builder::disownFlows() {
-  KJ_IREQUIRE((which() == Response::FLOWS),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, Response::HAND_OVER);
+  _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
+  _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
+  return typename Response::HandOver::Builder(_builder);
 }
-
 inline bool Response::Reader::isRefused() const {
   return which() == Response::REFUSED;
 }
@@ -3481,6 +3591,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Response::HandOver::Reader::hasFlows() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Response::HandOver::Builder::hasFlows() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Reader Response::HandOver::Reader::getFlows() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Builder Response::HandOver::Builder::getFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Response::HandOver::Builder::setFlows( ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>::Builder Response::HandOver::Builder::initFlows(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Response::HandOver::Builder::adoptFlows(
+    ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>> Response::HandOver::Builder::disownFlows() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowEntry,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Response::HandOver::Reader::hasPointers() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Response::HandOver::Builder::hasPointers() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>::Reader Response::HandOver::Reader::getPointers() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>::Builder Response::HandOver::Builder::getPointers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Response::HandOver::Builder::setPointers( ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>::Builder Response::HandOver::Builder::initPointers(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Response::HandOver::Builder::adoptPointers(
+    ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>> Response::HandOver::Builder::disownPointers() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
--- a/src/celerystile/peer/wire_values.cpp
+++ b/src/celerystile/peer/wire_values.cpp
@@ -37,6 +37,7 @@
     for (unsigned i = 0; i < services.size(); ++i)
         services.set(i, value.services[i]);
     to.setCapacity(value.capacity);
+    to.setEpoch(value.epoch);
 }
 
 base::Result<core::Member> read(schema::MemberNews::Reader from)
@@ -58,6 +59,7 @@
     for (const auto service : from.getServices())
         member.services.push_back(service);
     member.capacity = from.getCapacity();
+    member.epoch = from.getEpoch();
     return member;
 }
 
