A handed-over flow keeps its age

Cause of the flows lost in the rolling restart: a record's lastSeen counts seconds since its sidecar's start, and a successor read it against its own start. The age now travels with the flow. Test: 'a handed-over flow keeps its age and is not swept away'.

--- a/apps/celerystiled/options.cpp
+++ b/apps/celerystiled/options.cpp
@@ -67,7 +67,7 @@
             "The backend server's HTTP endpoint: GET /load answers {\"ready\":true,\"load\":0.4}." },
         Option { "capacity", "CELERYSTILE_CAPACITY", OptionKind::Number, "2000", false, 1, maxCapacity, "connections",
             "Connections that the backend server holds; the weight of the host." },
-        Option { "margin", "CELERYSTILE_MARGIN", OptionKind::Number, "0.002", false, 0, 1, "share of capacity",
+        Option { "margin", "CELERYSTILE_MARGIN", OptionKind::Number, "0.01", false, 0, 1, "share of capacity",
             "By how much a later candidate must be emptier to take a new flow." },
         Option { "ramp", "CELERYSTILE_RAMP", OptionKind::Number, "20", false, 0, 3600, "seconds",
             "Time from the start until the whole capacity is open to new flows." },
--- a/apps/celerystiled/sidecar_traffic.cpp
+++ b/apps/celerystiled/sidecar_traffic.cpp
@@ -49,7 +49,7 @@
     settings_.rules.admission.ramp = {}; // the backend server is warm
     machine_ = std::make_unique<core::Sidecar>(settings_.rules, *this, now);
     for (const auto& flow : predecessor.flows)
-        machine_->adopt(flow.key, flow.record);
+        machine_->adopt(flow, now);
     for (const auto& pointers : predecessor.pointers)
         machine_->adopt(pointers, now);
 }
@@ -87,12 +87,7 @@
         traffic_->close();
         backend_->close();
         timer_.cancel();
-        peer::HandOverResponse handOver { {}, machine_->pointers().all() };
-        for (const auto& [key, record] : machine_->flows().records()) {
-            // Opening flows are left to the caller's retransmission.
-            if (record.state != core::FlowState::Opening)
-                handOver.flows.push_back({ key, record });
-        }
+        peer::HandOverResponse handOver { machine_->handOver(clock_.now()), machine_->pointers().all() };
         done(std::move(handOver));
     });
 }
--- a/bench/world.hpp
+++ b/bench/world.hpp
@@ -134,7 +134,7 @@
     void spreadNews();
     core::RoutingPtr routingOf(std::uint64_t version);
     void tickAll();
-    void startSidecar(Host& host, bool relearn, base::Duration ramp, const core::FlowTable::Map& adopted);
+    void startSidecar(Host& host, bool relearn, base::Duration ramp, const std::vector<core::HandedFlow>& adopted);
 
     void toBalancer(const core::Segment& segment);
     void atBalancer(std::size_t index, const core::Segment& segment);
--- a/bench/world_traffic.cpp
+++ b/bench/world_traffic.cpp
@@ -61,7 +61,8 @@
 void World::Host::answer(core::Bytes packet)
 {
     const auto owner = id;
-    world.deliverPacket(segmentOf(packet), [this, owner](const core::Segment& arrived) { world.atCaller(arrived, owner); });
+    world.deliverPacket(
+        segmentOf(packet), [this, owner](const core::Segment& arrived) { world.atCaller(arrived, owner); });
 }
 
 void World::Host::resetCaller(const core::Segment& about)
--- a/include/celerystile/core/candidates.hpp
+++ b/include/celerystile/core/candidates.hpp
@@ -87,7 +87,7 @@
     std::vector<ServiceHost> hosts_;
     CandidateRules rules_;
     bool equalWeights_ = true;
-    std::vector<std::uint32_t> begin_; // bucketCount + 1 offsets into entries_
+    std::vector<std::uint16_t> begin_; // bucketCount + 1 offsets into entries_
     std::vector<std::uint16_t> entries_; // indexes into hosts_
 };
 
--- a/include/celerystile/core/flow_table.hpp
+++ b/include/celerystile/core/flow_table.hpp
@@ -34,6 +34,14 @@
     bool operator==(const FlowRecord&) const = default;
 };
 
+/// @brief One flow on its way to a successor; the record's lastSeen is its age in seconds.
+struct HandedFlow {
+    FlowKey key;
+    FlowRecord record;
+
+    bool operator==(const HandedFlow&) const = default;
+};
+
 /// @brief Flow records with counts by state. One thread.
 class FlowTable {
 public:
--- a/include/celerystile/core/sidecar.hpp
+++ b/include/celerystile/core/sidecar.hpp
@@ -122,8 +122,11 @@
 
     void noteHint(const EndpointHint& hint) { admission_.noteHint(hint); }
 
-    /// @brief Takes over the flow table of a predecessor.
-    void adopt(const FlowKey& key, const FlowRecord& record);
+    /// @brief The flows for a successor; opening ones are left to the caller's retransmission.
+    std::vector<HandedFlow> handOver(base::TimePoint now) const;
+
+    /// @brief Takes over a flow of a predecessor.
+    void adopt(const HandedFlow& flow, base::TimePoint now);
 
     /// @brief Takes over the pointers that a predecessor held for others.
     void adopt(const Publication& pointers, base::TimePoint now);
--- a/include/celerystile/peer/message.hpp
+++ b/include/celerystile/peer/message.hpp
@@ -37,14 +37,6 @@
 
 using Message = std::variant<ForwardMessage, core::Publication, PublishAck, core::GossipMessage>;
 
-/// @brief One flow in a hand-over; lastSeen is in seconds before the hand-over.
-struct FlowEntry {
-    core::FlowKey key;
-    core::FlowRecord record;
-
-    bool operator==(const FlowEntry&) const = default;
-};
-
 /// @brief Asks for the text in force.
 struct FetchText {
     bool operator==(const FetchText&) const = default;
@@ -80,7 +72,7 @@
 
 /// @brief All that a sidecar's successor needs.
 struct HandOverResponse {
-    std::vector<FlowEntry> flows;
+    std::vector<core::HandedFlow> flows;
     std::vector<core::Publication> pointers; ///< held for other owners
 
     bool operator==(const HandOverResponse&) const = default;
--- a/src/celerystile/core/candidates.cpp
+++ b/src/celerystile/core/candidates.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    static_assert(bucketCount * maxCandidates <= 65'535, "offsets into the entries are 16 bits wide");
+
     constexpr std::uint64_t serviceSalt = 0x9e3779b97f4a7c15ULL;
 
     std::uint64_t draw(ServiceId service, std::size_t bucket, MemberId host)
@@ -119,7 +121,7 @@
     }
     for (const auto& ranked : list)
         entries_.push_back(ranked.host);
-    begin_.push_back(static_cast<std::uint32_t>(entries_.size()));
+    begin_.push_back(static_cast<std::uint16_t>(entries_.size()));
 }
 
 CandidateList CandidateTable::bucket(std::size_t index) const
--- a/src/celerystile/core/routing.cpp
+++ b/src/celerystile/core/routing.cpp
@@ -19,8 +19,8 @@
                 if (!configuration.allows(service, member.traffic.address))
                     continue;
                 const auto weight = std::max<std::uint32_t>(1, member.capacity);
-                hosts[service].push_back({ member.id, member.traffic, weight, member.state,
-                    member.failureDomain, member.epoch });
+                hosts[service].push_back(
+                    { member.id, member.traffic, weight, member.state, member.failureDomain, member.epoch });
             }
         }
         return hosts;
--- a/src/celerystile/core/sidecar.cpp
+++ b/src/celerystile/core/sidecar.cpp
@@ -189,10 +189,27 @@
     return ended;
 }
 
-void Sidecar::adopt(const FlowKey& key, const FlowRecord& record)
+std::vector<HandedFlow> Sidecar::handOver(base::TimePoint now) const
 {
-    if (!table_.find(key))
-        table_.add(key, record);
+    std::vector<HandedFlow> flows;
+    for (const auto& [key, record] : table_.records()) {
+        if (record.state == FlowState::Opening)
+            continue;
+        flows.push_back({ key, record });
+        flows.back().record.lastSeen = secondsAt(now) - record.lastSeen;
+    }
+    return flows;
+}
+
+// Ages are kept by wrapping: a flow may have been seen before this process started.
+void Sidecar::adopt(const HandedFlow& flow, base::TimePoint now)
+{
+    if (table_.find(flow.key))
+        return;
+    auto& added = table_.add(flow.key, flow.record);
+    added.lastSeen = secondsAt(now) - flow.record.lastSeen;
+    if (added.state == FlowState::Closing)
+        closingQueue_.push_back({ flow.key, now });
 }
 
 void Sidecar::tick(base::TimePoint now)
--- /dev/null
+++ b/src/celerystile/core/sidecar_test.cpp
@@ -0,0 +1,363 @@
+#include "celerystile/core/sidecar.hpp"
+
+#include <doctest/doctest.h>
+
+namespace celerystile::core {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr base::TimePoint start { 1h };
+
+    /// Remembers what the machine asked for.
+    struct Recorder final : SidecarOutput {
+        void deliver(Bytes) override { ++delivered; }
+        void forward(const Endpoint& to, const ForwardHeader& header, Bytes) override
+        {
+            forwarded.push_back({ to, header });
+        }
+        void answer(Bytes) override { ++answered; }
+        void resetCaller(const Segment& about) override { resets.push_back(about); }
+        void resetBackend(const FlowKey&, std::uint32_t) override { ++backendResets; }
+        void publish(const Endpoint& to, const Publication& publication) override
+        {
+            published.push_back({ to, publication });
+        }
+        void acknowledge(const Endpoint&, std::uint64_t) override { ++acknowledged; }
+
+        struct Forwarded {
+            Endpoint to;
+            ForwardHeader header;
+        };
+
+        int delivered = 0;
+        int answered = 0;
+        int backendResets = 0;
+        int acknowledged = 0;
+        std::vector<Forwarded> forwarded;
+        std::vector<Segment> resets;
+        std::vector<OutgoingPublication> published;
+    };
+
+    const Endpoint desk = *Endpoint::parse("10.80.0.1:7001");
+
+    Configuration makeConfiguration()
+    {
+        Service service;
+        service.name = "declarations";
+        service.id = hashName(service.name);
+        service.address = desk;
+        service.allowedNetworks = { *Network::parse("127.0.0.0/8") };
+        Configuration configuration;
+        configuration.generation = 1;
+        configuration.services = { service };
+        return configuration;
+    }
+
+    Endpoint trafficOf(MemberId host)
+    {
+        return { IpAddress::fromV4(0x7f000000 + static_cast<std::uint32_t>(host)), 7700 };
+    }
+
+    RoutingPtr routingOf(std::vector<std::pair<MemberId, MemberState>> hosts, std::uint64_t version = 1)
+    {
+        View view;
+        view.version = version;
+        for (const auto& [id, state] : hosts) {
+            Member member;
+            member.id = id;
+            member.state = state;
+            member.traffic = trafficOf(id);
+            member.services = { hashName("declarations") };
+            member.capacity = 100;
+            view.members.push_back(member);
+        }
+        return buildRouting(makeConfiguration(), view, {}, {}, nullptr);
+    }
+
+    SidecarRules rulesOf(MemberId host)
+    {
+        SidecarRules rules;
+        rules.self = { host, trafficOf(host), true };
+        rules.admission.capacity = 100;
+        return rules;
+    }
+
+    Segment segmentOf(std::uint16_t port, std::uint32_t sequence, std::uint32_t acknowledgement = 0)
+    {
+        Segment segment;
+        segment.key = { { *IpAddress::parse("10.200.0.1"), port }, desk };
+        segment.sequence = sequence;
+        segment.acknowledgement = acknowledgement;
+        segment.syn = acknowledgement == 0;
+        segment.ack = acknowledgement != 0;
+        return segment;
+    }
+
+    ForwardHeader headerFor(std::vector<MemberId> hosts, std::uint8_t position = 0)
+    {
+        ForwardHeader header;
+        header.service = hashName("declarations");
+        header.position = position;
+        for (const auto host : hosts)
+            header.candidates.push_back({ host, trafficOf(host), true });
+        return header;
+    }
+
+    const std::vector<std::uint8_t> packet(40, 1);
+
+    /// A sidecar that is the only host, and one open flow from port 5000.
+    struct OneHost {
+        Recorder recorder;
+        Sidecar sidecar { rulesOf(1), recorder, start };
+
+        OneHost() { sidecar.setRouting(routingOf({ { 1, MemberState::Ready } }), start); }
+
+        void open(std::uint16_t port, base::TimePoint now = start)
+        {
+            sidecar.onForwarded(headerFor({ 1 }), segmentOf(port, 100), packet, now);
+            auto accepted = segmentOf(port, 900, 101);
+            accepted.syn = true;
+            sidecar.onAnswer(accepted, packet, now);
+            sidecar.onForwarded(headerFor({ 1 }), segmentOf(port, 101, 901), packet, now);
+        }
+    };
+
+} // namespace
+
+TEST_CASE("a flow opens, serves and closes at its owner")
+{
+    OneHost host;
+    host.open(5000);
+    CHECK(host.sidecar.flows().openFlows() == 1);
+    CHECK(host.recorder.delivered == 2);
+    CHECK(host.recorder.answered == 1);
+    auto fin = segmentOf(5000, 101, 901);
+    fin.fin = true;
+    host.sidecar.onForwarded(headerFor({ 1 }), fin, packet, start);
+    auto answer = segmentOf(5000, 901, 102);
+    answer.fin = true;
+    host.sidecar.onAnswer(answer, packet, start);
+    CHECK(host.sidecar.drained());
+    host.sidecar.tick(start + 11s);
+    CHECK(host.sidecar.flows().size() == 0);
+}
+
+TEST_CASE("the first acknowledgement decides between two half-open copies")
+{
+    OneHost host;
+    host.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Ready } }, 2), start);
+    auto header = headerFor({ 1, 2 });
+    header.selected = true;
+    host.sidecar.onForwarded(header, segmentOf(5000, 100), packet, start);
+    auto accepted = segmentOf(5000, 900, 101);
+    accepted.syn = true;
+    host.sidecar.onAnswer(accepted, packet, start);
+    // The caller took the other host's SYN-ACK: its acknowledgement is not ours.
+    host.sidecar.onForwarded(headerFor({ 1, 2 }), segmentOf(5000, 101, 77701), packet, start);
+    CHECK(host.recorder.delivered == 1);
+    CHECK(host.recorder.backendResets == 1);
+    CHECK(host.sidecar.count(SidecarCount::ClaimDropped) == 1);
+    REQUIRE(host.recorder.forwarded.size() == 1);
+    CHECK(host.recorder.forwarded.back().to == trafficOf(2));
+}
+
+TEST_CASE("without the check of initial sequence numbers bytes reach the wrong host")
+{
+    Recorder recorder;
+    auto rules = rulesOf(1);
+    rules.isnCheckEnabled = false;
+    Sidecar sidecar(rules, recorder, start);
+    sidecar.setRouting(routingOf({ { 1, MemberState::Ready } }), start);
+    sidecar.onForwarded(headerFor({ 1 }), segmentOf(5000, 100), packet, start);
+    sidecar.onForwarded(headerFor({ 1 }), segmentOf(5000, 101, 77701), packet, start);
+    CHECK(recorder.delivered == 2); // what the check prevents
+}
+
+TEST_CASE("a leaving host takes no new flow from the moment its sidecar knows")
+{
+    OneHost host;
+    host.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Ready } }, 2), start);
+    host.sidecar.beginLeaving();
+    host.sidecar.onForwarded(headerFor({ 1, 2 }), segmentOf(5000, 100), packet, start);
+    CHECK(host.recorder.delivered == 0);
+    REQUIRE(host.recorder.forwarded.size() == 1);
+    CHECK(host.recorder.forwarded.back().to == trafficOf(2));
+    CHECK_FALSE(host.recorder.forwarded.back().header.best.has_value());
+}
+
+TEST_CASE("a packet for another service's host is refused")
+{
+    OneHost host;
+    auto header = headerFor({ 1 });
+    header.service = hashName("statements");
+    host.sidecar.onForwarded(header, segmentOf(5000, 100), packet, start);
+    auto elsewhere = segmentOf(5000, 100);
+    elsewhere.key.service.port = 7003;
+    host.sidecar.onForwarded(headerFor({ 1 }), elsewhere, packet, start);
+    CHECK(host.recorder.delivered == 0);
+    CHECK(host.sidecar.count(SidecarCount::DropWrongService) == 2);
+}
+
+TEST_CASE("silence before reset: an unclaimed packet is reset only when a host of the flow is known to have failed")
+{
+    OneHost host;
+    const auto lost = segmentOf(6000, 500, 600);
+    const auto settled = start + 10min;
+    host.sidecar.onForwarded(headerFor({ 1 }), lost, packet, settled);
+    CHECK(host.recorder.resets.empty());
+    host.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Failed } }, 2), settled);
+    host.sidecar.onForwarded(headerFor({ 1 }), lost, packet, settled + 29s);
+    CHECK(host.recorder.resets.empty());
+    host.sidecar.onForwarded(headerFor({ 1 }), lost, packet, settled + 31s);
+    CHECK(host.recorder.resets.size() == 1);
+}
+
+TEST_CASE("a host that is only unreachable has its flows kept silent")
+{
+    OneHost host;
+    host.sidecar.setRouting(
+        routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Unreachable }, { 3, MemberState::Failed } }, 2),
+        start);
+    host.sidecar.onForwarded(headerFor({ 1 }), segmentOf(6000, 500, 600), packet, start + 1h);
+    CHECK(host.recorder.resets.empty());
+}
+
+TEST_CASE("an answer for no flow is dropped and counted")
+{
+    OneHost host;
+    host.sidecar.onAnswer(segmentOf(6000, 500, 600), packet, start);
+    CHECK(host.recorder.answered == 0);
+    CHECK(host.sidecar.count(SidecarCount::DropAnswerWithoutFlow) == 1);
+}
+
+TEST_CASE("after a restart without hand-over the backend server's answer brings a flow back, and its reset does not")
+{
+    Recorder recorder;
+    auto rules = rulesOf(1);
+    rules.relearn = true;
+    Sidecar sidecar(rules, recorder, start);
+    sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Ready } }), start);
+    sidecar.onForwarded(headerFor({ 1, 2 }), segmentOf(6000, 500, 600), packet, start);
+    CHECK(recorder.delivered == 1); // on trial
+    sidecar.onAnswer(segmentOf(6000, 600, 520), packet, start);
+    CHECK(recorder.answered == 1);
+    CHECK(sidecar.count(SidecarCount::FlowsRelearned) == 1);
+
+    sidecar.onForwarded(headerFor({ 1, 2 }), segmentOf(6001, 500, 600), packet, start);
+    auto denial = segmentOf(6001, 600, 500);
+    denial.rst = true;
+    sidecar.onAnswer(denial, packet, start);
+    CHECK(recorder.answered == 1); // held back
+    REQUIRE(recorder.forwarded.size() == 1);
+    CHECK(recorder.forwarded.back().to == trafficOf(2));
+    CHECK(recorder.forwarded.back().header.denied);
+}
+
+TEST_CASE("a SYN that the backend server refuses is passed on, and the caller sees no reset")
+{
+    OneHost host;
+    host.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Ready } }, 2), start);
+    auto header = headerFor({ 1, 2 });
+    header.selected = true;
+    host.sidecar.onForwarded(header, segmentOf(5000, 100), packet, start);
+    auto refusal = segmentOf(5000, 0, 101);
+    refusal.rst = true;
+    host.sidecar.onAnswer(refusal, packet, start);
+    CHECK(host.recorder.answered == 0);
+    REQUIRE(host.recorder.forwarded.size() == 1);
+    CHECK(host.recorder.forwarded.back().to == trafficOf(2));
+    CHECK(host.recorder.forwarded.back().header.candidates.size() == 1);
+}
+
+TEST_CASE("a handed-over flow keeps its age and is not swept away")
+{
+    OneHost old;
+    old.open(5000);
+    const auto later = start + 2h;
+    Recorder recorder;
+    Sidecar successor(rulesOf(1), recorder, later);
+    for (const auto& flow : old.sidecar.handOver(later))
+        successor.adopt(flow, later);
+    successor.tick(later + 1min);
+    CHECK(successor.flows().openFlows() == 1);
+    successor.tick(later + 23h);
+    CHECK(successor.flows().openFlows() == 0); // idle for 25 hours by then
+}
+
+TEST_CASE("a flood of SYNs leaves open flows untouched")
+{
+    OneHost host;
+    host.open(5000);
+    for (std::uint32_t i = 0; i < 100'000; ++i) {
+        auto syn = segmentOf(static_cast<std::uint16_t>(i), i);
+        syn.key.caller.address = IpAddress::fromV4(0x0b000000 + i % 5000);
+        host.sidecar.onForwarded(headerFor({ 1 }), syn, packet, start + 1s);
+    }
+    CHECK(host.sidecar.flows().opening() <= rulesOf(1).maxOpening);
+    CHECK(host.recorder.resets.empty()); // a caller that retransmits gets in when the flood ends
+    const auto before = host.recorder.delivered;
+    host.sidecar.onForwarded(headerFor({ 1 }), segmentOf(5000, 101, 901), packet, start + 1s);
+    CHECK(host.recorder.delivered == before + 1);
+    host.sidecar.tick(start + 12s);
+    CHECK(host.sidecar.flows().opening() == 0);
+    CHECK(host.sidecar.flows().openFlows() == 1);
+}
+
+TEST_CASE("one source can't use up the opening flows")
+{
+    OneHost host;
+    for (std::uint16_t port = 1; port < 1000; ++port)
+        host.sidecar.onForwarded(headerFor({ 1 }), segmentOf(port, 1), packet, start);
+    CHECK(host.sidecar.flows().opening() == rulesOf(1).maxOpeningPerSource);
+}
+
+TEST_CASE("hops are bounded")
+{
+    OneHost host;
+    auto header = headerFor({ 1, 2 });
+    header.hops = maxHops;
+    host.sidecar.onForwarded(header, segmentOf(6000, 500, 600), packet, start);
+    CHECK(host.recorder.forwarded.empty());
+    CHECK(host.sidecar.count(SidecarCount::DropHops) == 1);
+}
+
+TEST_CASE("an owner that is no longer a candidate publishes pointers, and the holder follows them")
+{
+    OneHost owner;
+    owner.open(5000);
+    const auto hash = segmentOf(5000, 0).key.hash();
+    // So many hosts that host 1 does not stand in the flow's bucket any more.
+    std::vector<std::pair<MemberId, MemberState>> hosts { { 1, MemberState::Ready } };
+    RoutingPtr routing;
+    do {
+        hosts.push_back({ hosts.back().first + 1, MemberState::Ready });
+        routing = routingOf(hosts, hosts.size());
+    } while (routing->find(desk)->table.lists(CandidateTable::bucketOf(hash), 1));
+    owner.sidecar.setRouting(routing, start);
+    owner.sidecar.tick(start);
+    REQUIRE(owner.recorder.published.size() == 3);
+
+    const auto target = routing->find(desk)->table.lookup(hash).front();
+    Recorder recorder;
+    Sidecar holder(rulesOf(target.host), recorder, start);
+    holder.setRouting(routing, start);
+    holder.onPublication(owner.recorder.published.front().publication, start);
+    CHECK(recorder.acknowledged == 1);
+    holder.onForwarded(headerFor({ target.host, 99 }), segmentOf(5000, 101, 901), packet, start);
+    REQUIRE(recorder.forwarded.size() == 1);
+    CHECK(recorder.forwarded.front().to == trafficOf(1));
+}
+
+TEST_CASE("at the drain limit every open flow is reset with a number the caller believes")
+{
+    OneHost host;
+    host.open(5000);
+    CHECK(host.sidecar.resetAll(start + 1s) == 1);
+    REQUIRE(host.recorder.resets.size() == 1);
+    CHECK(host.recorder.resets.front().acknowledgement == 901);
+    CHECK(host.sidecar.drained());
+}
+
+} // namespace celerystile::core
--- a/src/celerystile/peer/message.cpp
+++ b/src/celerystile/peer/message.cpp
@@ -163,7 +163,7 @@
         void operator()(const core::GossipMessage& value) { write(root.initGossip(), value); }
     };
 
-    void writeFlow(schema::FlowEntry::Builder to, const FlowEntry& entry)
+    void writeFlow(schema::FlowEntry::Builder to, const core::HandedFlow& entry)
     {
         const auto& record = entry.record;
         to.setCallerHigh(halfOf(entry.key.caller.address, 0));
@@ -184,12 +184,12 @@
         to.setFlags(flags);
     }
 
-    base::Result<FlowEntry> readFlow(schema::FlowEntry::Reader from)
+    base::Result<core::HandedFlow> readFlow(schema::FlowEntry::Reader from)
     {
         const auto flags = from.getFlags();
         if ((flags & stateMask) > static_cast<std::uint8_t>(core::FlowState::Closing))
             return failure(ErrorCode::Malformed, "unknown flow state");
-        FlowEntry entry;
+        core::HandedFlow entry;
         entry.key.caller = { addressOf(from.getCallerHigh(), from.getCallerLow()),
             static_cast<std::uint16_t>(from.getPorts() >> 16) };
         entry.key.service
