Process tests: kills, freezes, hand-over, drain, platform faults

Real processes over loopback with lwIP callers: no reset seen in any planned change. One find in the stand-in: a caller that exits right after its close never acknowledges the host's end, and the host then waits 60 s for it (as it should); the caller now stays 3 s.

--- a/fakes/caller.cpp
+++ b/fakes/caller.cpp
@@ -12,6 +12,7 @@
 #include <lwip/tcp.h>
 #include <map>
 #include <memory>
+#include <thread>
 #include <vector>
 
 namespace celerystile::fakes {
@@ -104,12 +105,24 @@
                 }
                 step(now);
                 if (stopping_ && flows_.empty())
-                    return report_;
+                    return finish();
                 stack_.receive(receiveMilliseconds);
             }
         }
 
     private:
+        // The last closes are still to be acknowledged.
+        Report finish()
+        {
+            constexpr int rounds = 100;
+            constexpr int roundMilliseconds = 20;
+            for (int i = 0; i < rounds; ++i) {
+                stack_.receive(roundMilliseconds);
+                std::this_thread::sleep_for(std::chrono::milliseconds(roundMilliseconds / 2));
+            }
+            return report_;
+        }
+
         Seconds drawLifetime()
         {
             const double gauss = std::sqrt(-2 * std::log(1 - random_.unit())) * std::cos(2 * M_PI * random_.unit());
--- a/src/celerystile/core/admission_test.cpp
+++ b/src/celerystile/core/admission_test.cpp
@@ -79,7 +79,10 @@
 
 TEST_CASE("the emptier candidate takes the flow, and recent flows decide within their band only")
 {
-    Admission admission(rulesOf(1000), start);
+    auto rules = rulesOf(1000);
+    rules.margin = 0.01;
+    rules.recentBand = 0.02;
+    Admission admission(rules, start);
     CHECK(admission.beats({ 500'000, 0 }, std::nullopt));
     CHECK_FALSE(admission.beats({ 495'000, 0 }, Offer { 0, { 500'000, 0 } })); // within the margin
     CHECK(admission.beats({ 480'000, 0 }, Offer { 0, { 500'000, 0 } }));
--- /dev/null
+++ b/tests/fleet_test.cpp
@@ -0,0 +1,227 @@
+#include "fleet.hpp"
+
+#include <csignal>
+#include <doctest/doctest.h>
+#include <fstream>
+#include <thread>
+
+// Real processes and real TCP: callers see no reset across planned changes, kills, freezes and a platform outage.
+
+namespace celerystile::tests {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr auto callerTimeout = 90s;
+
+    CallerPlan holdingCaller()
+    {
+        CallerPlan plan;
+        plan.hold = true;
+        plan.duration = 2;
+        plan.rate = 40;
+        plan.interval = 0.2;
+        plan.patience = 30;
+        return plan;
+    }
+
+    std::int64_t openFlows(Fleet& fleet, int hosts)
+    {
+        std::int64_t sum = 0;
+        for (int i = 0; i < hosts; ++i)
+            sum += numberIn(fleet.sidecarRole(i), "open_flows");
+        return sum;
+    }
+
+    bool showsReady(const Fleet& fleet, int host)
+    {
+        const auto dump = Fleet::ask(fleet.statusOfSidecar(host), "/dump");
+        const auto* state = dump.if_contains("state");
+        return state && *state == "ready";
+    }
+
+    void checkSound(const Fleet& fleet, Process& caller)
+    {
+        const auto code = caller.waitFor(callerTimeout);
+        const auto report = reportOf(caller);
+        CHECK(code == 0);
+        CHECK(numberIn(report, "broken_reset") == 0);
+        CHECK(numberIn(report, "broken_stalled") == 0);
+        CHECK(numberIn(report, "misdelivered") == 0);
+        CHECK(numberIn(report, "wrong_answers") == 0);
+        CHECK(numberIn(report, "unopened") == 0);
+        CHECK(numberIn(report, "answered") > 0);
+        if (code != 0)
+            MESSAGE(caller.output() << fleet.logs());
+    }
+
+    void writeFile(const std::string& path, const std::string& text) { std::ofstream(path) << text; }
+
+} // namespace
+
+TEST_CASE("processes: kills, freezes, hand-over, drain and a lossy fabric break no flow")
+{
+    Fleet fleet({});
+    const auto problem = fleet.start();
+    REQUIRE_MESSAGE(problem.empty(), problem);
+    auto caller = fleet.startCaller(holdingCaller());
+    REQUIRE(waitUntil([&] { return openFlows(fleet, 3) >= 78; }, 20s));
+
+    // kill -9 beside a living backend server
+    fleet.sidecar(0).signal(SIGKILL);
+    fleet.sidecar(0).waitFor(5s);
+    fleet.startSidecar(0);
+    CHECK(waitUntil(
+        [&] {
+            return numberIn(fleet.sidecarRole(0).empty() ? boost::json::object {}
+                                                         : fleet.sidecarRole(0).at("counts").as_object(),
+                       "flows_relearned")
+                > 0;
+        },
+        30s));
+
+    // planned hand-over
+    const auto before = numberIn(fleet.sidecarRole(1), "open_flows");
+    CHECK(before > 0);
+    fleet.startSidecar(1, true);
+    CHECK(waitUntil([&] { return numberIn(fleet.sidecarRole(1), "open_flows") >= before; }, 20s));
+
+    // a balancer crashes, another process takes its place
+    fleet.balancer(1).signal(SIGKILL);
+    fleet.balancer(1).waitFor(5s);
+    fleet.startBalancer(1);
+
+    // a sidecar stands still
+    fleet.sidecar(2).signal(SIGSTOP);
+    std::this_thread::sleep_for(6s);
+    fleet.sidecar(2).signal(SIGCONT);
+
+    // the network loses, repeats and reorders
+    Fleet::ask(fleet.fabricStatus(), "/fault", R"({"loss":0.03,"duplicate":0.05,"reorder":0.1})");
+    std::this_thread::sleep_for(3s);
+    Fleet::ask(fleet.fabricStatus(), "/fault", "{}");
+    CHECK(waitUntil([&] { return showsReady(fleet, 2); }, 20s));
+
+    caller->signal(SIGTERM);
+    checkSound(fleet, *caller);
+}
+
+TEST_CASE("processes: a leaving host takes no new flow, keeps its own, and goes when the last has closed")
+{
+    Fleet fleet({});
+    const auto problem = fleet.start();
+    REQUIRE_MESSAGE(problem.empty(), problem);
+    auto caller = fleet.startCaller(holdingCaller());
+    REQUIRE(waitUntil([&] { return openFlows(fleet, 3) >= 78; }, 20s));
+    fleet.sidecar(1).signal(SIGTERM);
+    REQUIRE(waitUntil([&] { return fleet.sidecarRole(1).at("leaving").as_bool(); }, 5s));
+    fleet.sidecar(1).signal(SIGTERM); // a second signal loses nothing
+    const auto opened = numberIn(fleet.sidecarRole(1).at("counts").as_object(), "flows_opened");
+    auto more = holdingCaller();
+    more.hold = false;
+    more.duration = 3;
+    more.lifetime = 0.5;
+    auto second = fleet.startCaller(more);
+    checkSound(fleet, *second);
+    CHECK(fleet.sidecar(1).running());
+    CHECK(numberIn(fleet.sidecarRole(1).at("counts").as_object(), "flows_opened") == opened);
+    caller->signal(SIGTERM);
+    checkSound(fleet, *caller);
+    CHECK(fleet.sidecar(1).waitFor(30s) == 0);
+}
+
+TEST_CASE("processes: the platform down, slow, restored and losing answers; two operators at once")
+{
+    Fleet fleet({});
+    const auto problem = fleet.start();
+    REQUIRE_MESSAGE(problem.empty(), problem);
+    auto caller = fleet.startCaller(holdingCaller());
+    const auto platform = fleet.platform();
+    const auto inForce = [&](int generation) {
+        const auto expected = "generation " + std::to_string(generation) + " is in force on all";
+        return waitUntil(
+            [&] {
+                std::string said;
+                return fleet.tool({ "status", fleet.statusOfBalancer(0) }, &said) == 0
+                    && said.find(expected) != std::string::npos;
+            },
+            13s);
+    };
+    std::string text;
+    REQUIRE(fleet.tool({ "show", "--platform", platform }, &text) == 0);
+    const auto mine = fleet.folder() + "/mine.toml";
+    const auto theirs = fleet.folder() + "/theirs.toml";
+    writeFile(mine, text + "# mine\n");
+    writeFile(theirs, text + "# theirs\n");
+    Fleet::ask(platform, "/backup", "{}");
+
+    // The write takes effect, the answer is lost: resolved by the submission's id.
+    Fleet::ask(platform, "/fault", R"({"lose":1})");
+    std::string said;
+    CHECK(fleet.tool({ "submit", mine, "--platform", platform, "--author", "ana", "--id", "sub-1" }, &said) == 0);
+    CHECK(said.find("accepted: generation 2") != std::string::npos);
+    CHECK(fleet.tool({ "submit", mine, "--platform", platform, "--author", "ana", "--id", "sub-1" }, &said) == 0);
+    CHECK(said.find("generation 2") != std::string::npos); // asked again, nothing new
+    CHECK(inForce(2));
+
+    // The second operator edited an older text.
+    CHECK(fleet.tool({ "submit", theirs, "--platform", platform, "--author", "ivo" }, &said) == 3);
+    CHECK(said.find("by ana") != std::string::npos);
+    CHECK(said.find("-# mine") != std::string::npos);
+    CHECK(said.find("+# theirs") != std::string::npos);
+
+    // Down: unknown, never a guess; traffic goes on, and a newcomer learns the text from its peers.
+    Fleet::ask(platform, "/fault", R"({"down":true})");
+    CHECK(fleet.tool({ "submit", mine, "--platform", platform, "--id", "sub-2", "--base", "2" }, &said) == 4);
+    CHECK(said.find("--id sub-2") != std::string::npos);
+    fleet.balancer(1).signal(SIGKILL);
+    fleet.balancer(1).waitFor(5s);
+    fleet.startBalancer(1);
+    CHECK(waitUntil([&] { return numberIn(Fleet::ask(fleet.statusOfBalancer(1), "/dump"), "generation") == 2; }, 13s));
+
+    // Back, but restored to an older state: refused with an event, until the operator submits above it.
+    Fleet::ask(platform, "/restore", "{}");
+    Fleet::ask(platform, "/fault", R"({"down":false,"delay":1000})");
+    CHECK(waitUntil(
+        [&] { return fleet.balancer(0).output().find("3003 configuration_older") != std::string::npos; }, 15s));
+    CHECK(numberIn(Fleet::ask(fleet.statusOfBalancer(0), "/dump"), "generation") == 2);
+    Fleet::ask(platform, "/fault", R"({"delay":0})");
+    CHECK(fleet.tool({ "submit", mine, "--platform", platform, "--id", "sub-3", "--base", "1" }, &said) == 0);
+    CHECK(fleet.tool({ "submit", theirs, "--platform", platform, "--id", "sub-4", "--base", "2" }, &said) == 0);
+    CHECK(inForce(3));
+    CHECK(fleet.tool({ "history", "--platform", platform }, &said) == 0);
+    CHECK(said.find("ana") == std::string::npos); // the restore took it; the fleet kept it
+
+    caller->signal(SIGTERM);
+    checkSound(fleet, *caller);
+}
+
+TEST_CASE("processes: all mistakes in the settings at once, exit code 2; dump and explain")
+{
+    Fleet fleet({});
+    const auto problem = fleet.start();
+    REQUIRE_MESSAGE(problem.empty(), problem);
+    std::string said;
+    CHECK(fleet.tool(
+              { "explain", fleet.statusOfBalancer(0), "--caller", "10.200.0.1:5000", "--service", "10.80.0.1:7001" },
+              &said)
+        == 0);
+    CHECK(said.find("\"service\":\"declarations\"") != std::string::npos);
+    CHECK(
+        fleet.tool({ "explain", fleet.statusOfBalancer(0), "--caller", "10.200.0.1:5000", "--service", "10.80.0.9:1" })
+        == 1);
+    CHECK(fleet.tool({ "dump", fleet.statusOfSidecar(0) }, &said) == 0);
+    CHECK(said.find("(hidden)") != std::string::npos);
+    CHECK(said.find("a passphrase for tests") == std::string::npos);
+    CHECK(fleet.tool({ "check", std::string(CELERYSTILE_SOURCE_DIR) + "/examples/thanal.toml" }, &said) == 0);
+    CHECK(fleet.tool({ "nonsense" }) == 2);
+
+    Process wrong("wrong", { std::string(CELERYSTILE_BINARY_DIR) + "/celerystiled", "sidecar", "--capacity", "0" },
+        fleet.folder() + "/wrong.out");
+    CHECK(wrong.waitFor(5s) == 2);
+    for (const auto* flag : { "--id", "--control", "--status", "--traffic", "--services", "--capacity", "--key" })
+        CHECK(wrong.output().find(std::string(flag) + " ") != std::string::npos);
+}
+
+} // namespace celerystile::tests
