--- a/include/celerystile/core/candidates.hpp
+++ b/include/celerystile/core/candidates.hpp
@@ -81,7 +81,12 @@
     const std::vector<ServiceHost>& hosts() const { return hosts_; }
 
 private:
-    void fillBucket(std::size_t index, const std::vector<std::size_t>& usable);
+    struct Usable;
+    struct Ranked;
+    class Ranking;
+
+    void fillBucket(std::size_t index, const std::vector<Usable>& usable);
+    void spreadLast(Ranking& ranking, std::uint64_t seed, const std::vector<Usable>& usable);
 
     ServiceId service_ = 0;
     std::vector<ServiceHost> hosts_;
--- a/include/celerystile/core/configuration.hpp
+++ b/include/celerystile/core/configuration.hpp
@@ -29,6 +29,9 @@
     std::uint32_t slotsPerHost = 0;
     std::string purpose;
 
+    /// @brief Whether a sidecar at `host` may announce the service.
+    bool allows(const IpAddress& host) const;
+
     bool operator==(const Service&) const = default;
 };
 
--- a/src/celerystile/core/candidates.cpp
+++ b/src/celerystile/core/candidates.cpp
@@ -13,11 +13,13 @@
 
     constexpr std::uint64_t serviceSalt = 0x9e3779b97f4a7c15ULL;
 
-    std::uint64_t draw(ServiceId service, std::size_t bucket, MemberId host)
+    std::uint64_t seedOf(ServiceId service, std::size_t bucket)
     {
-        return base::mix(base::mix(service + serviceSalt * (bucket + 1)) ^ host);
+        return base::mix(service + serviceSalt * (bucket + 1));
     }
 
+    std::uint64_t draw(std::uint64_t bucketSeed, MemberId host) { return base::mix(bucketSeed ^ host); }
+
     // With equal weights the order of the draws is the order of the scores, so the logarithm is not needed.
     double score(std::uint64_t drawn, std::uint32_t capacity, bool equalWeights)
     {
@@ -25,55 +27,67 @@
         return equalWeights ? unit : -static_cast<double>(capacity) / std::log(unit);
     }
 
-    struct Ranked {
-        double score;
-        std::uint16_t host;
-        bool accepts;
-    };
+} // namespace
 
-    bool ranksBefore(const Ranked& a, const Ranked& b)
+/// A host that may stand in a list, with what the inner loop needs.
+struct CandidateTable::Usable {
+    MemberId id;
+    std::uint32_t capacity;
+    std::uint16_t index; // into hosts_
+    bool accepts;
+};
+
+/// A host with its place in one bucket.
+struct CandidateTable::Ranked {
+    static bool before(const Ranked& a, const Ranked& b)
     {
         return a.score != b.score ? a.score > b.score : a.host < b.host;
     }
 
-    /// The best hosts seen so far of one bucket, kept in order.
-    class Ranking {
-    public:
-        explicit Ranking(std::size_t accepting)
-            : wanted_(accepting)
-        {
-        }
-
-        void consider(const Ranked& next)
-        {
-            if (accepting_ == wanted_ && !ranksBefore(next, list_.back()))
-                return;
-            if (list_.size() == maxCandidates && !ranksBefore(next, list_.back()))
-                return;
-            if (list_.size() == maxCandidates)
-                removeLast();
-            list_.insert(std::upper_bound(list_.begin(), list_.end(), next, ranksBefore), next);
-            accepting_ += next.accepts ? 1 : 0;
-            while (accepting_ > wanted_ || (accepting_ == wanted_ && !list_.back().accepts))
-                removeLast();
-        }
-
-        boost::container::static_vector<Ranked, maxCandidates>& list() { return list_; }
-        bool full() const { return accepting_ == wanted_; }
-
-    private:
-        void removeLast()
-        {
-            accepting_ -= list_.back().accepts ? 1 : 0;
-            list_.pop_back();
-        }
-
-        std::size_t wanted_;
-        std::size_t accepting_ = 0;
-        boost::container::static_vector<Ranked, maxCandidates> list_;
-    };
+    double score;
+    std::uint64_t drawn;
+    std::uint16_t host;
+    bool accepts;
+};
+
+/// The best hosts seen so far of one bucket, kept in order.
+class CandidateTable::Ranking {
+public:
+    explicit Ranking(std::size_t accepting)
+        : wanted_(accepting)
+    {
+    }
 
-} // namespace
+    void consider(const Ranked& next)
+    {
+        if (accepting_ == wanted_ && !Ranked::before(next, list_.back()))
+            return;
+        if (list_.size() == maxCandidates && !Ranked::before(next, list_.back()))
+            return;
+        if (list_.size() == maxCandidates)
+            removeLast();
+        list_.insert(std::upper_bound(list_.begin(), list_.end(), next, Ranked::before), next);
+        accepting_ += next.accepts ? 1 : 0;
+        while (accepting_ > wanted_ || (accepting_ == wanted_ && !list_.back().accepts))
+            removeLast();
+    }
+
+    boost::container::static_vector<Ranked, maxCandidates>& list() { return list_; }
+    /// Below this draw no host gets into a full list of equal weights.
+    std::uint64_t lowestDraw() const { return full() ? list_.back().drawn : 0; }
+    bool full() const { return accepting_ == wanted_; }
+
+private:
+    void removeLast()
+    {
+        accepting_ -= list_.back().accepts ? 1 : 0;
+        list_.pop_back();
+    }
+
+    std::size_t wanted_;
+    std::size_t accepting_ = 0;
+    boost::container::static_vector<Ranked, maxCandidates> list_;
+};
 
 CandidateTable::CandidateTable(ServiceId service, std::vector<ServiceHost> hosts, CandidateRules rules)
     : service_(service)
@@ -83,11 +97,12 @@
     std::sort(hosts_.begin(), hosts_.end(), [](const auto& a, const auto& b) { return a.id < b.id; });
     equalWeights_ = std::all_of(hosts_.begin(), hosts_.end(),
         [&](const ServiceHost& host) { return host.capacity == hosts_.front().capacity; });
-    std::vector<std::size_t> usable;
+    std::vector<Usable> usable;
     for (std::size_t i = 0; i < hosts_.size(); ++i) {
-        const bool leaving = hosts_[i].state == MemberState::Leaving && rules_.keepLeaving;
-        if (hosts_[i].state == MemberState::Ready || leaving)
-            usable.push_back(i);
+        const auto& host = hosts_[i];
+        const bool leaving = host.state == MemberState::Leaving && rules_.keepLeaving;
+        if (host.state == MemberState::Ready || leaving)
+            usable.push_back({ host.id, host.capacity, static_cast<std::uint16_t>(i), !leaving });
     }
     begin_.reserve(bucketCount + 1);
     begin_.push_back(0);
@@ -95,35 +110,43 @@
         fillBucket(index, usable);
 }
 
-void CandidateTable::fillBucket(std::size_t index, const std::vector<std::size_t>& usable)
+void CandidateTable::fillBucket(std::size_t index, const std::vector<Usable>& usable)
 {
+    const auto seed = seedOf(service_, index);
     Ranking ranking(rules_.acceptingHosts);
-    for (const auto host : usable) {
-        const auto& entry = hosts_[host];
-        const auto points = score(draw(service_, index, entry.id), entry.capacity, equalWeights_);
-        ranking.consider({ points, static_cast<std::uint16_t>(host), entry.state == MemberState::Ready });
+    for (const auto& host : usable) {
+        const auto drawn = draw(seed, host.id);
+        // Most hosts of a large service end here.
+        if (equalWeights_ && drawn < ranking.lowestDraw())
+            continue;
+        ranking.consider({ score(drawn, host.capacity, equalWeights_), drawn, host.index, host.accepts });
     }
-    auto& list = ranking.list();
-    const auto domainOf = [&](const Ranked& ranked) -> const std::string& { return hosts_[ranked.host].failureDomain; };
-    const bool sharesDomain = rules_.spreadFailureDomains && list.size() > 1 && ranking.full()
-        && std::all_of(
-            list.begin(), list.end(), [&](const Ranked& ranked) { return domainOf(ranked) == domainOf(list.front()); });
-    if (sharesDomain) {
-        Ranking elsewhere(1);
-        for (const auto host : usable) {
-            const auto& entry = hosts_[host];
-            if (entry.state == MemberState::Ready && entry.failureDomain != domainOf(list.front()))
-                elsewhere.consider({ score(draw(service_, index, entry.id), entry.capacity, equalWeights_),
-                    static_cast<std::uint16_t>(host), true });
-        }
-        if (!elsewhere.list().empty())
-            list.back() = elsewhere.list().front();
-    }
-    for (const auto& ranked : list)
+    if (rules_.spreadFailureDomains && ranking.full())
+        spreadLast(ranking, seed, usable);
+    for (const auto& ranked : ranking.list())
         entries_.push_back(ranked.host);
     begin_.push_back(static_cast<std::uint16_t>(entries_.size()));
 }
 
+// Only the last one is exchanged, so that a host's coming or going still moves no more than one place.
+void CandidateTable::spreadLast(Ranking& ranking, std::uint64_t seed, const std::vector<Usable>& usable)
+{
+    auto& list = ranking.list();
+    const auto& domain = hosts_[list.front().host].failureDomain;
+    const auto inDomain = [&](const Ranked& ranked) { return hosts_[ranked.host].failureDomain == domain; };
+    if (list.size() < 2 || !std::all_of(list.begin(), list.end(), inDomain))
+        return;
+    Ranking elsewhere(1);
+    for (const auto& host : usable) {
+        if (!host.accepts || hosts_[host.index].failureDomain == domain)
+            continue;
+        const auto drawn = draw(seed, host.id);
+        elsewhere.consider({ score(drawn, host.capacity, equalWeights_), drawn, host.index, true });
+    }
+    if (!elsewhere.list().empty())
+        list.back() = elsewhere.list().front();
+}
+
 CandidateList CandidateTable::bucket(std::size_t index) const
 {
     CandidateList list;
@@ -157,8 +180,9 @@
     if (begin_.empty() || begin_[index + 1] - begin_[index] < rules_.acceptingHosts)
         return true;
     const auto& last = hosts_[entries_[begin_[index + 1] - 1]];
-    return score(draw(service_, index, host.id), host.capacity, equalWeights_)
-        >= score(draw(service_, index, last.id), last.capacity, equalWeights_);
+    const auto seed = seedOf(service_, index);
+    return score(draw(seed, host.id), host.capacity, equalWeights_)
+        >= score(draw(seed, last.id), last.capacity, equalWeights_);
 }
 
 } // namespace celerystile::core
--- a/src/celerystile/core/configuration.cpp
+++ b/src/celerystile/core/configuration.cpp
@@ -29,13 +29,16 @@
     return findService(services, [&](const Service& service) { return service.name == name; });
 }
 
+bool Service::allows(const IpAddress& host) const
+{
+    return std::any_of(
+        allowedNetworks.begin(), allowedNetworks.end(), [&](const Network& network) { return network.contains(host); });
+}
+
 bool Configuration::allows(ServiceId id, const IpAddress& address) const
 {
     const auto* service = find(id);
-    if (!service)
-        return false;
-    return std::any_of(service->allowedNetworks.begin(), service->allowedNetworks.end(),
-        [&](const Network& network) { return network.contains(address); });
+    return service && service->allows(address);
 }
 
 OfferOutcome ConfigurationGuard::offer(ConfigurationPtr offered)
--- a/src/celerystile/core/routing.cpp
+++ b/src/celerystile/core/routing.cpp
@@ -11,12 +11,16 @@
 
     HostsByService collectHosts(const Configuration& configuration, const View& view)
     {
+        boost::unordered_flat_map<ServiceId, const Service*> services;
+        for (const auto& service : configuration.services)
+            services[service.id] = &service;
         HostsByService hosts;
         for (const auto& member : view.members) {
             if (member.role != Role::Sidecar || member.state == MemberState::Left)
                 continue;
             for (const auto service : member.services) {
-                if (!configuration.allows(service, member.traffic.address))
+                const auto known = services.find(service);
+                if (known == services.end() || !known->second->allows(member.traffic.address))
                     continue;
                 const auto weight = std::max<std::uint32_t>(1, member.capacity);
                 hosts[service].push_back(
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -156,6 +156,15 @@
     writeFile(theirs, text + "# theirs\n");
     Fleet::ask(platform, "/backup", "{}");
 
+    // Steady calls: three readers a second and the entry slots' leases, whatever the fleet's size.
+    const auto callsBefore = Fleet::ask(platform, "/calls");
+    std::this_thread::sleep_for(5s);
+    const auto callsAfter = Fleet::ask(platform, "/calls");
+    const auto reads = numberIn(callsAfter, "reads") - numberIn(callsBefore, "reads");
+    const auto writes = numberIn(callsAfter, "writes") - numberIn(callsBefore, "writes");
+    CHECK(reads <= 3 * 6);
+    CHECK(writes <= 4 * 2);
+
     // The write takes effect, the answer is lost: resolved by the submission's id.
     Fleet::ask(platform, "/fault", R"({"lose":1})");
     std::string said;
