--- a/include/celerystile/core/candidates.hpp
+++ b/include/celerystile/core/candidates.hpp
@@ -13,7 +13,7 @@
 namespace celerystile::core {
 
 /// @brief Buckets per service. Fixed, so that a flow never changes its bucket.
-inline constexpr std::size_t bucketCount = 4096;
+inline constexpr std::size_t bucketCount = 2048;
 
 /// @brief Most candidates a packet can carry, leaving hosts included.
 inline constexpr std::size_t maxCandidates = 8;
--- a/include/celerystile/core/gossip.hpp
+++ b/include/celerystile/core/gossip.hpp
@@ -69,7 +69,7 @@
     double transmissionsPerLog2 = 2.0; ///< times a piece of news is sent, per log2 of the members
     std::size_t newsBytesPerMessage = 1'100;
     double bytesPerSecond = 2'500; ///< sending pace; with what is received, within 5,000
-    double burstBytes = 10'000;
+    double burstBytes = 4'000;
     base::Duration digestInterval = std::chrono::seconds(5); ///< between requests for differing records
     base::Duration leftRetention = std::chrono::minutes(10);
     base::Duration failedRetention = std::chrono::hours(1);
--- a/src/celerystile/core/candidates.cpp
+++ b/src/celerystile/core/candidates.cpp
@@ -108,6 +108,7 @@
     begin_.push_back(0);
     for (std::size_t index = 0; index < bucketCount; ++index)
         fillBucket(index, usable);
+    entries_.shrink_to_fit();
 }
 
 void CandidateTable::fillBucket(std::size_t index, const std::vector<Usable>& usable)
--- a/src/celerystile/core/gossip.cpp
+++ b/src/celerystile/core/gossip.cpp
@@ -9,9 +9,9 @@
 
 namespace {
 
-    constexpr std::size_t envelopeBytes = 200; // keyed hash, message header, UDP and IP headers
+    constexpr std::size_t envelopeBytes = 256; // keyed hash, message header, UDP and IP headers
     constexpr std::size_t stateNewsBytes = 24;
-    constexpr std::size_t memberBytes = 136; // without texts and services
+    constexpr std::size_t memberBytes = 152; // without texts and services
 
     // At one incarnation the later of these holds. What a member says of itself only moves forward.
     int rank(MemberState state, bool suspected)
--- a/src/celerystile/peer/message_test.cpp
+++ b/src/celerystile/peer/message_test.cpp
@@ -83,6 +83,23 @@
     CHECK(std::get<core::Publication>(*decode(buffer.bytes(), keyring)) == publication);
 }
 
+TEST_CASE("the size that paces gossip is not below the size on the wire")
+{
+    constexpr std::size_t udpAndIpHeaders = 48; // IPv6
+    DatagramBuffer buffer;
+    auto message = makeGossip();
+    encode(message, keyring, buffer);
+    CHECK(buffer.bytes().size() + udpAndIpHeaders <= core::wireBytes(message));
+    message.members.clear();
+    message.states.clear();
+    encode(message, keyring, buffer);
+    CHECK(buffer.bytes().size() + udpAndIpHeaders <= core::wireBytes(message));
+    message.members.assign(8, makeMember());
+    message.states.assign(20, {});
+    encode(message, keyring, buffer);
+    CHECK(buffer.bytes().size() + udpAndIpHeaders <= core::wireBytes(message));
+}
+
 TEST_CASE("a hand-over comes back as it went")
 {
     HandOverResponse response;
