--- a/include/celerystile/core/gossip.hpp
+++ b/include/celerystile/core/gossip.hpp
@@ -62,7 +62,7 @@
 /// @brief Settings of the protocol.
 struct GossipRules {
     base::Duration period = std::chrono::seconds(1); ///< one member is probed per period
-    base::Duration probeTimeout = std::chrono::milliseconds(300);
+    base::Duration probeTimeout = std::chrono::milliseconds(200);
     std::size_t indirectProbes = 3;
     base::Duration suspicion = std::chrono::seconds(3); ///< time a suspect has to refute, at 10 members
     base::Duration newsInterval = std::chrono::milliseconds(250); ///< between messages of news alone
--- a/src/celerystile/core/gossip_probe.cpp
+++ b/src/celerystile/core/gossip_probe.cpp
@@ -165,15 +165,17 @@
     apply(entry, entry.member.incarnation, entry.member.state, true, now);
 }
 
-// Lost messages are likelier than a lost member: ask again, the first time by way of others as well.
+// Lost messages are likelier than a lost member: ask again, and only then by way of others, which costs twelve
+// messages.
 void Gossip::probeAgain(Probe& probe)
 {
-    const bool first = probe.attempts++ == 1;
+    constexpr int indirectAttempt = 2;
+    const bool indirect = probe.attempts++ == indirectAttempt;
     auto ping = makeMessage(GossipKind::Ping);
     ping.sequence = probe.sequence;
     const auto address = entries_[probe.target].member.control;
     post(address, std::move(ping));
-    for (std::size_t i = 0; first && i < rules_.indirectProbes; ++i) {
+    for (std::size_t i = 0; indirect && i < rules_.indirectProbes; ++i) {
         auto* helper = randomLive();
         if (!helper || helper->member.id == probe.target)
             continue;
