--- /dev/null
+++ b/bench/cost.cpp
@@ -0,0 +1,95 @@
+#include "celerystile/core/balancer.hpp"
+#include "celerystile/core/sidecar.hpp"
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+/// @file
+/// @brief Runs one step so many times, for counting instructions: `celerystile-cost STEP TIMES`. See scripts/cost.
+
+namespace {
+
+using namespace celerystile;
+
+constexpr std::uint32_t records = 100'000;
+
+std::vector<core::ServiceHost> makeHosts(std::size_t count)
+{
+    std::vector<core::ServiceHost> hosts;
+    for (std::size_t i = 1; i <= count; ++i)
+        hosts.push_back({ base::mix(i), { core::IpAddress::fromV4(static_cast<std::uint32_t>(i)), 7700 }, 2000,
+            core::MemberState::Ready, "domain-" + std::to_string(i % 15) });
+    return hosts;
+}
+
+core::FlowKey keyNumbered(std::uint32_t number)
+{
+    return { { core::IpAddress::fromV4(0x0a000000 + number / 60'000), static_cast<std::uint16_t>(number % 60'000) },
+        { core::IpAddress::fromV4(0x0a500001), 7001 } };
+}
+
+std::uint64_t lookUp(std::uint32_t times)
+{
+    const core::CandidateTable table(1, makeHosts(8), {});
+    std::uint64_t sum = 0;
+    for (std::uint32_t i = 0; i < times; ++i)
+        sum += table.lookup(keyNumbered(i).hash()).front().host;
+    return sum;
+}
+
+std::uint64_t hit(std::uint32_t times)
+{
+    core::FlowTable table;
+    for (std::uint32_t i = 0; i < records; ++i)
+        table.add(keyNumbered(i), {});
+    std::uint64_t sum = 0;
+    for (std::uint32_t i = 0; i < times; ++i)
+        sum += table.find(keyNumbered(i % records)) != nullptr ? 1 : 0;
+    return sum;
+}
+
+std::uint64_t rebuild(std::uint32_t times)
+{
+    const auto hosts = makeHosts(600);
+    std::uint64_t sum = 0;
+    for (std::uint32_t i = 0; i < times; ++i)
+        sum += core::CandidateTable(i, hosts, {}).lookup(1).front().host;
+    return sum;
+}
+
+std::uint64_t publish(std::uint32_t times)
+{
+    constexpr std::uint64_t displaced = 10'000;
+    core::DirectoryRules rules;
+    rules.bytesPerSecond = 1e9;
+    rules.burstBytes = 1e9;
+    rules.outstandingPerTarget = displaced;
+    std::uint64_t sum = 0;
+    for (std::uint32_t i = 0; i < times; ++i) {
+        core::Publisher publisher(rules, { 1, {}, true }, i);
+        for (std::uint64_t flow = 0; flow < displaced; ++flow)
+            publisher.enqueue({ 2, {}, true }, flow);
+        sum += publisher.poll(base::TimePoint { std::chrono::hours(1) }).size();
+    }
+    return sum;
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    const std::string step = argc > 2 ? argv[1] : "";
+    const auto times = argc > 2 ? static_cast<std::uint32_t>(std::strtoul(argv[2], nullptr, 10)) : 0;
+    if (step == "lookup")
+        std::cout << lookUp(times) << '\n';
+    else if (step == "hit")
+        std::cout << hit(times) << '\n';
+    else if (step == "rebuild")
+        std::cout << rebuild(times) << '\n';
+    else if (step == "publish")
+        std::cout << publish(times) << '\n';
+    else
+        return 2;
+    return 0;
+}
--- a/include/celerystile/core/sidecar.hpp
+++ b/include/celerystile/core/sidecar.hpp
@@ -157,7 +157,6 @@
     void bump(SidecarCount which) { ++counts_[static_cast<std::size_t>(which)]; }
     std::uint32_t secondsAt(base::TimePoint now) const;
 
-    void onOwned(FlowRecord& record, ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
     void onOpening(
         FlowRecord& record, ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
     void deliverOwned(FlowRecord& record, const Segment& segment, Bytes packet, base::TimePoint now);
--- a/src/celerystile/base/datagram_socket.cpp
+++ b/src/celerystile/base/datagram_socket.cpp
@@ -49,11 +49,10 @@
 
     class BatchedSocket final : public DatagramSocket {
     public:
-        BatchedSocket(boost::asio::io_context& context, udp::socket socket)
+        explicit BatchedSocket(udp::socket socket)
             : socket_(std::move(socket))
             , received_(batchSize * bufferBytes / sizeof(std::uint64_t))
         {
-            static_cast<void>(context);
             outgoing_.resize(batchSize);
         }
 
@@ -179,7 +178,7 @@
     boost::system::error_code ignored; // a smaller buffer only costs packets under load
     socket.set_option(boost::asio::socket_base::receive_buffer_size(socketBufferBytes), ignored);
     socket.set_option(boost::asio::socket_base::send_buffer_size(socketBufferBytes), ignored);
-    return std::make_unique<BatchedSocket>(context, std::move(socket));
+    return std::make_unique<BatchedSocket>(std::move(socket));
 }
 
 } // namespace celerystile::base
--- a/src/celerystile/core/sidecar.cpp
+++ b/src/celerystile/core/sidecar.cpp
@@ -74,26 +74,22 @@
         table_.remove(segment.key); // the caller reuses its port: a new flow
         record = nullptr;
     }
+    if (record && record->state == FlowState::Opening)
+        return onOpening(*record, header, segment, packet, now);
     if (record)
-        return onOwned(*record, header, segment, packet, now);
+        return deliverOwned(*record, segment, packet, now);
     if (segment.opens())
         return admit(header, segment, packet, now);
     resolve(header, segment, packet, now);
 }
 
-void Sidecar::onOwned(
-    FlowRecord& record, ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now)
-{
-    if (record.state == FlowState::Opening)
-        return onOpening(record, header, segment, packet, now);
-    deliverOwned(record, segment, packet, now);
-}
-
 // The first acknowledgement proves which host's SYN-ACK the caller took.
 void Sidecar::onOpening(
     FlowRecord& record, ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now)
 {
     if (segment.opens()) {
+        // Another number: the caller began anew, and the host's answer to that is still to come.
+        record.hostIsnKnown = record.hostIsnKnown && record.callerIsn == segment.sequence;
         record.callerIsn = segment.sequence;
         record.callerNext = segment.sequence + 1;
         return deliverOwned(record, segment, packet, now);
--- a/src/celerystile/platform/client_test.cpp
+++ b/src/celerystile/platform/client_test.cpp
@@ -43,7 +43,8 @@
                     --left;
                 });
             }
-            while (left > 0)
+            const auto finished = [&] { return left == 0; };
+            while (!finished())
                 context.run_one();
             return values;
         }
