--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -1,5 +1,6 @@
 #include "celerystile/core/balancer.hpp"
 #include "celerystile/core/sidecar.hpp"
+#include "inputs.hpp"
 
 #include <cstdlib>
 #include <iostream>
@@ -11,24 +12,11 @@
 namespace {
 
 using namespace celerystile;
+using bench::keyNumbered;
+using bench::makeHosts;
 
 constexpr std::uint32_t records = 100'000;
 
-std::vector<core::ServiceHost> makeHosts(std::size_t count)
-{
-    std::vector<core::ServiceHost> hosts;
-    for (std::size_t i = 1; i <= count; ++i)
-        hosts.push_back({ base::mix(i), { core::IpAddress::fromV4(static_cast<std::uint32_t>(i)), 7700 }, 2000,
-            core::MemberState::Ready, "domain-" + std::to_string(i % 15) });
-    return hosts;
-}
-
-core::FlowKey keyNumbered(std::uint32_t number)
-{
-    return { { core::IpAddress::fromV4(0x0a000000 + number / 60'000), static_cast<std::uint16_t>(number % 60'000) },
-        { core::IpAddress::fromV4(0x0a500001), 7001 } };
-}
-
 std::uint64_t lookUp(std::uint32_t times)
 {
     const core::CandidateTable table(1, makeHosts(8), {});
--- a/bench/micro.cpp
+++ b/bench/micro.cpp
@@ -3,6 +3,7 @@
 #include "celerystile/core/sidecar.hpp"
 #include "celerystile/peer/message.hpp"
 #include "gossip_net.hpp"
+#include "inputs.hpp"
 
 #include <algorithm>
 #include <benchmark/benchmark.h>
@@ -14,24 +15,11 @@
 namespace {
 
 using namespace celerystile;
+using bench::keyNumbered;
+using bench::makeHosts;
 
 const std::string passphrase = "a passphrase for benchmarks";
 
-std::vector<core::ServiceHost> makeHosts(std::size_t count)
-{
-    std::vector<core::ServiceHost> hosts;
-    for (std::size_t i = 1; i <= count; ++i)
-        hosts.push_back({ base::mix(i), { core::IpAddress::fromV4(static_cast<std::uint32_t>(i)), 7700 }, 2000,
-            core::MemberState::Ready, "domain-" + std::to_string(i % 15) });
-    return hosts;
-}
-
-core::FlowKey keyNumbered(std::uint32_t number)
-{
-    return { { core::IpAddress::fromV4(0x0a000000 + number / 60'000), static_cast<std::uint16_t>(number % 60'000) },
-        { core::IpAddress::fromV4(0x0a500001), 7001 } };
-}
-
 core::Routing makeRouting(std::size_t services, std::size_t hostsEach)
 {
     core::Routing routing;
