--- a/apps/celerystile/commands.cpp
+++ b/apps/celerystile/commands.cpp
@@ -3,7 +3,7 @@
 #include "celerystile/base/http.hpp"
 #include "celerystile/operators/difference.hpp"
 #include "celerystile/operators/text.hpp"
-#include "celerystile/platform/client.hpp"
+#include "celerystile/store/client.hpp"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -37,7 +37,7 @@
     constexpr Option timeoutOption { "platform-timeout", "CELERYSTILE_PLATFORM_TIMEOUT", OptionKind::Number, "2000",
         false, 10, 60000, "milliseconds", "How long a call to the platform may take." };
 
-    platform::Client makeClient(const base::Settings& settings)
+    store::Client makeClient(const base::Settings& settings)
     {
         return { *base::Endpoint::parse(settings.text("platform")),
             std::chrono::milliseconds(static_cast<int>(settings.number("platform-timeout"))) };
@@ -128,7 +128,7 @@
         return text.starts_with(basedOn) ? text.substr(text.find('\n') + 1) : text;
     }
 
-    void printReport(const platform::SubmitReport& report, const platform::Record& record, bool asJson)
+    void printReport(const store::SubmitReport& report, const store::Record& record, bool asJson)
     {
         constexpr std::array<const char*, 3> names { "accepted", "conflict", "unknown" };
         const auto* name = names[static_cast<std::size_t>(report.outcome)];
@@ -140,9 +140,9 @@
             std::cout << json::serialize(object) << '\n';
             return;
         }
-        if (report.outcome == platform::SubmitOutcome::Accepted) {
+        if (report.outcome == store::SubmitOutcome::Accepted) {
             std::cout << "accepted: generation " << report.generation << ", id " << record.submission << '\n';
-        } else if (report.outcome == platform::SubmitOutcome::Unknown) {
+        } else if (report.outcome == store::SubmitOutcome::Unknown) {
             std::cout << "unknown: " << report.detail << "\nSubmit again with --id " << record.submission
                       << "; it is not applied twice.\n";
         } else if (report.other) {
@@ -162,7 +162,7 @@
             return exitFailed;
         if (sodium_init() < 0)
             return exitFailed;
-        platform::Record record;
+        store::Record record;
         record.submission = settings.isSet("id") ? settings.text("id") : randomId();
         record.author = settings.text("author");
         record.time = utcNow();
@@ -170,7 +170,7 @@
         auto client = makeClient(settings);
         boost::asio::io_context context;
         const auto base = baseOf(settings, *text).value_or(0);
-        const auto report = runNow(context, platform::submit(client, record, base));
+        const auto report = runNow(context, store::submit(client, record, base));
         printReport(report, record, settings.isSet("json"));
         constexpr std::array<int, 3> codes { exitDone, exitConflict, exitUnknown };
         return codes[static_cast<std::size_t>(report.outcome)];
--- a/apps/celerystiled/control_plane.cpp
+++ b/apps/celerystiled/control_plane.cpp
@@ -391,7 +391,7 @@
 
 asio::awaitable<void> ControlPlane::holdEntrySlots()
 {
-    const auto holders = chosenBalancers(platform::entrySlots, entrySalt);
+    const auto holders = chosenBalancers(store::entrySlots, entrySalt);
     for (std::size_t slot = 0; slot < holders.size(); ++slot) {
         if (holders[slot] != settings_.self.id || closed_)
             continue;
--- a/apps/celerystiled/control_plane.hpp
+++ b/apps/celerystiled/control_plane.hpp
@@ -3,7 +3,7 @@
 #include "celerystile/base/datagram_socket.hpp"
 #include "celerystile/core/routing.hpp"
 #include "celerystile/peer/exchange.hpp"
-#include "celerystile/platform/client.hpp"
+#include "celerystile/store/client.hpp"
 #include "options.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -83,7 +83,7 @@
     base::TimePoint start_;
     core::Gossip gossip_;
     core::ConfigurationGuard guard_;
-    std::optional<platform::Client> platform_;
+    std::optional<store::Client> platform_;
     std::unique_ptr<base::DatagramSocket> socket_;
     std::optional<boost::asio::ip::tcp::acceptor> requests_;
     std::optional<boost::asio::ip::tcp::acceptor> status_;
--- /dev/null
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -0,0 +1,210 @@
+#include "celerystile/fleet/balancer.hpp"
+#include "celerystile/store/prefix_watch.hpp"
+#include "fleet_process.hpp"
+#include "fleet_transport.hpp"
+#include "platform/operator_config.hpp"
+#include "platform/packet.hpp"
+
+#include <atomic>
+
+/// @file
+/// @brief The balancer where a registry lists the hosts.
+
+namespace celerystile::daemon {
+
+namespace asio = boost::asio;
+using base::Event;
+using base::logEvent;
+
+namespace {
+
+    constexpr std::chrono::milliseconds leaveTime { 3'000 }; // routers drop a process after two missed checks a second
+    constexpr std::chrono::milliseconds leaveMargin { 1'000 }; // before the platform kills
+    constexpr base::Duration shortestTick = std::chrono::milliseconds(5);
+
+    class FleetBalancer final : public FleetProcess, private fleet::BalancerOutput {
+    public:
+        explicit FleetBalancer(const FleetSettings& settings)
+            : FleetProcess(settings)
+            , placement_(fleet::makePlacement(settings.placement))
+            , transport_(traffic_, settings_.keyring)
+            , machine_(rules(settings, epoch_), *placement_, *this, clock_.now())
+            , configuration_(
+                  store_, control_, std::string(platform::configurationPrefix), {},
+                  [this](const auto& items) { onConfiguration(items); },
+                  [this](bool answers, const auto& detail) { storeHealth(answers, detail); })
+            , registry_(
+                  store_, control_, std::string(hostsPrefix), {}, [this](const auto& items) { onRegistry(items); },
+                  [](bool, const auto&) {})
+        {
+        }
+
+    private:
+        static fleet::BalancerRules rules(const FleetSettings& settings, std::uint64_t epoch)
+        {
+            fleet::BalancerRules rules;
+            rules.self = settings.node.status; // same address; messages come over UDP
+            rules.failureDomain = core::hashName(settings.node.failureDomain);
+            rules.epoch = epoch;
+            return rules;
+        }
+
+        base::Result<bool> start() override
+        {
+            if (auto opened
+                = transport_.listenForPackets(settings_.node.packets, [this](core::Bytes bytes) { onPacket(bytes); });
+                !opened)
+                return opened;
+            if (auto opened = transport_.listenForMessages(
+                    settings_.node.status, [this](const fleet::Message& message) { onMessage(message); });
+                !opened)
+                return opened;
+            spawn("configuration", [this] { return configuration_.run(); });
+            spawn("registry", [this] { return registry_.run(); });
+            startTicking([this](base::TimePoint now) {
+                machine_.tick(now);
+                transport_.flush();
+                return std::max(machine_.nextTick(), now + shortestTick);
+            });
+            return true;
+        }
+
+        Task stopping() override
+        {
+            leaving_ = true;
+            const auto longest = settings_.node.stopGrace - leaveMargin;
+            co_await pause(std::min(leaveTime, longest));
+        }
+
+        bool ready() const override { return ready_ && !leaving_; }
+
+        void onPacket(core::Bytes bytes)
+        {
+            const auto packet = platform::readPacket(bytes, platform::PacketSource::Caller);
+            if (!packet || packet->returned) {
+                ++malformed_;
+                return;
+            }
+            machine_.onPacket(packet->segment, bytes, clock_.now());
+        }
+
+        void onMessage(const fleet::Message& message)
+        {
+            const auto now = clock_.now();
+            if (const auto* report = std::get_if<fleet::FlowReport>(&message))
+                machine_.onReport(*report, now);
+            else if (const auto* hello = std::get_if<fleet::SidecarHello>(&message))
+                machine_.onSidecarHello(*hello);
+            else if (const auto* declined = std::get_if<fleet::SynDeclined>(&message))
+                machine_.onDeclined(*declined, now);
+        }
+
+        void onConfiguration(const store::PrefixWatch::Items& items)
+        {
+            const auto found = items.find(platform::configurationKey);
+            if (found == items.end())
+                return;
+            auto table = platform::parseConfiguration(found->second.value);
+            if (!table) {
+                logEvent(Event::ConfigurationUnreadable, { { "detail", table.error().detail } });
+                return;
+            }
+            if (table->version <= version_) {
+                if (table->version < version_)
+                    logEvent(Event::ConfigurationOlder, { { "version", std::to_string(table->version) } });
+                return;
+            }
+            version_ = table->version;
+            logEvent(Event::ConfigurationApplied,
+                { { "version", std::to_string(version_) }, { "routes", std::to_string(table->routes.size()) } });
+            onTraffic([this, routes = std::make_shared<const fleet::RouteTable>(std::move(*table))] {
+                machine_.setRoutes(routes);
+                noteReady();
+            });
+        }
+
+        void onRegistry(const store::PrefixWatch::Items& items)
+        {
+            std::vector<fleet::HostRecord> records;
+            for (const auto& [key, item] : items) {
+                if (const auto record = readRecord(item.value); record)
+                    records.push_back(*record);
+                else
+                    logEvent(Event::RegistryEntryUnreadable, { { "key", key }, { "detail", record.error().detail } });
+            }
+            logEvent(Event::RegistryChanged, { { "hosts", std::to_string(records.size()) } });
+            onTraffic([this, records = std::move(records)] {
+                machine_.setRegistry(records, clock_.now());
+                transport_.flush();
+                noteReady();
+            });
+        }
+
+        base::Result<fleet::HostRecord> readRecord(const std::string& value) const
+        {
+            peer::DatagramBuffer aligned;
+            std::memcpy(aligned.reset(value.size()), value.data(), value.size());
+            const auto message = peer::decodeFleet(aligned.bytes(), settings_.keyring);
+            if (!message)
+                return tl::make_unexpected(message.error());
+            const auto* report = std::get_if<fleet::FlowReport>(&*message);
+            if (!report)
+                return base::failure(base::ErrorCode::Malformed, "not a host's record");
+            return report->host;
+        }
+
+        void noteReady()
+        {
+            if (!ready_ && machine_.ready())
+                logEvent(Event::Ready, { { "hosts", std::to_string(machine_.board().hosts().size()) } });
+            ready_ = machine_.ready();
+        }
+
+        boost::json::object state(base::TimePoint now) const override
+        {
+            boost::json::object state;
+            for (std::size_t i = 0; i < fleet::balancerCounts; ++i) {
+                const auto which = static_cast<fleet::BalancerCount>(i);
+                state[fleet::toString(which)] = machine_.count(which);
+            }
+            state["malformed_packets"] = malformed_;
+            state["rejected_messages"] = transport_.rejected();
+            state["send_failures"] = transport_.sendFailures();
+            state["known_flows"] = machine_.owners().size();
+            state["configuration_version"] = machine_.routes().version;
+            boost::json::array hosts;
+            for (const auto& [sidecar, host] : machine_.board().hosts()) {
+                hosts.push_back(boost::json::object { { "sidecar", sidecar.toString() },
+                    { "state", fleet::toString(host.record.state) }, { "open_flows", host.record.openFlows },
+                    { "registered", host.registered }, { "suspected", now < host.suspectedUntil } });
+            }
+            state["hosts"] = std::move(hosts);
+            return state;
+        }
+
+        void forward(const base::Endpoint& to, const fleet::Forward& forward) override { transport_.send(to, forward); }
+        void tell(const base::Endpoint& to, const fleet::Message& message) override { transport_.send(to, message); }
+        void reset(const core::Segment& about) override
+        {
+            transport_.send(
+                { about.key.caller.address, settings_.node.packets.port }, platform::makeReset(about));
+        }
+        void decided(const fleet::Decision& decision) override { log_.write(decision, clock_.now()); }
+
+        std::unique_ptr<fleet::Placement> placement_;
+        FleetTransport transport_;
+        fleet::Balancer machine_;
+        store::PrefixWatch configuration_;
+        store::PrefixWatch registry_;
+        DecisionLog log_;
+        std::uint64_t version_ = 0; // control thread
+        std::uint64_t malformed_ = 0;
+        std::atomic<bool> ready_ = false;
+        std::atomic<bool> leaving_ = false;
+    };
+
+} // namespace
+
+int runFleetBalancer(const FleetSettings& settings) { return FleetBalancer(settings).run(); }
+
+} // namespace celerystile::daemon
--- /dev/null
+++ b/apps/celerystiled/fleet_options.cpp
@@ -0,0 +1,41 @@
+#include "fleet_options.hpp"
+
+#include <array>
+
+namespace celerystile::daemon {
+
+namespace {
+
+    using base::Option;
+    using base::OptionKind;
+
+    constexpr std::array fleetTable {
+        Option { "settings-file", platform::settingsVariable, OptionKind::Text, "", true, 0, 0, "PATH",
+            "The platform's settings file of this process; read again when it changes." },
+        Option { "key", "CELERYSTILE_KEY", OptionKind::Text, "", true, 0, 0, "",
+            "Passphrase of at least 16 characters for the keyed hash; better given in the environment." },
+        Option { "second-key", "CELERYSTILE_SECOND_KEY", OptionKind::Text, "", false, 0, 0, "",
+            "Another passphrase that is accepted too, during a rotation." },
+        Option { "placement", "CELERYSTILE_PLACEMENT", OptionKind::Text, "least-loaded", false, 0, 0, "",
+            "How a new flow's host is chosen: least-loaded, local-first or rendezvous." },
+    };
+
+} // namespace
+
+std::span<const base::Option> fleetOptions() { return fleetTable; }
+
+base::Result<FleetSettings> readFleetSettings(const base::Settings& settings)
+{
+    auto keyring = peer::Keyring::create(settings.text("key"), settings.text("second-key"));
+    if (!keyring)
+        return base::failure(keyring.error().code, "--key: " + keyring.error().detail);
+    auto node = platform::readNodeSettings(settings.text("settings-file"));
+    if (!node)
+        return base::failure(node.error().code, "--settings-file: " + node.error().detail);
+    if (!fleet::makePlacement(settings.text("placement")))
+        return base::failure(
+            base::ErrorCode::Invalid, "--placement: must be least-loaded, local-first or rendezvous");
+    return FleetSettings { settings.text("settings-file"), std::move(*node), *keyring, settings.text("placement") };
+}
+
+} // namespace celerystile::daemon
--- /dev/null
+++ b/apps/celerystiled/fleet_process.cpp
@@ -0,0 +1,203 @@
+#include "fleet_process.hpp"
+
+#include "platform/host_api.hpp"
+
+#include <boost/asio/detached.hpp>
+#include <boost/json/serialize.hpp>
+#include <iostream>
+
+namespace celerystile::daemon {
+
+namespace asio = boost::asio;
+using base::asValues;
+using base::Event;
+using base::logEvent;
+
+namespace {
+
+    constexpr std::chrono::milliseconds storeTimeout { 900 }; // entries are to be back two seconds after an outage
+    constexpr std::chrono::seconds settingsPoll { 2 }; // the file may change without a signal
+    constexpr std::chrono::milliseconds taskRestartDelay { 100 };
+    constexpr int exitFailed = 1;
+
+    std::uint64_t unixMilliseconds()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    }
+
+    // Numbers as lines of text; nested objects and texts are left to the dump.
+    std::string metricsText(const boost::json::object& state)
+    {
+        std::string text;
+        for (const auto& [key, value] : state) {
+            if (value.is_number())
+                text += "celerystile_" + std::string(key) + " " + boost::json::serialize(value) + "\n";
+        }
+        return text;
+    }
+
+} // namespace
+
+FleetProcess::FleetProcess(const FleetSettings& settings)
+    : settings_(settings)
+    , epoch_(unixMilliseconds())
+    , store_(settings.node.store, clock_, storeTimeout)
+    , stopSignals_(control_, SIGTERM, SIGINT)
+    , reloadSignals_(control_, SIGHUP)
+    , tickTimer_(traffic_)
+{
+}
+
+int FleetProcess::run()
+{
+    const auto& node = settings_.node;
+    logEvent(Event::ProcessStarted,
+        { { "instance", node.name }, { "failure_domain", node.failureDomain }, { "store", node.store.toString() },
+            { "version", std::string(base::version) } });
+    auto opened = start();
+    if (opened)
+        opened = serve(node.readiness);
+    if (opened)
+        opened = serve(node.status);
+    if (!opened) {
+        logEvent(Event::SettingsRejected, { { "detail", opened.error().detail } });
+        return exitFailed;
+    }
+    asio::co_spawn(control_, awaitStop(), asio::detached);
+    spawn("settings", [this] { return watchSettings(); });
+    std::thread control([this] { control_.run(); });
+    auto work = asio::make_work_guard(traffic_);
+    traffic_.run();
+    control_.stop();
+    control.join();
+    logEvent(Event::ProcessStopped);
+    return 0;
+}
+
+FleetProcess::Task FleetProcess::pause(std::chrono::milliseconds duration)
+{
+    asio::steady_timer timer(control_, duration);
+    co_await timer.async_wait(asValues);
+}
+
+void FleetProcess::spawn(std::string name, std::function<Task()> task)
+{
+    asio::co_spawn(control_, again(std::move(name), std::move(task)), asio::detached);
+}
+
+// No outcome of the store or of a peer may end the process.
+FleetProcess::Task FleetProcess::again(std::string name, std::function<Task()> task)
+{
+    while (true) {
+        try {
+            co_await task();
+            co_return;
+        } catch (const std::exception& exception) {
+            logEvent(Event::TaskFailed, { { "task", name }, { "detail", exception.what() } });
+        }
+        co_await pause(taskRestartDelay);
+    }
+}
+
+FleetProcess::Task FleetProcess::awaitStop()
+{
+    co_await stopSignals_.async_wait(asValues);
+    logEvent(Event::ProcessStopping);
+    try {
+        co_await stopping();
+    } catch (const std::exception& exception) {
+        logEvent(Event::TaskFailed, { { "task", "stop" }, { "detail", exception.what() } });
+    }
+    traffic_.stop();
+}
+
+FleetProcess::Task FleetProcess::watchSettings()
+{
+    auto known = settings_.node;
+    while (true) {
+        asio::steady_timer timer(control_, settingsPoll);
+        timer.async_wait([this](boost::system::error_code error) {
+            if (!error)
+                reloadSignals_.cancel();
+        });
+        const auto [error, signal] = co_await reloadSignals_.async_wait(asValues);
+        auto read = platform::readNodeSettings(settings_.settingsFile);
+        if (!read) {
+            logEvent(Event::SettingsRejected, { { "detail", read.error().detail }, { "kept", "the last good ones" } });
+        } else if (*read != known || !error) {
+            // Addresses are bound once; what changes of them takes a restart.
+            logEvent(Event::SettingsReloaded,
+                { { "changed", *read == known ? "no" : "yes" }, { "by", error ? "file" : "signal" } });
+            known = std::move(*read);
+        }
+    }
+}
+
+base::Result<bool> FleetProcess::serve(const base::Endpoint& local)
+{
+    auto acceptor = base::listen(control_, local);
+    if (!acceptor)
+        return tl::make_unexpected(acceptor.error());
+    acceptors_.push_back(std::make_unique<asio::ip::tcp::acceptor>(std::move(*acceptor)));
+    auto& own = *acceptors_.back();
+    spawn("serve " + local.toString(), [this, &own] {
+        return base::serveHttp(own, [this](base::HttpRequest request) { return onCall(std::move(request)); });
+    });
+    return true;
+}
+
+asio::awaitable<base::HttpReply> FleetProcess::onCall(base::HttpRequest request)
+{
+    if (request.target == "/metrics" || request.target == "/dump")
+        co_return co_await statusReply(request.target);
+    if (const auto call = platform::readHostCall(request);
+        call && std::holds_alternative<platform::ReadinessAsked>(*call))
+        co_return base::HttpReply { ready() ? 200U : 503U, "{}", "application/json" };
+    co_return base::HttpReply { 404, "{}", "application/json" };
+}
+
+asio::awaitable<base::HttpReply> FleetProcess::statusReply(const std::string& target)
+{
+    auto state = co_await asio::co_spawn(
+        traffic_,
+        [this]() -> asio::awaitable<boost::json::object> { co_return this->state(clock_.now()); },
+        asio::use_awaitable);
+    const auto& calls = store_.calls();
+    const auto latency = store_.latency().values();
+    state["store_reads"] = calls.reads;
+    state["store_writes"] = calls.writes;
+    state["store_renewals"] = calls.renewals;
+    state["store_failures"] = calls.failures;
+    state["store_call_ms_count"] = latency.count;
+    state["store_call_ms_mean"] = latency.mean;
+    state["store_call_ms_p99"] = latency.p99;
+    if (target == "/metrics")
+        co_return base::HttpReply { 200, metricsText(state), "text/plain" };
+    co_return base::HttpReply { 200, boost::json::serialize(state), "application/json" };
+}
+
+void FleetProcess::startTicking(std::function<base::TimePoint(base::TimePoint)> tick)
+{
+    tick_ = std::move(tick);
+    scheduleTick(clock_.now());
+}
+
+void FleetProcess::scheduleTick(base::TimePoint at)
+{
+    tickTimer_.expires_at(at);
+    tickTimer_.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            scheduleTick(tick_(clock_.now()));
+    });
+}
+
+void FleetProcess::storeHealth(bool answers, const std::string& detail)
+{
+    if (answers)
+        logEvent(Event::PlatformBack);
+    else
+        logEvent(Event::PlatformUnavailable, { { "detail", detail } });
+}
+
+} // namespace celerystile::daemon
--- /dev/null
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -0,0 +1,320 @@
+#include "celerystile/fleet/sidecar.hpp"
+
+#include "celerystile/store/leased_entry.hpp"
+#include "fleet_process.hpp"
+#include "fleet_transport.hpp"
+#include "platform/host_api.hpp"
+#include "platform/packet.hpp"
+
+#include <boost/asio/detached.hpp>
+
+/// @file
+/// @brief The sidecar where a registry lists the hosts.
+
+namespace celerystile::daemon {
+
+namespace asio = boost::asio;
+using base::Event;
+using base::logEvent;
+
+namespace {
+
+    constexpr std::chrono::milliseconds checkpointInterval { 1'000 }; // one write a second while flows change
+    constexpr std::chrono::milliseconds checkpointLife { 60'000 }; // the longest life of a flow
+    constexpr std::chrono::milliseconds checkpointRenewal { 20'000 };
+    constexpr std::chrono::milliseconds finishTime { 400 }; // for the last write before the process ends
+    constexpr std::chrono::milliseconds readRetry { 200 };
+    constexpr int readTries = 10;
+
+    store::LeasedEntryRules checkpointRules()
+    {
+        store::LeasedEntryRules rules;
+        rules.timeToLive = checkpointLife;
+        rules.renewEvery = checkpointRenewal;
+        rules.verifyEvery = std::chrono::milliseconds(0);
+        return rules;
+    }
+
+    std::string storedBytes(const fleet::Message& message, const peer::Keyring& keyring)
+    {
+        peer::DatagramBuffer buffer;
+        peer::encode(message, keyring, buffer);
+        const auto bytes = buffer.bytes();
+        return { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
+    }
+
+    class FleetSidecar final : public FleetProcess, private fleet::SidecarOutput {
+    public:
+        explicit FleetSidecar(const FleetSettings& settings)
+            : FleetProcess(settings)
+            , transport_(traffic_, settings_.keyring)
+            , machine_(rules(settings, epoch_), *this, clock_.now())
+            , entry_(store_, clock_, control_, std::string(hostsPrefix) + settings.node.packets.toString(), {})
+            , checkpoint_(store_, clock_, control_, std::string(flowsPrefix) + settings.node.packets.toString(),
+                  checkpointRules())
+        {
+        }
+
+    private:
+        static fleet::SidecarRules rules(const FleetSettings& settings, std::uint64_t epoch)
+        {
+            fleet::SidecarRules rules;
+            rules.self = settings.node.packets;
+            rules.failureDomain = core::hashName(settings.node.failureDomain);
+            rules.epoch = epoch;
+            constexpr double silentBeats = 2.3; // two lost heartbeats and some delay
+            constexpr double deadBeats = 3.4;
+            const auto beat = std::chrono::duration<double, std::milli>(settings.node.heartbeat);
+            rules.host.silentAfter = std::chrono::duration_cast<base::Duration>(beat * silentBeats);
+            rules.host.deadAfter = std::chrono::duration_cast<base::Duration>(beat * deadBeats);
+            return rules;
+        }
+
+        base::Result<bool> start() override
+        {
+            const auto& node = settings_.node;
+            if (!node.host || !node.hostPackets || !node.hostReports)
+                return base::failure(base::ErrorCode::Invalid, "the settings name no host beside this process");
+            if (auto opened = transport_.listenForMessages(
+                    node.packets, [this](const fleet::Message& message) { onMessage(message); });
+                !opened)
+                return opened;
+            if (auto opened = transport_.listenForPackets(
+                    *node.hostPackets, [this](core::Bytes bytes) { onHostPacket(bytes); });
+                !opened)
+                return opened;
+            if (auto opened = serve(*node.hostReports); !opened)
+                return opened;
+            spawn("start", [this] { return readPredecessor(); });
+            startTicking([this](base::TimePoint now) {
+                machine_.tick(now);
+                takeCheckpoint(now);
+                transport_.flush();
+                return machine_.nextTick(now);
+            });
+            return true;
+        }
+
+        // What the process before this one wrote last: its host's state and the flows that it held.
+        Task readPredecessor()
+        {
+            for (int i = 0; i < readTries; ++i) {
+                const auto entry = co_await store_.get(entryKey(), store::Freshness::Latest);
+                const auto flows = co_await store_.get(flowsKey(), store::Freshness::Latest);
+                if (entry && flows) {
+                    takePredecessor(*entry, *flows);
+                    break;
+                }
+                co_await pause(readRetry);
+            }
+            spawn("entry", [this] { return entry_.run(); });
+            spawn("checkpoint", [this] { return checkpoint_.run(); });
+        }
+
+        void takePredecessor(const std::optional<store::Item>& entry, const std::optional<store::Item>& flows)
+        {
+            std::size_t held = 0;
+            if (flows) {
+                checkpoint_.assume(flows->revision);
+                if (const auto read = readStored<fleet::HeldFlows>(flows->value); read) {
+                    held = read->flows.size();
+                    onTraffic([this, read = *read] { machine_.onHeldFlows(read, clock_.now()); });
+                }
+            }
+            if (entry) {
+                entry_.assume(entry->revision);
+                if (const auto read = readStored<fleet::FlowReport>(entry->value); read) {
+                    onTraffic([this, record = read->host] {
+                        machine_.restore(record, clock_.now());
+                        transport_.flush();
+                    });
+                }
+            }
+            logEvent(Event::CheckpointRead,
+                { { "entry", entry ? "yes" : "no" }, { "flows", std::to_string(held) } });
+        }
+
+        template <typename Value> std::optional<Value> readStored(const std::string& value) const
+        {
+            peer::DatagramBuffer aligned;
+            std::memcpy(aligned.reset(value.size()), value.data(), value.size());
+            const auto message = peer::decodeFleet(aligned.bytes(), settings_.keyring, peer::maxStoredBytes);
+            if (!message) {
+                logEvent(Event::RegistryEntryUnreadable, { { "detail", message.error().detail } });
+                return std::nullopt;
+            }
+            const auto* found = std::get_if<Value>(&*message);
+            return found ? std::optional<Value>(*found) : std::nullopt;
+        }
+
+        void takeCheckpoint(base::TimePoint now)
+        {
+            if (machine_.checkpointVersion() == checkpointed_ || now - checkpointedAt_ < checkpointInterval)
+                return;
+            checkpointed_ = machine_.checkpointVersion();
+            checkpointedAt_ = now;
+            asio::post(control_, [this, value = storedBytes(machine_.checkpoint(), settings_.keyring)]() mutable {
+                checkpoint_.set(std::move(value));
+            });
+        }
+
+        Task stopping() override
+        {
+            const auto [gone, value] = co_await asio::co_spawn(
+                traffic_,
+                [this]() -> asio::awaitable<std::pair<bool, std::string>> {
+                    co_return std::pair { machine_.host().state(clock_.now()) == fleet::HostState::Gone,
+                        storedBytes(machine_.checkpoint(), settings_.keyring) };
+                },
+                asio::use_awaitable);
+            checkpoint_.set(value);
+            entry_.stop();
+            checkpoint_.stop();
+            asio::steady_timer limit(control_, finishTime);
+            bool finished = false;
+            asio::co_spawn(
+                control_,
+                [&]() -> Task {
+                    co_await checkpoint_.finish(gone);
+                    co_await entry_.finish(gone);
+                    finished = true;
+                    limit.cancel();
+                },
+                asio::detached);
+            co_await limit.async_wait(base::asValues);
+            if (!finished)
+                logEvent(Event::PlatformUnavailable, { { "detail", "the last write was not answered in time" } });
+        }
+
+        bool ready() const override { return true; }
+
+        void onMessage(const fleet::Message& message)
+        {
+            const auto now = clock_.now();
+            if (const auto* forward = std::get_if<fleet::Forward>(&message)) {
+                const auto packet = platform::readPacket(forward->packet, platform::PacketSource::Caller);
+                if (packet)
+                    machine_.onForward(*forward, packet->segment, now);
+                else
+                    ++malformed_;
+            } else if (const auto* hello = std::get_if<fleet::BalancerHello>(&message)) {
+                machine_.onHello(*hello, now);
+            } else if (const auto* held = std::get_if<fleet::HeldFlows>(&message)) {
+                machine_.onHeldFlows(*held, now);
+            }
+        }
+
+        void onHostPacket(core::Bytes bytes)
+        {
+            const auto packet = platform::readPacket(bytes, platform::PacketSource::Host);
+            if (!packet) {
+                ++malformed_;
+                return;
+            }
+            const auto now = clock_.now();
+            if (!packet->returned)
+                return machine_.onHostPacket(packet->segment, bytes, now);
+            std::vector<std::uint8_t> original(bytes.begin(), bytes.end());
+            platform::clearReturned(original);
+            machine_.onReturned(packet->segment, original, now);
+        }
+
+        asio::awaitable<base::HttpReply> onCall(base::HttpRequest request) override
+        {
+            const bool aboutHost = request.method == "PUT" || request.method == "DELETE";
+            if (!aboutHost)
+                co_return co_await FleetProcess::onCall(std::move(request));
+            const auto call = platform::readHostCall(request);
+            if (!call) {
+                logEvent(Event::HeartbeatRefused, { { "detail", call.error().detail } });
+                co_return base::HttpReply { 400, "{}", "application/json" };
+            }
+            // The answer is an acknowledgement: it leaves only when the decisions follow what was said.
+            co_await asio::co_spawn(
+                traffic_,
+                [&]() -> Task {
+                    noteHost(*call);
+                    transport_.flush();
+                    co_return;
+                },
+                asio::use_awaitable);
+            co_return base::HttpReply { 200, "{}", "application/json" };
+        }
+
+        void noteHost(const platform::HostCall& call)
+        {
+            const auto now = clock_.now();
+            if (const auto* report = std::get_if<fleet::HostReport>(&call)) {
+                const auto outcome = machine_.onHeartbeat(*report, now);
+                if (outcome == fleet::HeartbeatOutcome::FirstOfIncarnation)
+                    logEvent(Event::HostStarted,
+                        { { "id", report->id }, { "service", report->service },
+                            { "born", std::to_string(report->born) } });
+                if (outcome == fleet::HeartbeatOutcome::Late)
+                    logEvent(Event::HeartbeatRefused,
+                        { { "id", report->id }, { "detail", "older than what is known" },
+                            { "sequence", std::to_string(report->sequence) } });
+            } else if (const auto* left = std::get_if<platform::HostLeft>(&call)) {
+                machine_.onLeave(left->id, now);
+                logEvent(Event::HostLeft, { { "id", left->id } });
+            }
+        }
+
+        boost::json::object state(base::TimePoint now) const override
+        {
+            boost::json::object state;
+            for (std::size_t i = 0; i < fleet::sidecarCounts; ++i) {
+                const auto which = static_cast<fleet::SidecarCount>(i);
+                state[fleet::toString(which)] = machine_.count(which);
+            }
+            const auto record = machine_.record(now);
+            state["malformed_packets"] = malformed_;
+            state["rejected_messages"] = transport_.rejected();
+            state["send_failures"] = transport_.sendFailures();
+            state["open_flows"] = record.openFlows;
+            state["busy_flows"] = record.busyFlows;
+            state["host_state"] = fleet::toString(record.state);
+            state["host_born"] = record.born;
+            return state;
+        }
+
+        std::string entryKey() const { return std::string(hostsPrefix) + settings_.node.packets.toString(); }
+        std::string flowsKey() const { return std::string(flowsPrefix) + settings_.node.packets.toString(); }
+
+        void deliver(core::Bytes packet) override { transport_.send(*settings_.node.host, packet); }
+        void answer(const base::Endpoint& caller, core::Bytes packet) override
+        {
+            transport_.send({ caller.address, settings_.node.packets.port }, packet);
+        }
+        void forward(const base::Endpoint& to, const fleet::Forward& forward) override { transport_.send(to, forward); }
+        void tell(const base::Endpoint& to, const fleet::Message& message) override { transport_.send(to, message); }
+        void reset(const core::Segment& about) override { answer(about.key.caller, platform::makeReset(about)); }
+
+        void announce(const fleet::HostRecord& record) override
+        {
+            logEvent(Event::HostStateChanged, { { "state", std::string(fleet::toString(record.state)) } });
+            auto lasting = record; // loads are told directly; the registry holds what changes rarely
+            lasting.openFlows = 0;
+            lasting.busyFlows = 0;
+            asio::post(control_,
+                [this, value = storedBytes(fleet::FlowReport { lasting, {}, {} }, settings_.keyring)]() mutable {
+                    entry_.set(std::move(value));
+                });
+        }
+        void decided(const fleet::Decision& decision) override { log_.write(decision, clock_.now()); }
+
+        FleetTransport transport_;
+        fleet::Sidecar machine_;
+        store::LeasedEntry entry_;
+        store::LeasedEntry checkpoint_;
+        DecisionLog log_;
+        std::uint64_t checkpointed_ = 0;
+        base::TimePoint checkpointedAt_ {};
+        std::uint64_t malformed_ = 0;
+    };
+
+} // namespace
+
+int runFleetSidecar(const FleetSettings& settings) { return FleetSidecar(settings).run(); }
+
+} // namespace celerystile::daemon
--- /dev/null
+++ b/apps/celerystiled/fleet_transport.hpp
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "celerystile/base/datagram_socket.hpp"
+#include "celerystile/fleet/decision.hpp"
+#include "celerystile/peer/fleet_message.hpp"
+
+#include <functional>
+#include <vector>
+
+/// @file
+/// @brief The datagrams of a fleet process: sealed messages between processes, plain packets to hosts and callers.
+
+namespace celerystile::daemon {
+
+/// @brief Sockets of one process. Used from the traffic thread only.
+class FleetTransport {
+public:
+    using PacketHandler = std::function<void(core::Bytes)>;
+    using MessageHandler = std::function<void(const fleet::Message&)>;
+
+    FleetTransport(boost::asio::io_context& context, const peer::Keyring& keyring)
+        : context_(context)
+        , keyring_(keyring)
+    {
+    }
+
+    base::Result<bool> listenForPackets(const base::Endpoint& local, PacketHandler handler);
+    base::Result<bool> listenForMessages(const base::Endpoint& local, MessageHandler handler);
+
+    /// @brief Sends bytes as they are.
+    void send(const base::Endpoint& to, core::Bytes bytes);
+    void send(const base::Endpoint& to, const fleet::Message& message);
+    void send(const base::Endpoint& to, const fleet::Forward& forward);
+
+    /// @brief Sends what was queued outside a handler.
+    void flush();
+    void close();
+
+    std::uint64_t rejected() const { return rejected_; }
+    std::uint64_t sendFailures() const;
+
+private:
+    base::Result<base::DatagramSocket*> open(const base::Endpoint& local);
+
+    boost::asio::io_context& context_;
+    const peer::Keyring& keyring_;
+    std::vector<std::unique_ptr<base::DatagramSocket>> sockets_;
+    base::DatagramSocket* current_ = nullptr; // whose batch is being handled; it is flushed after the batch
+    peer::DatagramBuffer buffer_;
+    std::uint64_t rejected_ = 0;
+};
+
+/// @brief Writes decisions to the log, a bounded number a second; the others are counted. One thread.
+class DecisionLog {
+public:
+    void write(const fleet::Decision& decision, base::TimePoint now);
+
+private:
+    static constexpr unsigned linesPerSecond = 40; // a process's share of what an on-call engineer can search
+
+    base::TimePoint second_ {};
+    unsigned lines_ = 0;
+    std::uint64_t suppressed_ = 0;
+};
+
+} // namespace celerystile::daemon
--- a/apps/celerystiled/main.cpp
+++ b/apps/celerystiled/main.cpp
@@ -1,7 +1,10 @@
 #include "balancer_daemon.hpp"
 #include "celerystile/base/events.hpp"
+#include "fleet_process.hpp"
 #include "sidecar_daemon.hpp"
 
+#include <algorithm>
+#include <cstdlib>
 #include <iostream>
 
 /// @file
@@ -12,7 +15,16 @@
 using namespace celerystile;
 
 constexpr const char* usage = "usage: celerystiled balancer|sidecar [flags]\n"
-                              "       celerystiled balancer --help | sidecar --help | --version\n";
+                              "       celerystiled balancer --help | sidecar --help | --version\n"
+                              "With --settings-file or CELERYSTILE_NODE_FILE the hosts are found in the store's registry.\n";
+
+// A settings file says that the process runs where a registry in the store lists the hosts.
+bool usesRegistry(const std::vector<std::string>& arguments)
+{
+    return std::getenv(platform::settingsVariable)
+        || std::any_of(arguments.begin(), arguments.end(),
+            [](const std::string& argument) { return argument.starts_with("--settings-file"); });
+}
 
 int reportMistakes(const base::SettingsFailure& failure)
 {
@@ -49,6 +61,11 @@
     }
     if (arguments.size() > 1)
         arguments.erase(arguments.begin() + 1);
+    const bool registry = usesRegistry(arguments);
+    if (role == "balancer" && registry)
+        return runRole(role, daemon::fleetOptions(), arguments, daemon::readFleetSettings, daemon::runFleetBalancer);
+    if (role == "sidecar" && registry)
+        return runRole(role, daemon::fleetOptions(), arguments, daemon::readFleetSettings, daemon::runFleetSidecar);
     if (role == "balancer")
         return runRole(role, daemon::balancerOptions(), arguments, daemon::readBalancerSettings, daemon::runBalancer);
     if (role == "sidecar")
--- a/fakes/platform_store.cpp
+++ b/fakes/platform_store.cpp
@@ -1,7 +1,8 @@
 #include "platform_store.hpp"
 
+#include "celerystile/store/base64.hpp"
+
 #include <boost/json.hpp>
-#include <sodium.h>
 
 namespace celerystile::fakes {
 
@@ -9,24 +10,7 @@
 
 namespace {
 
-    std::string decode(std::string_view text)
-    {
-        std::string bytes(text.size(), '\0');
-        std::size_t length = 0;
-        sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(), text.size(),
-            nullptr, &length, nullptr, sodium_base64_VARIANT_ORIGINAL);
-        bytes.resize(length);
-        return bytes;
-    }
-
-    std::string encode(const std::string& bytes)
-    {
-        std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
-        sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
-            sodium_base64_VARIANT_ORIGINAL);
-        text.pop_back();
-        return text;
-    }
+    std::string decode(std::string_view text) { return store::fromBase64(text).value_or(""); }
 
     std::string field(const json::object& object, std::string_view key)
     {
@@ -81,7 +65,7 @@
     for (auto entry = entries_.lower_bound(key); entry != entries_.end(); ++entry) {
         if (end.empty() ? entry->first != key : entry->first >= end)
             break;
-        kvs.push_back({ { "key", encode(entry->first) }, { "value", entry->second.value },
+        kvs.push_back({ { "key", store::toBase64(entry->first) }, { "value", entry->second.value },
             { "create_revision", std::to_string(entry->second.createRevision) },
             { "mod_revision", std::to_string(entry->second.modRevision) } });
     }
--- a/include/celerystile/base/events.hpp
+++ b/include/celerystile/base/events.hpp
@@ -47,6 +47,23 @@
     BackendNotReady = 4201,
     BackendReady = 4202,
     DependencyWithoutHost = 5001,
+    FlowPlaced = 6001,
+    FlowMovedOn = 6002,
+    FlowRefused = 6003,
+    FlowAdopted = 6004,
+    FlowLost = 6005,
+    FlowReset = 6006,
+    PacketUnclaimed = 6007,
+    LinesSuppressed = 6008,
+    HeartbeatRefused = 6101,
+    HostStarted = 6102,
+    HostStateChanged = 6103,
+    HostLeft = 6104,
+    CheckpointRead = 6105,
+    RegistryChanged = 6201,
+    RegistryEntryUnreadable = 6202,
+    SettingsReloaded = 6301,
+    TaskFailed = 6302,
 };
 
 /// @brief One row of the catalogue.
--- a/include/celerystile/base/http.hpp
+++ b/include/celerystile/base/http.hpp
@@ -4,10 +4,11 @@
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
+#include <optional>
 #include <string>
 
 /// @file
-/// @brief Small HTTP exchanges by Boost.Beast: one request a connection.
+/// @brief Small HTTP exchanges by Boost.Beast.
 
 namespace celerystile::base {
 
@@ -27,10 +28,30 @@
 boost::asio::awaitable<Result<HttpReply>> httpExchange(
     Endpoint to, std::string target, std::string body, std::chrono::milliseconds timeout);
 
-/// @brief A request as a server sees it.
+/// @brief A request as a server sees it, and as a connection sends it.
 struct HttpRequest {
     std::string target;
     std::string body;
+    std::string method = "GET";
+};
+
+/// @brief A connection that is kept open between requests and opened anew after a failure. One request at a time.
+class HttpConnection {
+public:
+    explicit HttpConnection(Endpoint to)
+        : to_(to)
+    {
+    }
+
+    /// @brief Sends a request and reads the reply; any failure closes the connection.
+    boost::asio::awaitable<Result<HttpReply>> exchange(HttpRequest request, std::chrono::milliseconds timeout);
+
+private:
+    boost::asio::awaitable<Result<HttpReply>> exchangeOpen(
+        const HttpRequest& request, std::chrono::milliseconds timeout);
+
+    Endpoint to_;
+    std::optional<boost::beast::tcp_stream> stream_;
 };
 
 /// @brief Answers a request.
--- /dev/null
+++ b/include/celerystile/fleet/balancer.hpp
@@ -0,0 +1,120 @@
+#pragma once
+
+#include "celerystile/fleet/decision.hpp"
+#include "celerystile/fleet/owner_table.hpp"
+#include "celerystile/fleet/placement.hpp"
+#include "celerystile/fleet/route_table.hpp"
+
+#include <array>
+
+/// @file
+/// @brief A balancer's decisions in a fleet whose hosts stand in a registry.
+///
+/// Sans-I/O: the machine is fed packets, messages, snapshots and time, and tells a BalancerOutput what to do.
+
+namespace celerystile::fleet {
+
+/// @brief What a balancer counts.
+enum class BalancerCount : std::uint8_t {
+    ForwardedOwned, ///< packets sent to the known owner
+    ForwardedLookup, ///< packets of open flows whose owner is not known here
+    FlowsPlaced, ///< SYNs sent to a host
+    SynRetried, ///< SYNs sent on because a host left them unanswered
+    SynRefused, ///< resets in answer to a SYN
+    DropNoRoute, ///< packets of open flows for an address that has no route
+    DropNoHost, ///< packets for a service without a known host
+    DropUnsettled, ///< SYNs before the first list of hosts
+    Count_,
+};
+
+inline constexpr std::size_t balancerCounts = static_cast<std::size_t>(BalancerCount::Count_);
+
+std::string_view toString(BalancerCount count);
+
+/// @brief What the machine asks its surroundings to do. Spans are valid during the call.
+class BalancerOutput {
+public:
+    virtual ~BalancerOutput() = default;
+    virtual void forward(const Endpoint& to, const Forward& forward) = 0;
+    virtual void tell(const Endpoint& to, const Message& message) = 0;
+
+    /// @brief Answers a segment of the caller with a reset.
+    virtual void reset(const core::Segment& about) = 0;
+    virtual void decided(const Decision& decision) = 0;
+};
+
+/// @brief Settings of the machine.
+struct BalancerRules {
+    Endpoint self;
+    std::uint64_t failureDomain = 0;
+    std::uint64_t epoch = 0; ///< start of this process, Unix milliseconds
+    HostBoardRules board;
+    base::Duration synPatience = std::chrono::milliseconds(40); ///< a host's handshake takes a few milliseconds
+    base::Duration synLifetime = std::chrono::milliseconds(1500); ///< callers give up a SYN after 1.4 s
+    std::size_t maxPendingSyns = 4'096;
+    std::size_t maxFlows = 400'000; ///< owners remembered; 64 bytes each
+    base::Duration helloInterval = std::chrono::seconds(1); ///< how often sidecars hear of this balancer at most
+    double controlBytesPerSecond = 2'500; ///< half of a node's 5 KB/s; the other half is what others send
+};
+
+/// @brief The balancer's state machine. One thread.
+class Balancer {
+public:
+    Balancer(BalancerRules rules, const Placement& placement, BalancerOutput& output, base::TimePoint start);
+
+    void setRoutes(RouteTablePtr routes) { routes_ = std::move(routes); }
+    void setRegistry(const std::vector<HostRecord>& records, base::TimePoint now);
+
+    void onPacket(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
+    void onReport(const FlowReport& report, base::TimePoint now);
+    void onSidecarHello(const SidecarHello& hello);
+    void onDeclined(const SynDeclined& declined, base::TimePoint now);
+
+    void tick(base::TimePoint now);
+
+    /// @brief When tick() has something to do next.
+    base::TimePoint nextTick() const;
+
+    /// @brief Whether packets can be decided: a configuration and a list of hosts are there.
+    bool ready() const { return routes_->version > 0 && registryKnown_; }
+
+    const HostBoard& board() const { return board_; }
+    const OwnerTable& owners() const { return owners_; }
+    const RouteTable& routes() const { return *routes_; }
+    std::uint64_t count(BalancerCount which) const { return counts_[static_cast<std::size_t>(which)]; }
+
+private:
+    struct PendingSyn {
+        core::Segment segment;
+        std::vector<std::uint8_t> packet;
+        ServiceId service = 0;
+        CandidateList candidates;
+        std::vector<Endpoint> tried;
+        std::uint8_t position = 0;
+        base::TimePoint retryAt {};
+        base::TimePoint expiresAt {};
+    };
+
+    void bump(BalancerCount which) { ++counts_[static_cast<std::size_t>(which)]; }
+    void onSyn(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
+    void place(PendingSyn& pending, std::string_view reason, base::TimePoint now);
+    void sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now);
+    void retry(PendingSyn& pending, base::TimePoint now);
+    void refuse(const core::Segment& segment, std::string_view reason);
+    void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
+    void sayHello(base::TimePoint now);
+
+    BalancerRules rules_;
+    const Placement& placement_;
+    BalancerOutput& output_;
+    RouteTablePtr routes_ = std::make_shared<const RouteTable>();
+    bool registryKnown_ = false;
+    HostBoard board_;
+    OwnerTable owners_;
+    boost::unordered_flat_map<core::FlowKey, PendingSyn, core::FlowKeyHash> pending_;
+    base::TimePoint nextHello_;
+    base::TimePoint nextSweep_;
+    std::array<std::uint64_t, balancerCounts> counts_ {};
+};
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/include/celerystile/fleet/host_board.hpp
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "celerystile/core/routing.hpp"
+#include "celerystile/fleet/host_record.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <vector>
+
+/// @file
+/// @brief A balancer's knowledge of the hosts: the registry's entries, what sidecars say, and what traffic shows.
+
+namespace celerystile::fleet {
+
+/// @brief Settings of the board.
+struct HostBoardRules {
+    base::Duration heardLifetime = std::chrono::seconds(3); ///< a sidecar's own word outlives its registry entry so long
+    base::Duration suspicion = std::chrono::seconds(2); ///< a host that left a SYN unanswered is avoided so long
+};
+
+/// @brief A host as one balancer sees it.
+struct KnownHost {
+    HostRecord record;
+    bool registered = false; ///< has an entry in the registry
+    base::TimePoint heardAt {}; ///< the sidecar's last own word
+    base::TimePoint coldUntil {};
+    base::TimePoint suspectedUntil {};
+    std::uint32_t placedSinceReport = 0; ///< new flows sent there that its load does not show yet
+
+    /// @brief Open flows, those on their way included.
+    std::uint32_t load() const { return record.openFlows + placedSinceReport; }
+};
+
+/// @brief The board. One thread.
+class HostBoard {
+public:
+    using Map = boost::unordered_flat_map<Endpoint, KnownHost, core::EndpointHash>;
+
+    explicit HostBoard(HostBoardRules rules)
+        : rules_(rules)
+    {
+    }
+
+    /// @brief The registry's entries in full; hosts that are no longer there keep only what is heard of them directly.
+    void setRegistered(const std::vector<HostRecord>& records, base::TimePoint now);
+
+    /// @brief A sidecar's own word; an older epoch or incarnation than the known one changes nothing.
+    void noteHeard(const HostRecord& record, base::TimePoint now);
+
+    /// @brief A SYN was sent there.
+    void notePlaced(const Endpoint& sidecar);
+
+    /// @brief A SYN was left unanswered there.
+    void noteUnanswered(const Endpoint& sidecar, base::TimePoint now);
+
+    /// @brief Forgets hosts that are neither registered nor heard of.
+    void expire(base::TimePoint now);
+
+    /// @brief Hosts of a service that may take a new flow. Suspected ones are left out unless there is no other.
+    std::vector<const KnownHost*> usable(ServiceId service, base::TimePoint now) const;
+
+    /// @brief Hosts of a service that may hold open flows.
+    std::vector<const KnownHost*> holding(ServiceId service) const;
+
+    const KnownHost* find(const Endpoint& sidecar) const;
+    const Map& hosts() const { return hosts_; }
+
+private:
+    void update(KnownHost& host, const HostRecord& record, base::TimePoint now);
+
+    HostBoardRules rules_;
+    Map hosts_;
+};
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/include/celerystile/fleet/host_record.hpp
@@ -0,0 +1,43 @@
+#pragma once
+
+#include "celerystile/base/clock.hpp"
+#include "celerystile/core/view.hpp"
+
+#include <cstdint>
+#include <string_view>
+
+/// @file
+/// @brief What the fleet knows of one backend server, as its sidecar tells it.
+
+namespace celerystile::fleet {
+
+using base::Endpoint;
+using core::ServiceId;
+
+/// @brief Whether a host may be given new flows.
+enum class HostState : std::uint8_t {
+    Ready,
+    Draining, ///< keeps its open flows, takes no new one
+    Silent, ///< its sidecar has not heard from it for a while
+    Gone, ///< has said that it ends
+};
+
+std::string_view toString(HostState state);
+
+/// @brief One backend server with its load. Identified by the address of its sidecar.
+struct HostRecord {
+    Endpoint sidecar; ///< where packets for the host are sent (UDP)
+    ServiceId service = 0;
+    std::uint64_t failureDomain = 0; ///< hash of its name
+    std::uint64_t born = 0; ///< start of the host's incarnation, Unix milliseconds
+    std::uint64_t epoch = 0; ///< start of the sidecar's process, Unix milliseconds
+    std::uint32_t slots = 1; ///< requests that the host works on at once
+    HostState state = HostState::Ready;
+    std::uint32_t coldMilliseconds = 0; ///< how much longer the host is slow after its start
+    std::uint32_t openFlows = 0;
+    std::uint32_t busyFlows = 0; ///< flows with a request that is not answered yet
+
+    bool operator==(const HostRecord&) const = default;
+};
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/include/celerystile/fleet/host_status.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include "celerystile/fleet/host_record.hpp"
+
+#include <string>
+
+/// @file
+/// @brief What a backend server says of itself, and which of its words count.
+
+namespace celerystile::fleet {
+
+/// @brief One heartbeat of a backend server.
+struct HostReport {
+    std::string id;
+    std::string service;
+    Endpoint address; ///< where the host takes packets
+    std::uint32_t slots = 1;
+    bool draining = false;
+    std::chrono::milliseconds coldLeft { 0 }; ///< how much longer it is slow after its start
+    std::uint64_t sequence = 0; ///< grows with each heartbeat of an incarnation
+    std::uint64_t born = 0; ///< start of the incarnation, Unix milliseconds
+
+    bool operator==(const HostReport&) const = default;
+};
+
+/// @brief What a heartbeat did.
+enum class HeartbeatOutcome {
+    FirstOfIncarnation, ///< the host has started, anew or for the first time; flows of before are gone
+    Changed, ///< something that others must know is different
+    Same,
+    Late, ///< older than what is known: ignored
+};
+
+/// @brief Settings of the status.
+struct HostStatusRules {
+    base::Duration silentAfter = std::chrono::milliseconds(1800); ///< a little over two heartbeats
+    base::Duration deadAfter = std::chrono::milliseconds(2600); ///< three heartbeats and a margin
+};
+
+/// @brief The host beside a sidecar, by its own words in order. One thread.
+class HostStatus {
+public:
+    HostStatus(HostStatusRules rules, base::TimePoint start)
+        : rules_(rules)
+        , heardAt_(start)
+    {
+    }
+
+    HeartbeatOutcome note(const HostReport& report, base::TimePoint now);
+
+    /// @brief The host says that it ends. @return whether it is the host that is known.
+    bool noteLeave(const std::string& id);
+
+    /// @brief Takes what the predecessor of this process last wrote, unless the host has spoken since.
+    void restore(const HostRecord& record, base::TimePoint now);
+
+    /// @brief A packet of the host shows that it lives.
+    void noteAlive(base::TimePoint now) { aliveAt_ = now; }
+
+    /// @brief The process stood still for `gap`, in which it could hear nothing.
+    void notePause(base::Duration gap) { heardAt_ += gap; }
+
+    HostState state(base::TimePoint now) const;
+
+    /// @brief Whether nothing at all has come from the host for so long that it must have ended.
+    bool dead(base::TimePoint now) const;
+    bool known() const { return known_; }
+    ServiceId service() const { return service_; }
+    std::uint64_t born() const { return born_; }
+    std::uint32_t slots() const { return slots_; }
+    std::chrono::milliseconds coldLeft(base::TimePoint now) const;
+
+private:
+    HostStatusRules rules_;
+    bool known_ = false;
+    std::string id_;
+    ServiceId service_ = 0;
+    std::uint64_t born_ = 0;
+    std::uint64_t sequence_ = 0;
+    std::uint32_t slots_ = 1;
+    HostState told_ = HostState::Ready;
+    base::TimePoint coldUntil_ {};
+    base::TimePoint heardAt_;
+    base::TimePoint aliveAt_ {};
+};
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/include/celerystile/fleet/message.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "celerystile/core/segment.hpp"
+#include "celerystile/fleet/host_record.hpp"
+
+#include <boost/container/static_vector.hpp>
+#include <variant>
+#include <vector>
+
+/// @file
+/// @brief What balancers and sidecars tell each other.
+
+namespace celerystile::fleet {
+
+/// @brief Most sidecars that a packet may be offered to in turn.
+inline constexpr std::size_t maxCandidates = 6;
+
+using CandidateList = boost::container::static_vector<Endpoint, maxCandidates>;
+
+/// @brief Why a packet is forwarded, which decides what the sidecar does when it does not know the flow.
+enum class ForwardPurpose : std::uint8_t {
+    Open, ///< a SYN to be placed; passed on by whoever can't take it
+    Owned, ///< the balancer knows the receiver as the flow's owner
+    Lookup, ///< the owner is unknown: passed on until somebody claims it
+};
+
+/// @brief A caller's packet on its way to the host's sidecar.
+struct Forward {
+    ForwardPurpose purpose = ForwardPurpose::Open;
+    ServiceId service = 0; ///< where a new flow may be opened; 0 for packets of open flows
+    Endpoint balancer; ///< who is told the outcome
+    std::uint8_t position = 0; ///< the receiver among the candidates
+    std::uint8_t trials = 0; ///< hosts to which this packet was given on trial
+    CandidateList candidates; ///< sidecars in the order in which they are asked
+    core::Bytes packet; ///< belongs to the datagram
+};
+
+/// @brief A flow with the initial sequence number of the host that holds it. IPv4.
+struct FlowClaim {
+    core::FlowKey key;
+    std::uint32_t hostSequence = 0; ///< 0: not known
+    bool proven = false; ///< the caller has acknowledged this host
+
+    bool operator==(const FlowClaim&) const = default;
+};
+
+/// @brief A sidecar's word on its host and on flows that it holds or has ended.
+struct FlowReport {
+    HostRecord host;
+    std::vector<FlowClaim> held;
+    std::vector<FlowClaim> ended;
+
+    bool operator==(const FlowReport&) const = default;
+};
+
+/// @brief A balancer is there. One that starts anew has another epoch and is told all open flows.
+struct BalancerHello {
+    Endpoint balancer;
+    std::uint64_t epoch = 0;
+
+    bool operator==(const BalancerHello&) const = default;
+};
+
+/// @brief A sidecar has started and asks which flows it held.
+struct SidecarHello {
+    Endpoint sidecar;
+
+    bool operator==(const SidecarHello&) const = default;
+};
+
+/// @brief Flows that the receiver held before it started: from a balancer or from the receiver's own checkpoint.
+struct HeldFlows {
+    std::uint64_t born = 0; ///< incarnation of the host that held them; 0: not known
+    std::vector<FlowClaim> flows;
+
+    bool operator==(const HeldFlows&) const = default;
+};
+
+/// @brief No candidate took the SYN.
+struct SynDeclined {
+    core::FlowKey key;
+
+    bool operator==(const SynDeclined&) const = default;
+};
+
+using Message = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined>;
+
+/// @brief Most flows named in one datagram, which then stays below 1,500 bytes.
+inline constexpr std::size_t maxFlowsPerDatagram = 48;
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/include/celerystile/fleet/owner_table.hpp
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "celerystile/fleet/message.hpp"
+
+#include <boost/unordered/unordered_flat_map.hpp>
+#include <optional>
+
+/// @file
+/// @brief Which sidecar holds a flow, as far as a balancer has been told. Soft state: losing it costs a look-up.
+
+namespace celerystile::fleet {
+
+/// @brief The table. One thread.
+///
+/// Two hosts may claim a flow whose SYN reached both; the caller's first acknowledgement tells whose answer it took.
+class OwnerTable {
+public:
+    explicit OwnerTable(std::size_t maxFlows)
+        : maxFlows_(maxFlows)
+    {
+    }
+
+    void claim(const Endpoint& sidecar, const FlowClaim& claim, base::TimePoint now);
+
+    /// @brief Removes the sidecar's claim; another one's stays.
+    void end(const Endpoint& sidecar, const core::FlowKey& key);
+
+    void forget(const core::FlowKey& key) { flows_.erase(key); }
+
+    /// @brief The owner of a packet's flow; a packet past the handshake settles which of two claims holds.
+    std::optional<Endpoint> resolve(const core::Segment& segment, base::TimePoint now);
+
+    /// @brief Flows that the caller has acknowledged and that this sidecar holds.
+    std::vector<FlowClaim> heldBy(const Endpoint& sidecar) const;
+
+    /// @brief Forgets flows without a packet for `idle`.
+    void expire(base::Duration idle, base::TimePoint now);
+
+    std::size_t size() const { return flows_.size(); }
+
+private:
+    struct Claim {
+        Endpoint sidecar;
+        std::uint32_t hostSequence = 0;
+    };
+
+    struct Flow {
+        Claim first;
+        std::optional<Claim> second; // only until the caller's first acknowledgement
+        bool proven = false;
+        base::TimePoint seenAt {};
+    };
+
+    std::size_t maxFlows_;
+    boost::unordered_flat_map<core::FlowKey, Flow, core::FlowKeyHash> flows_;
+};
+
+/// @brief Whether an acknowledgement number answers a SYN+ACK with this sequence number.
+bool acknowledges(std::uint32_t acknowledgement, std::uint32_t hostSequence);
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/include/celerystile/fleet/placement.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "celerystile/fleet/host_board.hpp"
+#include "celerystile/fleet/message.hpp"
+
+#include <memory>
+#include <string_view>
+
+/// @file
+/// @brief Where a new flow goes: strategies over the hosts that may take it.
+
+namespace celerystile::fleet {
+
+/// @brief What a strategy decides from.
+struct PlacementInput {
+    std::uint64_t flowHash = 0;
+    std::uint64_t failureDomain = 0; ///< the balancer's own
+    base::TimePoint now {};
+};
+
+/// @brief Orders hosts for a new flow, the best first. Stateless; any thread.
+class Placement {
+public:
+    virtual ~Placement() = default;
+    virtual std::string_view name() const = 0;
+    virtual CandidateList order(const std::vector<const KnownHost*>& hosts, const PlacementInput& input) const = 0;
+};
+
+/// @brief Settings of least-loaded placement.
+struct LeastLoadedRules {
+    std::size_t sampled = 4; ///< hosts drawn by rendezvous hashing, of which the least loaded is taken
+    double remoteMargin = 1.0; ///< flows per slot that another failure domain's host must be emptier by
+    double coldPenalty = 0.6; ///< share by which a cold host counts as more loaded
+};
+
+/// @brief Rendezvous hashing alone: the baseline that needs no load.
+std::unique_ptr<Placement> makeRendezvousPlacement();
+
+/// @brief Rendezvous hashing, hosts of the own failure domain first: the second baseline.
+std::unique_ptr<Placement> makeLocalFirstPlacement();
+
+/// @brief Power of several choices: of a few hosts drawn by rendezvous hashing, the one with the fewest open flows a
+/// slot, with a margin in favour of the own failure domain.
+std::unique_ptr<Placement> makeLeastLoadedPlacement(LeastLoadedRules rules);
+
+/// @brief The strategy of that name: "rendezvous", "local-first" or "least-loaded"; null when there is none.
+std::unique_ptr<Placement> makePlacement(std::string_view name);
+
+/// @brief Weight of a host for a flow under rendezvous hashing; the highest is the flow's first host.
+std::uint64_t rendezvousScore(std::uint64_t flowHash, const Endpoint& sidecar);
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -0,0 +1,200 @@
+#pragma once
+
+#include "celerystile/core/flow_table.hpp"
+#include "celerystile/core/routing.hpp"
+#include "celerystile/fleet/decision.hpp"
+#include "celerystile/fleet/host_status.hpp"
+#include "celerystile/fleet/message.hpp"
+
+#include <array>
+#include <deque>
+
+/// @file
+/// @brief A sidecar's decisions in a fleet whose hosts stand in a registry: which flows its host holds, which new ones
+/// it takes, how both become known again after a restart.
+///
+/// Sans-I/O: the machine is fed packets, messages and time, and tells a SidecarOutput what to do.
+
+namespace celerystile::fleet {
+
+/// @brief What a sidecar counts.
+enum class SidecarCount : std::uint8_t {
+    Delivered, ///< packets to the host
+    Answered, ///< packets to callers
+    FlowsOpened,
+    FlowsEnded,
+    FlowsAdopted, ///< learned after a restart
+    FlowsLost, ///< the host did not hold them any more
+    FlowsReset, ///< callers reset because the host has ended
+    SynPassedOn, ///< SYNs that went to the next candidate
+    SynDeclined, ///< SYNs that nobody took
+    ClaimsDropped, ///< the caller took another host's answer
+    Trials, ///< packets given to the host without knowing the flow
+    PassedOn, ///< packets of unknown flows that went to the next candidate
+    DropUnclaimed, ///< packets of unknown flows that nobody claimed
+    DropTableFull,
+    Count_,
+};
+
+inline constexpr std::size_t sidecarCounts = static_cast<std::size_t>(SidecarCount::Count_);
+
+std::string_view toString(SidecarCount count);
+
+/// @brief What the machine asks its surroundings to do. Spans are valid during the call.
+class SidecarOutput {
+public:
+    virtual ~SidecarOutput() = default;
+
+    /// @brief Hands a caller's packet to the host.
+    virtual void deliver(core::Bytes packet) = 0;
+
+    /// @brief Sends the host's packet to the caller.
+    virtual void answer(const Endpoint& caller, core::Bytes packet) = 0;
+    virtual void forward(const Endpoint& to, const Forward& forward) = 0;
+    virtual void tell(const Endpoint& to, const Message& message) = 0;
+
+    /// @brief Answers a segment of the caller with a reset.
+    virtual void reset(const core::Segment& about) = 0;
+
+    /// @brief The host's record has changed and others must know.
+    virtual void announce(const HostRecord& record) = 0;
+    virtual void decided(const Decision& decision) = 0;
+};
+
+/// @brief Settings of the machine.
+struct SidecarRules {
+    Endpoint self;
+    std::uint64_t failureDomain = 0;
+    std::uint64_t epoch = 0; ///< start of this process, Unix milliseconds
+    HostStatusRules host;
+    std::size_t maxFlows = 100'000;
+    base::Duration openingPatience = std::chrono::milliseconds(30); ///< a host's handshake takes under a millisecond
+    base::Duration openingLifetime = std::chrono::seconds(2); ///< callers give up a SYN after 1.4 s
+    base::Duration closedLinger = std::chrono::seconds(5); ///< late packets of an ended flow are still served
+    base::Duration idleTimeout = std::chrono::seconds(120); ///< twice the longest life of a flow
+    base::Duration relearnTime = std::chrono::seconds(8); ///< after the start, unknown flows are tried at the host
+    base::Duration trialMemory = std::chrono::milliseconds(2500); ///< a flow is tried once within it
+    base::Duration balancerLifetime = std::chrono::seconds(10); ///< balancers say hello more often
+    base::Duration reportInterval = std::chrono::milliseconds(200); ///< shortest time between reports of changes
+    base::Duration aliveInterval = std::chrono::milliseconds(600); ///< longest time between reports
+    base::Duration pauseThreshold = std::chrono::milliseconds(700); ///< a gap between ticks that counts as a pause
+    double controlBytesPerSecond = 4'000; ///< what reports may use of a node's 5 KB/s
+};
+
+/// @brief The sidecar's state machine. One thread.
+class Sidecar {
+public:
+    Sidecar(SidecarRules rules, SidecarOutput& output, base::TimePoint start);
+
+    /// @brief A caller's packet from a balancer or another sidecar.
+    void onForward(const Forward& forward, const core::Segment& segment, base::TimePoint now);
+
+    /// @brief A packet from the host; the segment's key names the caller first.
+    void onHostPacket(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
+
+    /// @brief A caller's packet that the host gave back.
+    void onReturned(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
+
+    HeartbeatOutcome onHeartbeat(const HostReport& report, base::TimePoint now);
+    void onLeave(const std::string& id, base::TimePoint now);
+
+    void onHello(const BalancerHello& hello, base::TimePoint now);
+    void onHeldFlows(const HeldFlows& held, base::TimePoint now);
+
+    /// @brief What the predecessor of this process last announced.
+    void restore(const HostRecord& record, base::TimePoint now);
+
+    /// @brief Asks balancers which flows were held here.
+    void askBalancers(const std::vector<Endpoint>& balancers);
+
+    void tick(base::TimePoint now);
+
+    /// @brief When tick() has something to do next.
+    base::TimePoint nextTick(base::TimePoint now) const;
+
+    /// @brief The open flows, for a successor of this process.
+    HeldFlows checkpoint() const;
+
+    /// @brief Changes whenever checkpoint() would.
+    std::uint64_t checkpointVersion() const { return checkpointVersion_; }
+
+    HostRecord record(base::TimePoint now) const;
+    const HostStatus& host() const { return host_; }
+    const core::FlowTable& flows() const { return table_; }
+    std::uint64_t count(SidecarCount which) const { return counts_[static_cast<std::size_t>(which)]; }
+
+private:
+    struct SavedForward {
+        Forward forward; // its packet refers to `packet`
+        core::Segment segment;
+        std::vector<std::uint8_t> packet;
+        base::TimePoint at {};
+    };
+
+    struct Timed {
+        core::FlowKey key;
+        base::TimePoint at {};
+    };
+
+    struct KnownBalancer {
+        std::uint64_t epoch = 0;
+        base::TimePoint heardAt {};
+    };
+
+    using SavedForwards = boost::unordered_flat_map<core::FlowKey, SavedForward, core::FlowKeyHash>;
+
+    void bump(SidecarCount which) { ++counts_[static_cast<std::size_t>(which)]; }
+    void decided(DecisionKind kind, const core::FlowKey& key, std::string_view reason, base::TimePoint now);
+    static SavedForward save(const Forward& forward, const core::Segment& segment, base::TimePoint now);
+
+    void onSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
+    void takeSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
+    void passSynOn(const Forward& forward, const core::Segment& segment, std::string_view reason, base::TimePoint now);
+    std::string_view whyNot(const Forward& forward, base::TimePoint now) const;
+    void onUnknown(const Forward& forward, const core::Segment& segment, base::TimePoint now);
+    bool tryHost(const Forward& forward, const core::Segment& segment, base::TimePoint now);
+    void passOn(Forward forward, const core::Segment& segment, base::TimePoint now);
+    bool sendToNext(Forward forward);
+    bool settleOpening(
+        core::FlowRecord& record, const Forward& forward, const core::Segment& segment, base::TimePoint now);
+    void deliver(core::FlowRecord& record, const core::Segment& segment, core::Bytes packet, base::TimePoint now);
+    void adopt(const core::Segment& segment, base::TimePoint now);
+    void endFlow(const core::FlowKey& key);
+    void closeIfFinished(core::FlowRecord& record, const core::FlowKey& key, base::TimePoint now);
+    void resetAll(std::string_view reason, base::TimePoint now);
+    void setAwaiting(core::FlowRecord& record, bool awaiting);
+
+    void claimTo(const Endpoint& balancer, const core::FlowKey& key, base::TimePoint now);
+    void noteHeld(const core::FlowKey& key);
+    void sendReports(base::TimePoint now);
+    void sendAll(const Endpoint& balancer, base::TimePoint now);
+    void announceIfChanged(base::TimePoint now);
+    void expireOpening(base::TimePoint now);
+    void sweep(base::TimePoint now);
+    void noticePause(base::TimePoint now);
+    std::uint32_t secondsAt(base::TimePoint now) const;
+
+    SidecarRules rules_;
+    SidecarOutput& output_;
+    base::TimePoint start_;
+    HostStatus host_;
+    HostState announced_ = HostState::Gone;
+    core::FlowTable table_;
+    std::uint32_t awaiting_ = 0; // flows whose record says awaitingAnswer
+    SavedForwards opening_; // SYNs the host has not answered
+    SavedForwards tried_; // packets on trial at the host
+    std::deque<Timed> openingQueue_;
+    std::deque<Timed> closedQueue_;
+    boost::unordered_flat_map<core::FlowKey, base::TimePoint, core::FlowKeyHash> triedAt_;
+    boost::unordered_flat_map<Endpoint, KnownBalancer, core::EndpointHash> balancers_;
+    std::vector<core::FlowKey> heldSinceReport_;
+    std::vector<FlowClaim> endedSinceReport_;
+    base::TimePoint unansweredAt_ {}; // when the host last left a SYN unanswered
+    base::TimePoint lastReport_;
+    base::TimePoint lastTick_;
+    base::TimePoint nextSweep_;
+    std::uint64_t checkpointVersion_ = 0;
+    std::array<std::uint64_t, sidecarCounts> counts_ {};
+};
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/include/celerystile/peer/fleet_message.hpp
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "celerystile/fleet/message.hpp"
+#include "celerystile/peer/message.hpp"
+
+/// @file
+/// @brief The bytes of messages in a fleet with a registry: a keyed hash, then a Cap'n Proto message. IPv4 only.
+
+namespace celerystile::peer {
+
+/// @brief Largest value that is read from the store: a checkpoint of some thousand flows.
+inline constexpr std::size_t maxStoredBytes = 512 * 1024;
+
+/// @brief Writes the message with its keyed hash into the buffer.
+void encode(const fleet::Message& message, const Keyring& keyring, DatagramBuffer& out);
+
+/// @brief Writes a packet on its way to a sidecar; saves a copy over the variant.
+void encode(const fleet::Forward& forward, const Keyring& keyring, DatagramBuffer& out);
+
+/// @brief Reads a message. @pre its bytes are aligned to 8.
+base::Result<fleet::Message> decodeFleet(
+    core::Bytes sealed, const Keyring& keyring, std::size_t limit = maxDatagramBytes);
+
+} // namespace celerystile::peer
--- a/include/celerystile/platform/client.hpp
+++ b/include/celerystile/store/client.hpp
@@ -11,7 +11,7 @@
 /// @file
 /// @brief The platform's key-value service, met through the etcd v3 JSON gateway.
 
-namespace celerystile::platform {
+namespace celerystile::store {
 
 /// @brief Leased keys that name entry points for newcomers; fixed, whatever the fleet's size.
 inline constexpr std::size_t entrySlots = 4;
@@ -100,4 +100,4 @@
 /// @param base the generation that the edit started from; 0: there was none
 boost::asio::awaitable<SubmitReport> submit(Client& client, Record record, core::Generation base);
 
-} // namespace celerystile::platform
+} // namespace celerystile::store
--- /dev/null
+++ b/include/celerystile/store/prefix_watch.hpp
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "celerystile/store/key_value.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <functional>
+#include <map>
+
+/// @file
+/// @brief All keys under a prefix, kept up to date through outages, cut watches and lost history.
+
+namespace celerystile::store {
+
+/// @brief Settings of a watch.
+struct PrefixWatchRules {
+    std::chrono::milliseconds wait { 8'000 }; ///< longest time of one call; the connection is probed meanwhile
+    std::chrono::milliseconds retryDelay { 250 }; ///< after a failed call
+};
+
+/// @brief Watches a prefix. Runs on one io_context.
+class PrefixWatch {
+public:
+    using Items = std::map<std::string, Item, std::less<>>;
+
+    /// @brief Told of every change, with all keys as they are now.
+    using Handler = std::function<void(const Items&)>;
+
+    /// @brief Told when the store stops answering and when it answers again.
+    using HealthHandler = std::function<void(bool answers, const std::string& detail)>;
+
+    PrefixWatch(KeyValueStore& store, boost::asio::io_context& context, std::string prefix, PrefixWatchRules rules,
+        Handler handler, HealthHandler health);
+
+    /// @brief Runs until stop().
+    boost::asio::awaitable<void> run();
+    void stop();
+
+private:
+    boost::asio::awaitable<bool> listAll();
+    boost::asio::awaitable<bool> waitForChanges();
+    void apply(const Change& change);
+    bool answered(bool answers, const std::string& detail);
+
+    KeyValueStore& store_;
+    boost::asio::steady_timer timer_;
+    std::string prefix_;
+    PrefixWatchRules rules_;
+    Handler handler_;
+    HealthHandler health_;
+    Items items_;
+    Revision revision_ = 0;
+    bool listed_ = false;
+    bool answers_ = true;
+    bool stopped_ = false;
+};
+
+} // namespace celerystile::store
--- a/src/celerystile/base/events.cpp
+++ b/src/celerystile/base/events.cpp
@@ -66,6 +66,23 @@
         EventInfo { Event::BackendReady, Level::Info, "backend_ready", "The health endpoint says ready.", "-" },
         EventInfo { Event::DependencyWithoutHost, Level::Alarm, "dependency_without_host",
             "A service that another one depends on has no ready host.", "Bring up a host of the named service." },
+        EventInfo { Event::FlowPlaced, Level::Info, "flow_placed", "A new flow was sent to a host.", "-" },
+        EventInfo { Event::FlowMovedOn, Level::Info, "flow_moved_on", "A new flow goes on to another host before it was open anywhere.", "-" },
+        EventInfo { Event::FlowRefused, Level::Warning, "flow_refused", "A new flow was answered with a reset; nothing of it has run.", "Read the reason; add hosts or correct the routes." },
+        EventInfo { Event::FlowAdopted, Level::Info, "flow_adopted", "After a restart the sidecar learned that its host holds the flow.", "-" },
+        EventInfo { Event::FlowLost, Level::Warning, "flow_lost", "The host does not hold a flow that it held before.", "Look for a restart of that host." },
+        EventInfo { Event::FlowReset, Level::Warning, "flow_reset", "The host of an open flow has ended and its caller was told so.", "Look at that host." },
+        EventInfo { Event::PacketUnclaimed, Level::Warning, "packet_unclaimed", "No sidecar holds the packet's flow; the caller will retransmit.", "If it recurs for one flow, look for its host's restart." },
+        EventInfo { Event::LinesSuppressed, Level::Info, "lines_suppressed", "More decisions were made in a second than are written.", "Read the counters." },
+        EventInfo { Event::HeartbeatRefused, Level::Warning, "heartbeat_refused", "A heartbeat could not be understood; it names no host to use.", "Look for another writer." },
+        EventInfo { Event::HostStarted, Level::Info, "host_started", "The host beside the sidecar has started a new incarnation.", "-" },
+        EventInfo { Event::HostStateChanged, Level::Info, "host_state_changed", "The host drains, fell silent or is back.", "-" },
+        EventInfo { Event::HostLeft, Level::Info, "host_left", "The host has said that it ends.", "-" },
+        EventInfo { Event::CheckpointRead, Level::Info, "checkpoint_read", "What the predecessor of this process left in the store was read.", "-" },
+        EventInfo { Event::RegistryChanged, Level::Info, "registry_changed", "The registry's list of hosts is different.", "-" },
+        EventInfo { Event::RegistryEntryUnreadable, Level::Warning, "registry_entry_unreadable", "An entry of the registry can't be read; it names no host to use.", "Look for another writer, or for a key that differs." },
+        EventInfo { Event::SettingsReloaded, Level::Info, "settings_reloaded", "The settings file was read again.", "-" },
+        EventInfo { Event::TaskFailed, Level::Alarm, "task_failed", "A control task ended by an error and was started again.", "Report it with the detail." },
     };
 
     el::Level toElpp(Level level)
--- a/src/celerystile/base/http.cpp
+++ b/src/celerystile/base/http.cpp
@@ -5,7 +5,10 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <optional>
+#include <sys/socket.h>
 
 namespace celerystile::base {
 
@@ -21,24 +24,44 @@
     asio::awaitable<void> serveOne(asio::ip::tcp::socket socket, const HttpHandler& handler)
     {
         beast::tcp_stream stream(std::move(socket));
-        stream.expires_after(serverTimeout);
         beast::flat_buffer buffer;
-        http::request_parser<http::string_body> parser;
-        parser.body_limit(maxHttpBodyBytes);
-        if (const auto [error, size] = co_await http::async_read(stream, buffer, parser, asValues); error)
-            co_return;
-        HttpRequest request { std::string(parser.get().target()), std::move(parser.get().body()) };
-        const auto reply = co_await handler(std::move(request));
-        http::response<http::string_body> response { static_cast<http::status>(reply.status), httpVersion };
-        response.set(http::field::content_type, reply.contentType);
-        response.keep_alive(false);
-        response.body() = reply.body;
-        response.prepare_payload();
-        co_await http::async_write(stream, response, asValues);
+        bool open = true;
+        while (open) {
+            stream.expires_after(serverTimeout);
+            http::request_parser<http::string_body> parser;
+            parser.body_limit(maxHttpBodyBytes);
+            if (const auto [error, size] = co_await http::async_read(stream, buffer, parser, asValues); error)
+                co_return;
+            open = parser.get().keep_alive();
+            HttpRequest request { std::string(parser.get().target()), std::move(parser.get().body()),
+                std::string(parser.get().method_string()) };
+            const auto reply = co_await handler(std::move(request));
+            http::response<http::string_body> response { static_cast<http::status>(reply.status), httpVersion };
+            response.set(http::field::content_type, reply.contentType);
+            response.keep_alive(open);
+            response.body() = reply.body;
+            response.prepare_payload();
+            if (const auto [error, size] = co_await http::async_write(stream, response, asValues); error)
+                co_return;
+        }
         beast::error_code ignored;
         stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     }
 
+    // Without probes a connection that has fallen silent would look like one on which nothing happens.
+    void probeWhenIdle(asio::ip::tcp::socket& socket)
+    {
+        constexpr int on = 1;
+        constexpr int seconds = 1;
+        constexpr int probes = 2;
+        const auto handle = socket.native_handle();
+        ::setsockopt(handle, SOL_SOCKET, SO_KEEPALIVE, &on, sizeof(on));
+        ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPIDLE, &seconds, sizeof(seconds));
+        ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPINTVL, &seconds, sizeof(seconds));
+        ::setsockopt(handle, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
+        ::setsockopt(handle, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    }
+
 } // namespace
 
 asio::awaitable<Result<HttpReply>> httpExchange(
@@ -64,6 +87,45 @@
         std::string(parser.get()[http::field::content_type]) };
 }
 
+asio::awaitable<Result<HttpReply>> HttpConnection::exchange(HttpRequest request, std::chrono::milliseconds timeout)
+{
+    if (!stream_) {
+        auto opened = co_await connect(to_, timeout);
+        if (!opened)
+            co_return tl::make_unexpected(opened.error());
+        stream_.emplace(std::move(*opened));
+        probeWhenIdle(stream_->socket());
+    }
+    auto reply = co_await exchangeOpen(request, timeout);
+    if (!reply)
+        stream_.reset();
+    co_return reply;
+}
+
+asio::awaitable<Result<HttpReply>> HttpConnection::exchangeOpen(
+    const HttpRequest& request, std::chrono::milliseconds timeout)
+{
+    http::request<http::string_body> outgoing { http::string_to_verb(request.method), request.target, httpVersion };
+    outgoing.set(http::field::host, to_.toString());
+    if (!request.body.empty())
+        outgoing.set(http::field::content_type, "application/json");
+    outgoing.body() = request.body;
+    outgoing.prepare_payload();
+    stream_->expires_after(timeout);
+    if (const auto [error, size] = co_await http::async_write(*stream_, outgoing, asValues); error)
+        co_return failure(ErrorCode::Unavailable, to_.toString() + ": " + error.message());
+    beast::flat_buffer buffer;
+    http::response_parser<http::string_body> parser;
+    parser.body_limit(maxHttpBodyBytes);
+    if (const auto [error, size] = co_await http::async_read(*stream_, buffer, parser, asValues); error)
+        co_return failure(ErrorCode::Unavailable, to_.toString() + ": " + error.message());
+    HttpReply reply { static_cast<unsigned>(parser.get().result_int()), std::move(parser.get().body()),
+        std::string(parser.get()[http::field::content_type]) };
+    if (!parser.get().keep_alive())
+        stream_.reset();
+    co_return reply;
+}
+
 asio::awaitable<void> serveHttp(asio::ip::tcp::acceptor& acceptor, HttpHandler handler)
 {
     const auto executor = co_await asio::this_coro::executor;
--- /dev/null
+++ b/src/celerystile/fleet/balancer.cpp
@@ -0,0 +1,272 @@
+#include "celerystile/fleet/balancer.hpp"
+
+#include <algorithm>
+
+namespace celerystile::fleet {
+
+namespace {
+
+    constexpr base::Duration sweepInterval = std::chrono::seconds(1);
+    constexpr double helloBytes = 120; // a sealed BalancerHello with its UDP and IP headers
+
+    constexpr std::array<std::string_view, balancerCounts> countNames {
+        "forwarded_owned",
+        "forwarded_lookup",
+        "flows_placed",
+        "syn_retried",
+        "syn_refused",
+        "drop_no_route",
+        "drop_no_host",
+        "drop_unsettled",
+    };
+
+    bool contains(const std::vector<Endpoint>& list, const Endpoint& sidecar)
+    {
+        return std::find(list.begin(), list.end(), sidecar) != list.end();
+    }
+
+} // namespace
+
+std::string_view toString(BalancerCount count) { return countNames[static_cast<std::size_t>(count)]; }
+
+Balancer::Balancer(BalancerRules rules, const Placement& placement, BalancerOutput& output, base::TimePoint start)
+    : rules_(rules)
+    , placement_(placement)
+    , output_(output)
+    , board_(rules.board)
+    , owners_(rules.maxFlows)
+    , nextHello_(start)
+    , nextSweep_(start + sweepInterval)
+{
+}
+
+void Balancer::setRegistry(const std::vector<HostRecord>& records, base::TimePoint now)
+{
+    registryKnown_ = true;
+    std::vector<Endpoint> newcomers;
+    for (const auto& record : records) {
+        if (!board_.find(record.sidecar))
+            newcomers.push_back(record.sidecar);
+    }
+    board_.setRegistered(records, now);
+    for (const auto& sidecar : newcomers)
+        output_.tell(sidecar, BalancerHello { rules_.self, rules_.epoch });
+}
+
+void Balancer::onPacket(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
+{
+    if (segment.opens())
+        return onSyn(segment, packet, now);
+    const auto owner = owners_.resolve(segment, now);
+    if (!owner)
+        return lookUp(segment, packet, now);
+    bump(BalancerCount::ForwardedOwned);
+    Forward forward;
+    forward.purpose = ForwardPurpose::Owned;
+    forward.balancer = rules_.self;
+    forward.packet = packet;
+    output_.forward(*owner, forward);
+}
+
+void Balancer::onSyn(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
+{
+    const bool copy = segment.acknowledgement > 0;
+    const auto owner = owners_.resolve(segment, now);
+    if (owner && copy) {
+        Forward forward;
+        forward.purpose = ForwardPurpose::Owned;
+        forward.balancer = rules_.self;
+        forward.packet = packet;
+        return output_.forward(*owner, forward);
+    }
+    if (owner)
+        owners_.forget(segment.key); // the caller uses its port again: a new flow
+    if (const auto found = pending_.find(segment.key); found != pending_.end()) {
+        found->second.packet.assign(packet.begin(), packet.end());
+        found->second.segment = segment;
+        return retry(found->second, now);
+    }
+    const auto* route = routes_->find(segment.key.service);
+    if (!route)
+        return refuse(segment, "no route");
+    if (!registryKnown_ || pending_.size() >= rules_.maxPendingSyns)
+        return bump(BalancerCount::DropUnsettled);
+    PendingSyn pending;
+    pending.segment = segment;
+    pending.packet.assign(packet.begin(), packet.end());
+    pending.service = route->select(segment.key.hash());
+    pending.expiresAt = now + rules_.synLifetime;
+    auto& stored = pending_.insert_or_assign(segment.key, std::move(pending)).first->second;
+    place(stored, "new flow", now);
+}
+
+// Asks the hosts that have not been asked yet; without any the caller is refused at once.
+void Balancer::place(PendingSyn& pending, std::string_view reason, base::TimePoint now)
+{
+    auto hosts = board_.usable(pending.service, now);
+    std::erase_if(hosts, [&](const KnownHost* host) { return contains(pending.tried, host->record.sidecar); });
+    if (hosts.empty()) {
+        bump(BalancerCount::DropNoHost);
+        const auto segment = pending.segment;
+        pending_.erase(segment.key);
+        return refuse(segment, "no host takes it");
+    }
+    pending.candidates
+        = placement_.order(hosts, { pending.segment.key.hash(), rules_.failureDomain, now });
+    pending.position = 0;
+    sendSyn(pending, reason, now);
+}
+
+void Balancer::sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now)
+{
+    const auto& to = pending.candidates[pending.position];
+    const auto* host = board_.find(to);
+    output_.decided({ DecisionKind::FlowPlaced, pending.segment.key, reason, to, routes_->version,
+        host ? host->load() : 0, host ? now - host->heardAt : base::Duration { 0 } });
+    board_.notePlaced(to);
+    bump(BalancerCount::FlowsPlaced);
+    pending.retryAt = now + rules_.synPatience;
+    Forward forward;
+    forward.purpose = ForwardPurpose::Open;
+    forward.service = pending.service;
+    forward.balancer = rules_.self;
+    forward.candidates = pending.candidates;
+    forward.position = pending.position;
+    forward.packet = pending.packet;
+    output_.forward(to, forward);
+}
+
+void Balancer::retry(PendingSyn& pending, base::TimePoint now)
+{
+    bump(BalancerCount::SynRetried);
+    const auto& silent = pending.candidates[pending.position];
+    board_.noteUnanswered(silent, now);
+    if (pending.position + 1U < pending.candidates.size()) {
+        ++pending.position;
+        return sendSyn(pending, "no answer from the host before", now);
+    }
+    // Everybody has been asked once: the next copy starts over, since a host may be back by then.
+    pending.tried.clear();
+    place(pending, "no answer from any host", now);
+}
+
+void Balancer::refuse(const core::Segment& segment, std::string_view reason)
+{
+    bump(BalancerCount::SynRefused);
+    output_.decided({ DecisionKind::FlowRefused, segment.key, reason, std::nullopt, routes_->version, 0, {} });
+    output_.reset(segment);
+}
+
+void Balancer::lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
+{
+    const auto* route = routes_->find(segment.key.service);
+    if (!route)
+        return bump(BalancerCount::DropNoRoute);
+    std::vector<std::pair<std::uint64_t, Endpoint>> ranked;
+    for (const auto& target : route->targets) {
+        for (const auto* host : board_.holding(target.service))
+            ranked.emplace_back(
+                rendezvousScore(segment.key.hash(), host->record.sidecar), host->record.sidecar);
+    }
+    std::sort(ranked.begin(), ranked.end(), std::greater<> {});
+    Forward forward;
+    forward.purpose = ForwardPurpose::Lookup;
+    forward.balancer = rules_.self;
+    forward.packet = packet;
+    for (const auto& [score, sidecar] : ranked) {
+        if (forward.candidates.size() < maxCandidates)
+            forward.candidates.push_back(sidecar);
+    }
+    if (forward.candidates.empty())
+        return bump(BalancerCount::DropNoHost);
+    bump(BalancerCount::ForwardedLookup);
+    output_.forward(forward.candidates.front(), forward);
+    (void)now;
+}
+
+void Balancer::onReport(const FlowReport& report, base::TimePoint now)
+{
+    board_.noteHeard(report.host, now);
+    for (const auto& claim : report.held) {
+        owners_.claim(report.host.sidecar, claim, now);
+        pending_.erase(claim.key);
+    }
+    for (const auto& claim : report.ended)
+        owners_.end(report.host.sidecar, claim.key);
+}
+
+void Balancer::onSidecarHello(const SidecarHello& hello)
+{
+    output_.tell(hello.sidecar, BalancerHello { rules_.self, rules_.epoch });
+    const auto flows = owners_.heldBy(hello.sidecar);
+    for (std::size_t at = 0; at < flows.size(); at += maxFlowsPerDatagram) {
+        const auto end = std::min(flows.size(), at + maxFlowsPerDatagram);
+        HeldFlows part;
+        part.flows.assign(flows.begin() + static_cast<std::ptrdiff_t>(at), flows.begin() + static_cast<std::ptrdiff_t>(end));
+        output_.tell(hello.sidecar, part);
+    }
+}
+
+void Balancer::onDeclined(const SynDeclined& declined, base::TimePoint now)
+{
+    const auto found = pending_.find(declined.key);
+    if (found == pending_.end())
+        return;
+    auto& pending = found->second;
+    for (const auto& candidate : pending.candidates) {
+        if (!contains(pending.tried, candidate))
+            pending.tried.push_back(candidate);
+    }
+    place(pending, "declined by the hosts before", now);
+}
+
+void Balancer::tick(base::TimePoint now)
+{
+    std::vector<core::FlowKey> due;
+    for (const auto& [key, pending] : pending_) {
+        if (now >= pending.retryAt)
+            due.push_back(key);
+    }
+    for (const auto& key : due) {
+        const auto found = pending_.find(key);
+        if (found == pending_.end())
+            continue;
+        auto& pending = found->second;
+        if (now >= pending.expiresAt) {
+            pending_.erase(found);
+            continue;
+        }
+        const bool more = pending.position + 1U < pending.candidates.size();
+        if (more)
+            retry(pending, now);
+        else
+            pending.retryAt = pending.expiresAt; // the caller's next copy goes on
+    }
+    if (now >= nextHello_)
+        sayHello(now);
+    if (now >= nextSweep_) {
+        owners_.expire(routes_->idleTimeout * 2, now);
+        board_.expire(now);
+        nextSweep_ = now + sweepInterval;
+    }
+}
+
+// The more hosts there are, the rarer each hears of this balancer: the bytes a second stay the same.
+void Balancer::sayHello(base::TimePoint now)
+{
+    for (const auto& [sidecar, host] : board_.hosts())
+        output_.tell(sidecar, BalancerHello { rules_.self, rules_.epoch });
+    const std::chrono::duration<double> paced(
+        static_cast<double>(board_.hosts().size()) * helloBytes / rules_.controlBytesPerSecond);
+    nextHello_ = now + std::max(rules_.helloInterval, std::chrono::duration_cast<base::Duration>(paced));
+}
+
+base::TimePoint Balancer::nextTick() const
+{
+    auto next = std::min(nextHello_, nextSweep_);
+    for (const auto& [key, pending] : pending_)
+        next = std::min(next, pending.retryAt);
+    return next;
+}
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/fleet/host_board.cpp
@@ -0,0 +1,106 @@
+#include "celerystile/fleet/host_board.hpp"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+
+namespace celerystile::fleet {
+
+std::string_view toString(HostState state)
+{
+    constexpr std::array<std::string_view, 4> names { "ready", "draining", "silent", "gone" };
+    return names[static_cast<std::size_t>(state)];
+}
+
+namespace {
+
+    // A sidecar that restarts speaks for the same host; a host that restarts has another time of birth.
+    bool isOlder(const HostRecord& a, const HostRecord& b)
+    {
+        return std::tie(a.born, a.epoch) < std::tie(b.born, b.epoch);
+    }
+
+} // namespace
+
+void HostBoard::update(KnownHost& host, const HostRecord& record, base::TimePoint now)
+{
+    host.record = record;
+    host.coldUntil = now + std::chrono::milliseconds(record.coldMilliseconds);
+}
+
+void HostBoard::setRegistered(const std::vector<HostRecord>& records, base::TimePoint now)
+{
+    for (auto& [sidecar, host] : hosts_)
+        host.registered = false;
+    for (const auto& record : records) {
+        const auto [entry, added] = hosts_.try_emplace(record.sidecar);
+        auto& host = entry->second;
+        host.registered = true;
+        // What the sidecar says itself is fresher than its entry, unless the entry is of a later incarnation.
+        const bool direct = !added && now - host.heardAt < rules_.heardLifetime;
+        if (added || isOlder(host.record, record) || (!direct && !isOlder(record, host.record)))
+            update(host, record, now);
+    }
+    expire(now);
+}
+
+void HostBoard::noteHeard(const HostRecord& record, base::TimePoint now)
+{
+    const auto [entry, added] = hosts_.try_emplace(record.sidecar);
+    auto& host = entry->second;
+    if (!added && isOlder(record, host.record))
+        return;
+    update(host, record, now);
+    host.heardAt = now;
+    host.suspectedUntil = {};
+    host.placedSinceReport = 0;
+}
+
+void HostBoard::notePlaced(const Endpoint& sidecar)
+{
+    if (const auto found = hosts_.find(sidecar); found != hosts_.end())
+        ++found->second.placedSinceReport;
+}
+
+void HostBoard::noteUnanswered(const Endpoint& sidecar, base::TimePoint now)
+{
+    if (const auto found = hosts_.find(sidecar); found != hosts_.end())
+        found->second.suspectedUntil = now + rules_.suspicion;
+}
+
+void HostBoard::expire(base::TimePoint now)
+{
+    boost::unordered::erase_if(hosts_, [&](const Map::value_type& entry) {
+        return !entry.second.registered && now - entry.second.heardAt >= rules_.heardLifetime;
+    });
+}
+
+std::vector<const KnownHost*> HostBoard::usable(ServiceId service, base::TimePoint now) const
+{
+    std::vector<const KnownHost*> hosts;
+    std::vector<const KnownHost*> suspected;
+    for (const auto& [sidecar, host] : hosts_) {
+        if (host.record.service != service || host.record.state != HostState::Ready)
+            continue;
+        (now < host.suspectedUntil ? suspected : hosts).push_back(&host);
+    }
+    return hosts.empty() ? suspected : hosts;
+}
+
+std::vector<const KnownHost*> HostBoard::holding(ServiceId service) const
+{
+    std::vector<const KnownHost*> hosts;
+    for (const auto& [sidecar, host] : hosts_) {
+        if (host.record.service == service && host.record.state != HostState::Gone)
+            hosts.push_back(&host);
+    }
+    return hosts;
+}
+
+const KnownHost* HostBoard::find(const Endpoint& sidecar) const
+{
+    const auto found = hosts_.find(sidecar);
+    return found == hosts_.end() ? nullptr : &found->second;
+}
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/fleet/host_status.cpp
@@ -0,0 +1,71 @@
+#include "celerystile/fleet/host_status.hpp"
+
+namespace celerystile::fleet {
+
+HeartbeatOutcome HostStatus::note(const HostReport& report, base::TimePoint now)
+{
+    const bool sameIncarnation = known_ && report.born == born_;
+    if (known_ && report.born < born_)
+        return HeartbeatOutcome::Late;
+    if (sameIncarnation && report.sequence <= sequence_)
+        return HeartbeatOutcome::Late;
+    const auto service = core::hashName(report.service);
+    const auto told = report.draining ? HostState::Draining : HostState::Ready;
+    const bool wasSilent = state(now) == HostState::Silent;
+    const bool changed = wasSilent || service != service_ || told != told_ || report.slots != slots_;
+    known_ = true;
+    id_ = report.id;
+    service_ = service;
+    born_ = report.born;
+    sequence_ = report.sequence;
+    slots_ = report.slots;
+    told_ = told;
+    coldUntil_ = now + report.coldLeft;
+    heardAt_ = now;
+    aliveAt_ = now;
+    if (!sameIncarnation)
+        return HeartbeatOutcome::FirstOfIncarnation;
+    return changed ? HeartbeatOutcome::Changed : HeartbeatOutcome::Same;
+}
+
+bool HostStatus::noteLeave(const std::string& id)
+{
+    if (known_ && !id_.empty() && id != id_)
+        return false;
+    told_ = HostState::Gone;
+    known_ = true;
+    return true;
+}
+
+void HostStatus::restore(const HostRecord& record, base::TimePoint now)
+{
+    if (known_ || record.state == HostState::Gone)
+        return;
+    known_ = true;
+    service_ = record.service;
+    born_ = record.born;
+    slots_ = record.slots;
+    told_ = record.state == HostState::Draining ? HostState::Draining : HostState::Ready;
+    coldUntil_ = now + std::chrono::milliseconds(record.coldMilliseconds);
+    heardAt_ = now;
+}
+
+HostState HostStatus::state(base::TimePoint now) const
+{
+    if (told_ != HostState::Gone && now - heardAt_ >= rules_.silentAfter)
+        return HostState::Silent;
+    return told_;
+}
+
+bool HostStatus::dead(base::TimePoint now) const
+{
+    return known_ && now - heardAt_ >= rules_.deadAfter && now - aliveAt_ >= rules_.deadAfter;
+}
+
+std::chrono::milliseconds HostStatus::coldLeft(base::TimePoint now) const
+{
+    return now >= coldUntil_ ? std::chrono::milliseconds(0)
+                             : std::chrono::duration_cast<std::chrono::milliseconds>(coldUntil_ - now);
+}
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/fleet/owner_table.cpp
@@ -0,0 +1,86 @@
+#include "celerystile/fleet/owner_table.hpp"
+
+namespace celerystile::fleet {
+
+bool acknowledges(std::uint32_t acknowledgement, std::uint32_t hostSequence)
+{
+    return acknowledgement == hostSequence || acknowledgement == hostSequence + 1;
+}
+
+void OwnerTable::claim(const Endpoint& sidecar, const FlowClaim& claim, base::TimePoint now)
+{
+    const auto found = flows_.find(claim.key);
+    if (found == flows_.end()) {
+        if (flows_.size() < maxFlows_)
+            flows_.emplace(claim.key, Flow { { sidecar, claim.hostSequence }, std::nullopt, claim.proven, now });
+        return;
+    }
+    auto& flow = found->second;
+    flow.seenAt = now;
+    if (flow.first.sidecar == sidecar) {
+        flow.first.hostSequence = claim.hostSequence;
+        flow.proven = flow.proven || claim.proven;
+        if (claim.proven)
+            flow.second.reset();
+        return;
+    }
+    if (claim.proven) {
+        flow = { { sidecar, claim.hostSequence }, std::nullopt, true, now };
+        return;
+    }
+    if (!flow.proven)
+        flow.second = Claim { sidecar, claim.hostSequence };
+}
+
+void OwnerTable::end(const Endpoint& sidecar, const core::FlowKey& key)
+{
+    const auto found = flows_.find(key);
+    if (found == flows_.end())
+        return;
+    auto& flow = found->second;
+    if (flow.second && flow.second->sidecar == sidecar) {
+        flow.second.reset();
+        return;
+    }
+    if (flow.first.sidecar != sidecar)
+        return;
+    if (!flow.second) {
+        flows_.erase(found);
+        return;
+    }
+    flow.first = *flow.second;
+    flow.second.reset();
+}
+
+std::optional<Endpoint> OwnerTable::resolve(const core::Segment& segment, base::TimePoint now)
+{
+    const auto found = flows_.find(segment.key);
+    if (found == flows_.end())
+        return std::nullopt;
+    auto& flow = found->second;
+    flow.seenAt = now;
+    if (segment.opens() || flow.proven)
+        return flow.first.sidecar;
+    if (flow.second && acknowledges(segment.acknowledgement, flow.second->hostSequence))
+        flow.first = *flow.second;
+    flow.second.reset();
+    flow.proven = true;
+    return flow.first.sidecar;
+}
+
+std::vector<FlowClaim> OwnerTable::heldBy(const Endpoint& sidecar) const
+{
+    std::vector<FlowClaim> flows;
+    for (const auto& [key, flow] : flows_) {
+        if (flow.proven && flow.first.sidecar == sidecar)
+            flows.push_back({ key, flow.first.hostSequence, true });
+    }
+    return flows;
+}
+
+void OwnerTable::expire(base::Duration idle, base::TimePoint now)
+{
+    boost::unordered::erase_if(flows_, [&](const auto& entry) { return now - entry.second.seenAt >= idle; });
+}
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/fleet/placement.cpp
@@ -0,0 +1,125 @@
+#include "celerystile/fleet/placement.hpp"
+
+#include "celerystile/base/random.hpp"
+
+#include <algorithm>
+
+namespace celerystile::fleet {
+
+namespace {
+
+    struct Ranked {
+        const KnownHost* host;
+        std::uint64_t score;
+        double load = 0;
+    };
+
+    std::vector<Ranked> rankByHash(const std::vector<const KnownHost*>& hosts, std::uint64_t flowHash)
+    {
+        std::vector<Ranked> ranked;
+        ranked.reserve(hosts.size());
+        for (const auto* host : hosts)
+            ranked.push_back({ host, rendezvousScore(flowHash, host->record.sidecar) });
+        std::sort(ranked.begin(), ranked.end(), [](const Ranked& a, const Ranked& b) { return a.score > b.score; });
+        return ranked;
+    }
+
+    CandidateList firstOf(const std::vector<Ranked>& ranked)
+    {
+        CandidateList list;
+        for (const auto& entry : ranked) {
+            if (list.size() == maxCandidates)
+                break;
+            list.push_back(entry.host->record.sidecar);
+        }
+        return list;
+    }
+
+    bool isLocal(const KnownHost& host, const PlacementInput& input)
+    {
+        return host.record.failureDomain == input.failureDomain;
+    }
+
+    class RendezvousPlacement final : public Placement {
+    public:
+        std::string_view name() const override { return "rendezvous"; }
+
+        CandidateList order(const std::vector<const KnownHost*>& hosts, const PlacementInput& input) const override
+        {
+            return firstOf(rankByHash(hosts, input.flowHash));
+        }
+    };
+
+    class LocalFirstPlacement final : public Placement {
+    public:
+        std::string_view name() const override { return "local-first"; }
+
+        CandidateList order(const std::vector<const KnownHost*>& hosts, const PlacementInput& input) const override
+        {
+            auto ranked = rankByHash(hosts, input.flowHash);
+            std::stable_partition(
+                ranked.begin(), ranked.end(), [&](const Ranked& entry) { return isLocal(*entry.host, input); });
+            return firstOf(ranked);
+        }
+    };
+
+    class LeastLoadedPlacement final : public Placement {
+    public:
+        explicit LeastLoadedPlacement(LeastLoadedRules rules)
+            : rules_(rules)
+        {
+        }
+
+        std::string_view name() const override { return "least-loaded"; }
+
+        CandidateList order(const std::vector<const KnownHost*>& hosts, const PlacementInput& input) const override
+        {
+            auto ranked = rankByHash(hosts, input.flowHash);
+            const auto sampled = std::min(rules_.sampled, ranked.size());
+            for (std::size_t i = 0; i < sampled; ++i)
+                ranked[i].load = loadOf(*ranked[i].host, input);
+            std::stable_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(sampled),
+                [](const Ranked& a, const Ranked& b) { return a.load < b.load; });
+            return firstOf(ranked);
+        }
+
+    private:
+        double loadOf(const KnownHost& host, const PlacementInput& input) const
+        {
+            const auto slots = std::max<std::uint32_t>(1, host.record.slots);
+            double load = static_cast<double>(host.load() + 1) / slots;
+            if (input.now < host.coldUntil)
+                load *= 1 + rules_.coldPenalty;
+            return isLocal(host, input) ? load : load + rules_.remoteMargin;
+        }
+
+        LeastLoadedRules rules_;
+    };
+
+} // namespace
+
+std::uint64_t rendezvousScore(std::uint64_t flowHash, const Endpoint& sidecar)
+{
+    return base::mix(flowHash ^ core::EndpointHash {}(sidecar));
+}
+
+std::unique_ptr<Placement> makeRendezvousPlacement() { return std::make_unique<RendezvousPlacement>(); }
+std::unique_ptr<Placement> makeLocalFirstPlacement() { return std::make_unique<LocalFirstPlacement>(); }
+
+std::unique_ptr<Placement> makeLeastLoadedPlacement(LeastLoadedRules rules)
+{
+    return std::make_unique<LeastLoadedPlacement>(rules);
+}
+
+std::unique_ptr<Placement> makePlacement(std::string_view name)
+{
+    if (name == "rendezvous")
+        return makeRendezvousPlacement();
+    if (name == "local-first")
+        return makeLocalFirstPlacement();
+    if (name == "least-loaded")
+        return makeLeastLoadedPlacement({});
+    return nullptr;
+}
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -0,0 +1,265 @@
+#include "celerystile/fleet/sidecar.hpp"
+
+#include <algorithm>
+
+// What a sidecar tells others of its flows and its host, and how it learns of flows that were open before it started.
+
+namespace celerystile::fleet {
+
+namespace {
+
+    constexpr std::uint8_t maxTrials = 2; // more packets at foreign hosts would disturb the flow
+
+    // Datagrams are kept small, so a long list takes several.
+    template <typename Item, typename Send> void inParts(const std::vector<Item>& items, Send send)
+    {
+        for (std::size_t at = 0; at < items.size(); at += maxFlowsPerDatagram) {
+            const auto end = std::min(items.size(), at + maxFlowsPerDatagram);
+            send(std::vector<Item>(items.begin() + static_cast<std::ptrdiff_t>(at),
+                items.begin() + static_cast<std::ptrdiff_t>(end)));
+        }
+    }
+
+} // namespace
+
+HostRecord Sidecar::record(base::TimePoint now) const
+{
+    HostRecord record;
+    record.sidecar = rules_.self;
+    record.service = host_.service();
+    record.failureDomain = rules_.failureDomain;
+    record.born = host_.born();
+    record.epoch = rules_.epoch;
+    record.slots = host_.slots();
+    record.state = host_.state(now);
+    record.coldMilliseconds = static_cast<std::uint32_t>(host_.coldLeft(now).count());
+    record.openFlows = table_.openFlows();
+    record.busyFlows = awaiting_;
+    return record;
+}
+
+HeartbeatOutcome Sidecar::onHeartbeat(const HostReport& report, base::TimePoint now)
+{
+    const bool restarted = host_.known() && host_.born() != 0 && report.born > host_.born();
+    if (restarted)
+        resetAll("the host has started anew", now);
+    const auto outcome = host_.note(report, now);
+    if (outcome == HeartbeatOutcome::FirstOfIncarnation || outcome == HeartbeatOutcome::Changed) {
+        announced_ = host_.state(now);
+        output_.announce(record(now));
+        sendReports(now);
+    }
+    return outcome;
+}
+
+void Sidecar::onLeave(const std::string& id, base::TimePoint now)
+{
+    if (host_.noteLeave(id))
+        announceIfChanged(now);
+}
+
+void Sidecar::announceIfChanged(base::TimePoint now)
+{
+    if (!host_.known() || host_.state(now) == announced_)
+        return;
+    announced_ = host_.state(now);
+    output_.announce(record(now));
+    sendReports(now);
+}
+
+void Sidecar::restore(const HostRecord& previous, base::TimePoint now)
+{
+    host_.restore(previous, now);
+    announceIfChanged(now);
+}
+
+void Sidecar::askBalancers(const std::vector<Endpoint>& balancers)
+{
+    for (const auto& balancer : balancers)
+        output_.tell(balancer, SidecarHello { rules_.self });
+}
+
+void Sidecar::onHello(const BalancerHello& hello, base::TimePoint now)
+{
+    auto& known = balancers_[hello.balancer];
+    known.heardAt = now;
+    if (known.epoch == hello.epoch)
+        return;
+    known.epoch = hello.epoch;
+    sendAll(hello.balancer, now);
+}
+
+void Sidecar::onHeldFlows(const HeldFlows& held, base::TimePoint now)
+{
+    if (held.born != 0 && host_.born() != 0 && held.born != host_.born())
+        return; // another incarnation of the host held them
+    for (const auto& claim : held.flows) {
+        if (table_.find(claim.key) || table_.size() >= rules_.maxFlows)
+            continue;
+        core::FlowRecord record;
+        record.state = core::FlowState::Open;
+        record.hostIsn = claim.hostSequence;
+        record.hostIsnKnown = claim.hostSequence != 0;
+        record.callerAck = claim.hostSequence;
+        record.lastSeen = secondsAt(now);
+        record.adopted = true;
+        table_.add(claim.key, record);
+        noteHeld(claim.key);
+        bump(SidecarCount::FlowsAdopted);
+        ++checkpointVersion_;
+    }
+}
+
+// The host speaks for the flow, so it holds it.
+void Sidecar::adopt(const core::Segment& segment, base::TimePoint now)
+{
+    if (table_.size() >= rules_.maxFlows)
+        return bump(SidecarCount::DropTableFull);
+    core::FlowRecord record;
+    record.state = segment.syn ? core::FlowState::Opening : core::FlowState::Open;
+    record.hostIsn = segment.syn ? segment.sequence : 0;
+    record.hostIsnKnown = segment.syn;
+    record.callerAck = segment.sequence;
+    record.lastSeen = secondsAt(now);
+    table_.add(segment.key, record);
+    noteHeld(segment.key);
+    bump(SidecarCount::FlowsAdopted);
+    decided(DecisionKind::FlowAdopted, segment.key, "the host answers on it", now);
+    ++checkpointVersion_;
+}
+
+void Sidecar::onUnknown(const Forward& forward, const core::Segment& segment, base::TimePoint now)
+{
+    if (tryHost(forward, segment, now))
+        return;
+    passOn(forward, segment, now);
+}
+
+// The host gives a packet back whose flow it does not hold, so asking it does no harm; asking many would.
+bool Sidecar::tryHost(const Forward& forward, const core::Segment& segment, base::TimePoint now)
+{
+    const bool relearning = now - start_ < rules_.relearnTime;
+    if (segment.rst || forward.trials >= maxTrials || !(relearning || forward.purpose == ForwardPurpose::Owned))
+        return false;
+    const auto [entry, first] = triedAt_.try_emplace(segment.key, now);
+    if (!first && now - entry->second < rules_.trialMemory)
+        return false;
+    entry->second = now;
+    auto& saved = tried_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
+    saved.forward.packet = saved.packet;
+    ++saved.forward.trials;
+    bump(SidecarCount::Trials);
+    output_.deliver(forward.packet);
+    return true;
+}
+
+void Sidecar::passOn(Forward forward, const core::Segment& segment, base::TimePoint now)
+{
+    if (forward.purpose == ForwardPurpose::Owned) {
+        // The balancer is mistaken; without this word it would send the next packet here again.
+        endedSinceReport_.push_back({ segment.key, 0, false });
+        FlowReport report;
+        report.host = record(now);
+        report.ended.push_back({ segment.key, 0, false });
+        output_.tell(forward.balancer, report);
+        return bump(SidecarCount::DropUnclaimed);
+    }
+    if (sendToNext(forward))
+        return bump(SidecarCount::PassedOn);
+    bump(SidecarCount::DropUnclaimed);
+    decided(DecisionKind::PacketUnclaimed, segment.key, "no sidecar holds the flow", now);
+}
+
+void Sidecar::resetAll(std::string_view reason, base::TimePoint now)
+{
+    std::vector<core::FlowKey> keys;
+    for (const auto& [key, record] : table_.records()) {
+        keys.push_back(key);
+        if (record.state != core::FlowState::Open || record.adopted)
+            continue;
+        core::Segment about;
+        about.key = key;
+        about.ack = true;
+        about.acknowledgement = record.callerAck;
+        output_.reset(about);
+        bump(SidecarCount::FlowsReset);
+        decided(DecisionKind::FlowReset, key, reason, now);
+    }
+    for (const auto& key : keys)
+        endFlow(key);
+}
+
+HeldFlows Sidecar::checkpoint() const
+{
+    HeldFlows held;
+    held.born = host_.born();
+    for (const auto& [key, record] : table_.records()) {
+        if (record.state == core::FlowState::Open)
+            held.flows.push_back({ key, record.hostIsn, true });
+    }
+    return held;
+}
+
+void Sidecar::claimTo(const Endpoint& balancer, const core::FlowKey& key, base::TimePoint now)
+{
+    const auto* record = table_.find(key);
+    if (!record)
+        return;
+    FlowReport report;
+    report.host = this->record(now);
+    report.held.push_back({ key, record->hostIsn, record->state == core::FlowState::Open });
+    output_.tell(balancer, report);
+}
+
+void Sidecar::noteHeld(const core::FlowKey& key) { heldSinceReport_.push_back(key); }
+
+void Sidecar::sendReports(base::TimePoint now)
+{
+    lastReport_ = now;
+    if (!host_.known())
+        return;
+    std::vector<FlowClaim> held;
+    for (const auto& key : heldSinceReport_) {
+        if (const auto* record = table_.find(key))
+            held.push_back({ key, record->hostIsn, record->state == core::FlowState::Open });
+    }
+    std::vector<FlowReport> reports(1);
+    reports.front().host = record(now);
+    inParts(held, [&](std::vector<FlowClaim> part) {
+        if (!reports.back().held.empty())
+            reports.push_back({ reports.front().host, {}, {} });
+        reports.back().held = std::move(part);
+    });
+    inParts(endedSinceReport_, [&](std::vector<FlowClaim> part) {
+        if (reports.back().held.size() + reports.back().ended.size() + part.size() > maxFlowsPerDatagram)
+            reports.push_back({ reports.front().host, {}, {} });
+        reports.back().ended = std::move(part);
+    });
+    for (const auto& [balancer, known] : balancers_) {
+        for (const auto& report : reports)
+            output_.tell(balancer, report);
+    }
+    heldSinceReport_.clear();
+    endedSinceReport_.clear();
+}
+
+void Sidecar::sendAll(const Endpoint& balancer, base::TimePoint now)
+{
+    if (!host_.known())
+        return;
+    FlowReport report;
+    report.host = record(now);
+    std::vector<FlowClaim> held;
+    for (const auto& [key, record] : table_.records()) {
+        if (record.hostIsnKnown || record.state == core::FlowState::Open)
+            held.push_back({ key, record.hostIsn, record.state == core::FlowState::Open });
+    }
+    if (held.empty())
+        return output_.tell(balancer, report);
+    inParts(held, [&](std::vector<FlowClaim> part) {
+        report.held = std::move(part);
+        output_.tell(balancer, report);
+    });
+}
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -0,0 +1,126 @@
+#include "celerystile/fleet/sidecar.hpp"
+
+// How a new flow finds its host: the sidecar that is asked takes it, or passes the SYN on at once.
+
+namespace celerystile::fleet {
+
+namespace {
+
+    constexpr base::Duration avoidTime = std::chrono::milliseconds(500); // between probes of a host that does not answer
+
+} // namespace
+
+void Sidecar::onSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now)
+{
+    if (auto* record = table_.find(segment.key)) {
+        if (record->callerIsn == segment.sequence && record->state == core::FlowState::Opening) {
+            record->lastSeen = secondsAt(now);
+            if (record->hostIsnKnown)
+                claimTo(forward.balancer, segment.key, now);
+            output_.deliver(forward.packet);
+            return bump(SidecarCount::Delivered);
+        }
+        if (record->callerIsn == segment.sequence)
+            return bump(SidecarCount::DropUnclaimed); // a late copy of a flow that has long been open
+        endFlow(segment.key); // the caller uses its port again
+    }
+    const auto reason = whyNot(forward, now);
+    if (!reason.empty())
+        return passSynOn(forward, segment, reason, now);
+    takeSyn(forward, segment, now);
+}
+
+std::string_view Sidecar::whyNot(const Forward& forward, base::TimePoint now) const
+{
+    if (!host_.known())
+        return "the host has not spoken yet";
+    // The balancer's view may be older than the host: another service may have taken its address.
+    if (forward.service != host_.service())
+        return "the host serves something else";
+    switch (host_.state(now)) {
+    case HostState::Ready:
+        break;
+    case HostState::Draining:
+        return "the host is draining";
+    case HostState::Silent:
+        return "the host is silent";
+    case HostState::Gone:
+        return "the host has ended";
+    }
+    if (table_.size() >= rules_.maxFlows)
+        return "the flow table is full";
+    if (unansweredAt_ != base::TimePoint {} && now - unansweredAt_ < avoidTime)
+        return "the host does not answer";
+    return {};
+}
+
+void Sidecar::takeSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now)
+{
+    core::FlowRecord record;
+    record.callerIsn = segment.sequence;
+    record.lastSeen = secondsAt(now);
+    table_.add(segment.key, record);
+    auto& saved = opening_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
+    saved.forward.packet = saved.packet;
+    openingQueue_.push_back({ segment.key, now });
+    bump(SidecarCount::FlowsOpened);
+    bump(SidecarCount::Delivered);
+    output_.deliver(forward.packet);
+}
+
+void Sidecar::passSynOn(
+    const Forward& forward, const core::Segment& segment, std::string_view reason, base::TimePoint now)
+{
+    decided(DecisionKind::FlowMovedOn, segment.key, reason, now);
+    if (sendToNext(forward))
+        return bump(SidecarCount::SynPassedOn);
+    bump(SidecarCount::SynDeclined);
+    output_.tell(forward.balancer, SynDeclined { segment.key });
+}
+
+bool Sidecar::sendToNext(Forward forward)
+{
+    while (forward.position + 1U < forward.candidates.size()) {
+        ++forward.position;
+        const auto& next = forward.candidates[forward.position];
+        if (next == rules_.self)
+            continue;
+        output_.forward(next, forward);
+        return true;
+    }
+    return false;
+}
+
+// A host that leaves a SYN unanswered costs the caller tens of milliseconds, not its next copy after 200.
+void Sidecar::expireOpening(base::TimePoint now)
+{
+    while (!openingQueue_.empty() && openingQueue_.front().at + rules_.openingPatience <= now) {
+        const auto key = openingQueue_.front().key;
+        openingQueue_.pop_front();
+        const auto saved = opening_.find(key);
+        const auto* record = table_.find(key);
+        if (saved == opening_.end() || !record || record->state != core::FlowState::Opening)
+            continue;
+        if (!record->hostIsnKnown) {
+            unansweredAt_ = now;
+            auto original = saved->second;
+            original.forward.packet = original.packet;
+            if (sendToNext(original.forward)) {
+                bump(SidecarCount::SynPassedOn);
+                decided(DecisionKind::FlowMovedOn, key, "the host left it unanswered", now);
+            }
+        }
+    }
+    boost::unordered::erase_if(opening_, [&](const SavedForwards::value_type& entry) {
+        const bool expired = now - entry.second.at >= rules_.openingLifetime;
+        if (expired) {
+            if (const auto* record = table_.find(entry.first); record && record->state == core::FlowState::Opening) {
+                endedSinceReport_.push_back({ entry.first, record->hostIsn, false });
+                table_.remove(entry.first);
+            }
+        }
+        return expired;
+    });
+}
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -0,0 +1,212 @@
+#include "celerystile/peer/fleet_message.hpp"
+
+#include "celerystile/peer/schema/fleet.capnp.h"
+#include "sealed.hpp"
+
+namespace celerystile::peer {
+
+namespace {
+
+    using base::ErrorCode;
+    using base::failure;
+
+    constexpr std::size_t scratchWords = 256;
+
+    void write(schema::Address::Builder to, const base::Endpoint& value)
+    {
+        to.setIp(value.address.isV4() ? value.address.toV4() : 0);
+        to.setPort(value.port);
+    }
+
+    base::Endpoint read(schema::Address::Reader from)
+    {
+        return { base::IpAddress::fromV4(from.getIp()), from.getPort() };
+    }
+
+    void write(schema::FleetForward::Builder to, const fleet::Forward& value)
+    {
+        to.setPurpose(static_cast<std::uint8_t>(value.purpose));
+        to.setPosition(value.position);
+        to.setTrials(value.trials);
+        to.setService(value.service);
+        write(to.initBalancer(), value.balancer);
+        auto candidates = to.initCandidates(static_cast<unsigned>(value.candidates.size()));
+        for (unsigned i = 0; i < candidates.size(); ++i)
+            write(candidates[i], value.candidates[i]);
+        to.setPacket(kj::arrayPtr(value.packet.data(), value.packet.size()));
+    }
+
+    base::Result<fleet::Message> read(schema::FleetForward::Reader from)
+    {
+        fleet::Forward value;
+        if (from.getPurpose() > static_cast<std::uint8_t>(fleet::ForwardPurpose::Lookup))
+            return failure(ErrorCode::Malformed, "unknown purpose");
+        value.purpose = static_cast<fleet::ForwardPurpose>(from.getPurpose());
+        value.position = from.getPosition();
+        value.trials = from.getTrials();
+        value.service = from.getService();
+        value.balancer = read(from.getBalancer());
+        const auto candidates = from.getCandidates();
+        if (candidates.size() > fleet::maxCandidates)
+            return failure(ErrorCode::Malformed, "too many candidates");
+        for (const auto candidate : candidates)
+            value.candidates.push_back(read(candidate));
+        const auto packet = from.getPacket();
+        value.packet = core::Bytes(packet.begin(), packet.size());
+        return fleet::Message { value };
+    }
+
+    void write(schema::FlowClaim::Builder to, const fleet::FlowClaim& value)
+    {
+        to.setCallerIp(value.key.caller.address.toV4());
+        to.setCallerPort(value.key.caller.port);
+        to.setServiceIp(value.key.service.address.toV4());
+        to.setServicePort(value.key.service.port);
+        to.setHostSequence(value.hostSequence);
+        to.setProven(value.proven);
+    }
+
+    fleet::FlowClaim read(schema::FlowClaim::Reader from)
+    {
+        fleet::FlowClaim value;
+        value.key.caller = { base::IpAddress::fromV4(from.getCallerIp()), from.getCallerPort() };
+        value.key.service = { base::IpAddress::fromV4(from.getServiceIp()), from.getServicePort() };
+        value.hostSequence = from.getHostSequence();
+        value.proven = from.getProven();
+        return value;
+    }
+
+    void write(capnp::List<schema::FlowClaim>::Builder to, const std::vector<fleet::FlowClaim>& claims)
+    {
+        for (unsigned i = 0; i < to.size(); ++i)
+            write(to[i], claims[i]);
+    }
+
+    std::vector<fleet::FlowClaim> read(capnp::List<schema::FlowClaim>::Reader from)
+    {
+        std::vector<fleet::FlowClaim> claims;
+        claims.reserve(from.size());
+        for (const auto claim : from)
+            claims.push_back(read(claim));
+        return claims;
+    }
+
+    void write(schema::HostRecord::Builder to, const fleet::HostRecord& value)
+    {
+        write(to.initSidecar(), value.sidecar);
+        to.setService(value.service);
+        to.setFailureDomain(value.failureDomain);
+        to.setBorn(value.born);
+        to.setEpoch(value.epoch);
+        to.setSlots(value.slots);
+        to.setState(static_cast<std::uint8_t>(value.state));
+        to.setColdMilliseconds(value.coldMilliseconds);
+        to.setOpenFlows(value.openFlows);
+        to.setBusyFlows(value.busyFlows);
+    }
+
+    base::Result<fleet::HostRecord> read(schema::HostRecord::Reader from)
+    {
+        if (from.getState() > static_cast<std::uint8_t>(fleet::HostState::Gone))
+            return failure(ErrorCode::Malformed, "unknown host state");
+        fleet::HostRecord value;
+        value.sidecar = read(from.getSidecar());
+        value.service = from.getService();
+        value.failureDomain = from.getFailureDomain();
+        value.born = from.getBorn();
+        value.epoch = from.getEpoch();
+        value.slots = from.getSlots();
+        value.state = static_cast<fleet::HostState>(from.getState());
+        value.coldMilliseconds = from.getColdMilliseconds();
+        value.openFlows = from.getOpenFlows();
+        value.busyFlows = from.getBusyFlows();
+        return value;
+    }
+
+    base::Result<fleet::Message> read(schema::FlowReport::Reader from)
+    {
+        auto host = read(from.getHost());
+        if (!host)
+            return tl::make_unexpected(host.error());
+        return fleet::Message { fleet::FlowReport { *host, read(from.getHeld()), read(from.getEnded()) } };
+    }
+
+    base::Result<fleet::Message> readMessage(schema::FleetMessage::Reader from)
+    {
+        switch (from.which()) {
+        case schema::FleetMessage::FORWARD:
+            return read(from.getForward());
+        case schema::FleetMessage::REPORT:
+            return read(from.getReport());
+        case schema::FleetMessage::BALANCER_HELLO: {
+            const auto hello = from.getBalancerHello();
+            return fleet::Message { fleet::BalancerHello { read(hello.getBalancer()), hello.getEpoch() } };
+        }
+        case schema::FleetMessage::SIDECAR_HELLO:
+            return fleet::Message { fleet::SidecarHello { read(from.getSidecarHello()) } };
+        case schema::FleetMessage::HELD_FLOWS: {
+            const auto held = from.getHeldFlows();
+            return fleet::Message { fleet::HeldFlows { held.getBorn(), read(held.getFlows()) } };
+        }
+        case schema::FleetMessage::SYN_DECLINED:
+            return fleet::Message { fleet::SynDeclined { read(from.getSynDeclined()).key } };
+        }
+        return failure(ErrorCode::Malformed, "unknown message");
+    }
+
+    struct FleetWriter {
+        schema::FleetMessage::Builder root;
+
+        void operator()(const fleet::Forward& value) { write(root.initForward(), value); }
+        void operator()(const fleet::FlowReport& value)
+        {
+            auto report = root.initReport();
+            write(report.initHost(), value.host);
+            write(report.initHeld(static_cast<unsigned>(value.held.size())), value.held);
+            write(report.initEnded(static_cast<unsigned>(value.ended.size())), value.ended);
+        }
+        void operator()(const fleet::BalancerHello& value)
+        {
+            auto hello = root.initBalancerHello();
+            write(hello.initBalancer(), value.balancer);
+            hello.setEpoch(value.epoch);
+        }
+        void operator()(const fleet::SidecarHello& value) { write(root.initSidecarHello(), value.sidecar); }
+        void operator()(const fleet::HeldFlows& value)
+        {
+            auto held = root.initHeldFlows();
+            held.setBorn(value.born);
+            write(held.initFlows(static_cast<unsigned>(value.flows.size())), value.flows);
+        }
+        void operator()(const fleet::SynDeclined& value)
+        {
+            write(root.initSynDeclined(), fleet::FlowClaim { value.key, 0, false });
+        }
+    };
+
+    template <typename Write> void sealWith(const Keyring& keyring, DatagramBuffer& out, Write writeRoot)
+    {
+        std::array<capnp::word, scratchWords> scratch {};
+        capnp::MallocMessageBuilder builder(kj::arrayPtr(scratch.data(), scratch.size()));
+        writeRoot(builder.initRoot<schema::FleetMessage>());
+        seal(builder, keyring, out);
+    }
+
+} // namespace
+
+void encode(const fleet::Message& message, const Keyring& keyring, DatagramBuffer& out)
+{
+    sealWith(keyring, out, [&](schema::FleetMessage::Builder root) { std::visit(FleetWriter { root }, message); });
+}
+
+void encode(const fleet::Forward& forward, const Keyring& keyring, DatagramBuffer& out)
+{
+    sealWith(keyring, out, [&](schema::FleetMessage::Builder root) { write(root.initForward(), forward); });
+}
+
+base::Result<fleet::Message> decodeFleet(core::Bytes sealed, const Keyring& keyring, std::size_t limit)
+{
+    return openSealed<schema::FleetMessage>(sealed, limit, keyring, readMessage);
+}
+
+} // namespace celerystile::peer
--- a/src/celerystile/peer/message.cpp
+++ b/src/celerystile/peer/message.cpp
@@ -1,9 +1,8 @@
 #include "celerystile/peer/message.hpp"
 
+#include "sealed.hpp"
 #include "wire_values.hpp"
 
-#include <kj/exception.h>
-
 namespace celerystile::peer {
 
 namespace {
@@ -13,8 +12,6 @@
     using core::Bytes;
 
     constexpr std::size_t scratchWords = 512;
-    constexpr std::uint64_t traversalSlackWords = 1024;
-    constexpr int maxNesting = 8;
 
     // The bits of FlowEntry.flags.
     constexpr std::uint8_t stateMask = 0x03; // all four states
@@ -23,41 +20,6 @@
     constexpr std::uint8_t flagHostFinished = 0x10;
     constexpr std::uint8_t flagDisplaced = 0x20;
 
-    void seal(capnp::MessageBuilder& builder, const Keyring& keyring, DatagramBuffer& out)
-    {
-        const auto size = capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
-        auto* bytes = out.reset(tagBytes + size);
-        kj::ArrayOutputStream stream(kj::arrayPtr(bytes + tagBytes, size));
-        capnp::writeMessage(stream, builder);
-        const auto tag = keyring.tag(out.bytes().subspan(tagBytes));
-        std::copy(tag.begin(), tag.end(), bytes);
-    }
-
-    // Cap'n Proto reports malformed input by exceptions; they end here.
-    template <typename Root, typename Reader>
-    auto openSealed(Bytes sealed, std::size_t limit, const Keyring& keyring, Reader readRoot)
-        -> decltype(readRoot(std::declval<typename Root::Reader>()))
-    {
-        if (sealed.size() > limit)
-            return failure(ErrorCode::TooLarge, "message over the limit");
-        if (sealed.size() < tagBytes + sizeof(capnp::word) || sealed.size() % sizeof(capnp::word) != 0)
-            return failure(ErrorCode::Malformed, "message is cut short");
-        const auto body = sealed.subspan(tagBytes);
-        if (!keyring.accepts(body, sealed.first(tagBytes)))
-            return failure(ErrorCode::Unauthenticated, "keyed hash does not match");
-        try {
-            const auto words
-                = kj::arrayPtr(reinterpret_cast<const capnp::word*>(body.data()), body.size() / sizeof(capnp::word));
-            capnp::ReaderOptions options;
-            options.traversalLimitInWords = words.size() * 2 + traversalSlackWords;
-            options.nestingLimit = maxNesting;
-            capnp::FlatArrayMessageReader reader(words, options);
-            return readRoot(reader.template getRoot<Root>());
-        } catch (const kj::Exception& exception) {
-            return failure(ErrorCode::Malformed, exception.getDescription().cStr());
-        }
-    }
-
     void writeForward(schema::Forward::Builder to, const ForwardMessage& message)
     {
         const auto& header = message.header;
--- /dev/null
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -0,0 +1,70 @@
+@0xd3a5b1c97e604f28;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("celerystile::peer::schema");
+
+# Messages between balancers and sidecars of a fleet with a registry. Addresses are IPv4.
+
+struct Address {
+  ip @0 :UInt32;
+  port @1 :UInt16;
+}
+
+struct FleetForward {
+  purpose @0 :UInt8;
+  position @1 :UInt8;
+  trials @2 :UInt8;
+  service @3 :UInt64;
+  balancer @4 :Address;
+  candidates @5 :List(Address);
+  packet @6 :Data;
+}
+
+struct HostRecord {
+  sidecar @0 :Address;
+  service @1 :UInt64;
+  failureDomain @2 :UInt64;
+  born @3 :UInt64;
+  epoch @4 :UInt64;
+  slots @5 :UInt32;
+  state @6 :UInt8;
+  coldMilliseconds @7 :UInt32;
+  openFlows @8 :UInt32;
+  busyFlows @9 :UInt32;
+}
+
+struct FlowClaim {
+  callerIp @0 :UInt32;
+  serviceIp @1 :UInt32;
+  callerPort @2 :UInt16;
+  servicePort @3 :UInt16;
+  hostSequence @4 :UInt32;
+  proven @5 :Bool;
+}
+
+struct FlowReport {
+  host @0 :HostRecord;
+  held @1 :List(FlowClaim);
+  ended @2 :List(FlowClaim);
+}
+
+struct BalancerHello {
+  balancer @0 :Address;
+  epoch @1 :UInt64;
+}
+
+struct HeldFlows {
+  born @0 :UInt64;
+  flows @1 :List(FlowClaim);
+}
+
+struct FleetMessage {
+  union {
+    forward @0 :FleetForward;
+    report @1 :FlowReport;
+    balancerHello @2 :BalancerHello;
+    sidecarHello @3 :Address;
+    heldFlows @4 :HeldFlows;
+    synDeclined @5 :FlowClaim;
+  }
+}
--- /dev/null
+++ b/src/celerystile/peer/sealed.hpp
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "celerystile/peer/message.hpp"
+
+#include <capnp/serialize.h>
+#include <kj/exception.h>
+
+/// @file
+/// @brief A Cap'n Proto message behind its keyed hash. Private to the package.
+
+namespace celerystile::peer {
+
+inline constexpr std::uint64_t traversalSlackWords = 1024;
+inline constexpr int maxNesting = 8;
+
+inline void seal(capnp::MessageBuilder& builder, const Keyring& keyring, DatagramBuffer& out)
+{
+    const auto size = capnp::computeSerializedSizeInWords(builder) * sizeof(capnp::word);
+    auto* bytes = out.reset(tagBytes + size);
+    kj::ArrayOutputStream stream(kj::arrayPtr(bytes + tagBytes, size));
+    capnp::writeMessage(stream, builder);
+    const auto tag = keyring.tag(out.bytes().subspan(tagBytes));
+    std::copy(tag.begin(), tag.end(), bytes);
+}
+
+// Cap'n Proto reports malformed input by exceptions; they end here.
+template <typename Root, typename Reader>
+auto openSealed(core::Bytes sealed, std::size_t limit, const Keyring& keyring, Reader readRoot)
+    -> decltype(readRoot(std::declval<typename Root::Reader>()))
+{
+    if (sealed.size() > limit)
+        return base::failure(base::ErrorCode::TooLarge, "message over the limit");
+    if (sealed.size() < tagBytes + sizeof(capnp::word) || sealed.size() % sizeof(capnp::word) != 0)
+        return base::failure(base::ErrorCode::Malformed, "message is cut short");
+    const auto body = sealed.subspan(tagBytes);
+    if (!keyring.accepts(body, sealed.first(tagBytes)))
+        return base::failure(base::ErrorCode::Unauthenticated, "keyed hash does not match");
+    try {
+        const auto words
+            = kj::arrayPtr(reinterpret_cast<const capnp::word*>(body.data()), body.size() / sizeof(capnp::word));
+        capnp::ReaderOptions options;
+        options.traversalLimitInWords = words.size() * 2 + traversalSlackWords;
+        options.nestingLimit = maxNesting;
+        capnp::FlatArrayMessageReader reader(words, options);
+        return readRoot(reader.template getRoot<Root>());
+    } catch (const kj::Exception& exception) {
+        return base::failure(base::ErrorCode::Malformed, exception.getDescription().cStr());
+    }
+}
+
+} // namespace celerystile::peer
--- a/src/celerystile/platform/client.cpp
+++ b/src/celerystile/store/client.cpp
@@ -1,12 +1,13 @@
-#include "celerystile/platform/client.hpp"
+#include "celerystile/store/client.hpp"
+
+#include "celerystile/store/base64.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/json.hpp>
 #include <charconv>
-#include <sodium.h>
 
-namespace celerystile::platform {
+namespace celerystile::store {
 
 namespace asio = boost::asio;
 namespace json = boost::json;
@@ -22,28 +23,6 @@
     constexpr const char* leaseSeconds = "15";
     constexpr int generationDigits = 12; // so that the history sorts by generation
 
-    std::string toBase64(const std::string& bytes)
-    {
-        std::string text(sodium_base64_encoded_len(bytes.size(), sodium_base64_VARIANT_ORIGINAL), '\0');
-        sodium_bin2base64(text.data(), text.size(), reinterpret_cast<const unsigned char*>(bytes.data()), bytes.size(),
-            sodium_base64_VARIANT_ORIGINAL);
-        text.pop_back();
-        return text;
-    }
-
-    base::Result<std::string> fromBase64(std::string_view text)
-    {
-        std::string bytes(text.size(), '\0');
-        std::size_t length = 0;
-        const char* end = nullptr;
-        const int error = sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(),
-            text.size(), nullptr, &length, &end, sodium_base64_VARIANT_ORIGINAL);
-        if (error != 0 || end != text.data() + text.size())
-            return failure(ErrorCode::Malformed, "not base64");
-        bytes.resize(length);
-        return bytes;
-    }
-
     std::string prefixEnd(std::string prefix)
     {
         ++prefix.back();
@@ -275,4 +254,4 @@
     co_return succeeded(*answer);
 }
 
-} // namespace celerystile::platform
+} // namespace celerystile::store
--- a/src/celerystile/platform/client_test.cpp
+++ b/src/celerystile/store/client_test.cpp
@@ -1,4 +1,4 @@
-#include "celerystile/platform/client.hpp"
+#include "celerystile/store/client.hpp"
 
 #include "celerystile/base/random.hpp"
 #include "platform_store.hpp"
@@ -9,7 +9,7 @@
 
 // The client against the stand-in, in one process; faults are scripted by seed.
 
-namespace celerystile::platform {
+namespace celerystile::store {
 
 namespace {
 
@@ -187,4 +187,4 @@
     }
 }
 
-} // namespace celerystile::platform
+} // namespace celerystile::store
--- /dev/null
+++ b/src/celerystile/store/leased_entry.cpp
@@ -0,0 +1,148 @@
+#include "celerystile/store/leased_entry.hpp"
+
+#include "celerystile/base/stream.hpp"
+
+#include <algorithm>
+
+namespace celerystile::store {
+
+namespace asio = boost::asio;
+
+LeasedEntry::LeasedEntry(KeyValueStore& store, const base::Clock& clock, asio::io_context& context, std::string key,
+    LeasedEntryRules rules)
+    : store_(store)
+    , clock_(clock)
+    , timer_(context)
+    , key_(std::move(key))
+    , rules_(rules)
+{
+}
+
+void LeasedEntry::set(std::string value)
+{
+    if (value_ == value)
+        return;
+    value_ = std::move(value);
+    dirty_ = true;
+    timer_.cancel();
+}
+
+void LeasedEntry::stop()
+{
+    stopped_ = true;
+    timer_.cancel();
+}
+
+asio::awaitable<void> LeasedEntry::waitFor(std::chrono::milliseconds duration)
+{
+    timer_.expires_after(duration);
+    co_await timer_.async_wait(base::asValues);
+}
+
+bool LeasedEntry::failed(const base::Error& error)
+{
+    ++state_.failures;
+    state_.lastError = error.detail;
+    return false;
+}
+
+asio::awaitable<void> LeasedEntry::run()
+{
+    while (!stopped_) {
+        const bool done = co_await step();
+        if (!done) {
+            co_await waitFor(rules_.retryDelay);
+            continue;
+        }
+        if (stopped_ || dirty_)
+            continue;
+        auto next = value_ ? renewAt_ : clock_.now() + rules_.renewEvery;
+        if (value_ && rules_.verifyEvery.count() > 0)
+            next = std::min(next, verifyAt_);
+        const auto left = std::chrono::duration_cast<std::chrono::milliseconds>(next - clock_.now());
+        co_await waitFor(std::max(left, std::chrono::milliseconds(1)));
+    }
+}
+
+// @return false when the store failed and the step is to be repeated.
+asio::awaitable<bool> LeasedEntry::step()
+{
+    if (!value_)
+        co_return true;
+    bool done = true;
+    if (lease_ != 0 && clock_.now() >= renewAt_)
+        done = co_await renew();
+    if (!done)
+        co_return false;
+    if (dirty_ || lease_ == 0)
+        done = co_await writeOnce(value_);
+    else if (rules_.verifyEvery.count() > 0 && clock_.now() >= verifyAt_)
+        done = co_await verify();
+    co_return done;
+}
+
+asio::awaitable<bool> LeasedEntry::renew()
+{
+    const auto kept = co_await store_.keepLease(lease_);
+    if (!kept)
+        co_return failed(kept.error());
+    renewAt_ = clock_.now() + rules_.renewEvery;
+    if (!*kept) {
+        lease_ = 0;
+        state_.held = false;
+    }
+    co_return true;
+}
+
+asio::awaitable<bool> LeasedEntry::writeOnce(std::optional<std::string> value)
+{
+    if (lease_ == 0 && value) {
+        const auto granted = co_await store_.grantLease(rules_.timeToLive);
+        if (!granted)
+            co_return failed(granted.error());
+        lease_ = *granted;
+        renewAt_ = clock_.now() + rules_.renewEvery;
+    }
+    ConditionalWrite write { key_, value, revision_, value ? lease_ : 0 };
+    const auto result = co_await store_.write(std::move(write));
+    if (!result)
+        co_return failed(result.error());
+    if (result->outcome == WriteOutcome::LeaseEnded) {
+        lease_ = 0;
+        co_return true;
+    }
+    revision_ = result->revision;
+    if (result->outcome == WriteOutcome::Changed) {
+        const bool written = co_await writeOnce(std::move(value));
+        co_return written;
+    }
+    state_.held = value.has_value();
+    dirty_ = value_ != value; // set() may have been called meanwhile
+    verifyAt_ = clock_.now() + std::max(rules_.verifyEvery, rules_.settle);
+    co_return true;
+}
+
+asio::awaitable<bool> LeasedEntry::verify()
+{
+    const auto item = co_await store_.get(key_, Freshness::Seconds);
+    if (!item)
+        co_return failed(item.error());
+    verifyAt_ = clock_.now() + rules_.verifyEvery;
+    if (!*item) {
+        // Taken away although the lease may still be renewed: both are made anew.
+        lease_ = 0;
+        revision_ = 0;
+        state_.held = false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> LeasedEntry::finish(bool remove)
+{
+    if (remove && revision_ != 0)
+        co_await writeOnce(std::nullopt);
+    else if (!remove && dirty_)
+        co_await writeOnce(value_);
+}
+
+} // namespace celerystile::store
--- /dev/null
+++ b/src/celerystile/store/prefix_watch.cpp
@@ -0,0 +1,92 @@
+#include "celerystile/store/prefix_watch.hpp"
+
+#include "celerystile/base/stream.hpp"
+
+namespace celerystile::store {
+
+namespace asio = boost::asio;
+
+PrefixWatch::PrefixWatch(KeyValueStore& store, asio::io_context& context, std::string prefix, PrefixWatchRules rules,
+    Handler handler, HealthHandler health)
+    : store_(store)
+    , timer_(context)
+    , prefix_(std::move(prefix))
+    , rules_(rules)
+    , handler_(std::move(handler))
+    , health_(std::move(health))
+{
+}
+
+void PrefixWatch::stop()
+{
+    stopped_ = true;
+    timer_.cancel();
+}
+
+asio::awaitable<void> PrefixWatch::run()
+{
+    while (!stopped_) {
+        bool done = false;
+        if (listed_)
+            done = co_await waitForChanges();
+        else
+            done = co_await listAll();
+        if (done || stopped_)
+            continue;
+        timer_.expires_after(rules_.retryDelay);
+        co_await timer_.async_wait(base::asValues);
+    }
+}
+
+bool PrefixWatch::answered(bool answers, const std::string& detail)
+{
+    if (answers != answers_)
+        health_(answers, detail);
+    answers_ = answers;
+    return answers;
+}
+
+asio::awaitable<bool> PrefixWatch::listAll()
+{
+    const auto listing = co_await store_.list(prefix_);
+    if (stopped_ || !listing)
+        co_return answered(false, listing ? "stopped" : listing.error().detail);
+    items_.clear();
+    for (const auto& item : listing->items)
+        items_[item.key] = item;
+    revision_ = listing->revision;
+    listed_ = true;
+    handler_(items_);
+    co_return answered(true, "");
+}
+
+asio::awaitable<bool> PrefixWatch::waitForChanges()
+{
+    const auto changes = co_await store_.watch(prefix_, revision_, rules_.wait);
+    if (stopped_ || !changes)
+        co_return answered(false, changes ? "stopped" : changes.error().detail);
+    if (changes->historyGone) {
+        listed_ = false;
+        co_return true;
+    }
+    for (const auto& change : changes->changes)
+        apply(change);
+    revision_ = std::max(revision_, changes->revision);
+    if (!changes->changes.empty())
+        handler_(items_);
+    co_return answered(true, "");
+}
+
+// A list of several pages may already show later changes than the revision from which the watch starts.
+void PrefixWatch::apply(const Change& change)
+{
+    const auto found = items_.find(change.item.key);
+    if (found != items_.end() && found->second.revision > change.item.revision)
+        return;
+    if (!change.deleted)
+        items_[change.item.key] = change.item;
+    else if (found != items_.end())
+        items_.erase(found);
+}
+
+} // namespace celerystile::store
--- a/src/celerystile/platform/submit.cpp
+++ b/src/celerystile/store/submit.cpp
@@ -1,10 +1,10 @@
-#include "celerystile/platform/client.hpp"
+#include "celerystile/store/client.hpp"
 
 #include <algorithm>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 
-namespace celerystile::platform {
+namespace celerystile::store {
 
 namespace asio = boost::asio;
 
@@ -84,4 +84,4 @@
     co_return report;
 }
 
-} // namespace celerystile::platform
+} // namespace celerystile::store
