--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -22,6 +22,14 @@
     constexpr std::chrono::milliseconds leaveMargin { 1'000 }; // before the platform kills
     constexpr base::Duration shortestTick = std::chrono::milliseconds(5);
 
+    // A connection that has fallen silent must be noticed before a change of the configuration is overdue.
+    store::PrefixWatchRules configurationRules()
+    {
+        store::PrefixWatchRules rules;
+        rules.wait = std::chrono::milliseconds(2'500);
+        return rules;
+    }
+
     class FleetBalancer final : public FleetProcess, private fleet::BalancerOutput {
     public:
         explicit FleetBalancer(const FleetSettings& settings)
@@ -30,7 +38,7 @@
             , transport_(traffic_, settings_.keyring)
             , machine_(rules(settings, epoch_), *placement_, *this, clock_.now())
             , configuration_(
-                  store_, control_, std::string(platform::configurationPrefix), {},
+                  store_, control_, std::string(platform::configurationPrefix), configurationRules(),
                   [this](const auto& items) { onConfiguration(items); },
                   [this](bool answers, const auto& detail) { storeHealth(answers, detail); })
             , registry_(
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -39,6 +39,7 @@
 struct FlowClaim {
     core::FlowKey key;
     std::uint32_t hostSequence = 0; ///< 0: not known
+    std::uint32_t callerAck = 0; ///< the caller's last acknowledgement; a reset must be near it
     bool proven = false; ///< the caller has acknowledged this host
 
     bool operator==(const FlowClaim&) const = default;
--- a/include/celerystile/fleet/owner_table.hpp
+++ b/include/celerystile/fleet/owner_table.hpp
@@ -48,6 +48,7 @@
         Claim first;
         std::optional<Claim> second; // only until the caller's first acknowledgement
         bool proven = false;
+        std::uint32_t callerAck = 0;
         base::TimePoint seenAt {};
     };
 
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -159,6 +159,9 @@
         core::FlowRecord& record, const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void deliver(core::FlowRecord& record, const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     void adopt(const core::Segment& segment, base::TimePoint now);
+    void adoptHeld(const HeldFlows& held, base::TimePoint now);
+    void resetCaller(const FlowClaim& claim, std::string_view reason, base::TimePoint now);
+    static FlowClaim claimOf(const core::FlowKey& key, const core::FlowRecord& record);
     void endFlow(const core::FlowKey& key);
     void closeIfFinished(core::FlowRecord& record, const core::FlowKey& key, base::TimePoint now);
     void resetAll(std::string_view reason, base::TimePoint now);
@@ -187,6 +190,7 @@
     std::deque<Timed> closedQueue_;
     boost::unordered_flat_map<core::FlowKey, base::TimePoint, core::FlowKeyHash> triedAt_;
     boost::unordered_flat_map<Endpoint, KnownBalancer, core::EndpointHash> balancers_;
+    std::vector<HeldFlows> unsettledHeld_; // told before the host has spoken
     std::vector<core::FlowKey> heldSinceReport_;
     std::vector<FlowClaim> endedSinceReport_;
     base::TimePoint unansweredAt_ {}; // when the host last left a SYN unanswered
--- a/include/celerystile/store/prefix_watch.hpp
+++ b/include/celerystile/store/prefix_watch.hpp
@@ -13,7 +13,7 @@
 
 /// @brief Settings of a watch.
 struct PrefixWatchRules {
-    std::chrono::milliseconds wait { 8'000 }; ///< longest time of one call; the connection is probed meanwhile
+    std::chrono::milliseconds wait { 8'000 }; ///< longest time of one call
     std::chrono::milliseconds retryDelay { 250 }; ///< after a failed call
 };
 
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -198,10 +198,12 @@
 void Balancer::onSidecarHello(const SidecarHello& hello)
 {
     output_.tell(hello.sidecar, BalancerHello { rules_.self, rules_.epoch });
+    const auto* host = board_.find(hello.sidecar);
     const auto flows = owners_.heldBy(hello.sidecar);
     for (std::size_t at = 0; at < flows.size(); at += maxFlowsPerDatagram) {
         const auto end = std::min(flows.size(), at + maxFlowsPerDatagram);
         HeldFlows part;
+        part.born = host ? host->record.born : 0;
         part.flows.assign(flows.begin() + static_cast<std::ptrdiff_t>(at), flows.begin() + static_cast<std::ptrdiff_t>(end));
         output_.tell(hello.sidecar, part);
     }
--- a/src/celerystile/fleet/owner_table.cpp
+++ b/src/celerystile/fleet/owner_table.cpp
@@ -12,7 +12,7 @@
     const auto found = flows_.find(claim.key);
     if (found == flows_.end()) {
         if (flows_.size() < maxFlows_)
-            flows_.emplace(claim.key, Flow { { sidecar, claim.hostSequence }, std::nullopt, claim.proven, now });
+            flows_.emplace(claim.key, Flow { { sidecar, claim.hostSequence }, std::nullopt, claim.proven, claim.callerAck, now });
         return;
     }
     auto& flow = found->second;
@@ -25,7 +25,7 @@
         return;
     }
     if (claim.proven) {
-        flow = { { sidecar, claim.hostSequence }, std::nullopt, true, now };
+        flow = { { sidecar, claim.hostSequence }, std::nullopt, true, claim.callerAck, now };
         return;
     }
     if (!flow.proven)
@@ -59,12 +59,18 @@
         return std::nullopt;
     auto& flow = found->second;
     flow.seenAt = now;
-    if (segment.opens() || flow.proven)
+    if (segment.opens())
+        return flow.first.sidecar;
+    if (segment.ack && !segment.rst)
+        flow.callerAck = segment.acknowledgement;
+    if (flow.proven)
         return flow.first.sidecar;
     if (flow.second && acknowledges(segment.acknowledgement, flow.second->hostSequence))
         flow.first = *flow.second;
-    flow.second.reset();
-    flow.proven = true;
+    if (acknowledges(segment.acknowledgement, flow.first.hostSequence)) {
+        flow.second.reset();
+        flow.proven = true;
+    }
     return flow.first.sidecar;
 }
 
@@ -73,7 +79,7 @@
     std::vector<FlowClaim> flows;
     for (const auto& [key, flow] : flows_) {
         if (flow.proven && flow.first.sidecar == sidecar)
-            flows.push_back({ key, flow.first.hostSequence, true });
+            flows.push_back({ key, flow.first.hostSequence, flow.callerAck, true });
     }
     return flows;
 }
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -137,7 +137,7 @@
     if (!record)
         return;
     setAwaiting(*record, false);
-    endedSinceReport_.push_back({ key, record->hostIsn, true });
+    endedSinceReport_.push_back(claimOf(key, *record));
     opening_.erase(key);
     table_.remove(key);
     bump(SidecarCount::FlowsEnded);
@@ -159,10 +159,6 @@
     if (!record)
         return;
     record->lastSeen = secondsAt(now);
-    if (record->adopted) {
-        record->adopted = false;
-        noteHeld(segment.key);
-    }
     if (segment.payloadBytes > 0)
         setAwaiting(*record, false);
     if (segment.syn && segment.ack && record->state == core::FlowState::Opening) {
@@ -200,11 +196,11 @@
     const auto* record = table_.find(segment.key);
     if (!record)
         return bump(SidecarCount::DropUnclaimed);
-    const bool confirmed = record->state == core::FlowState::Open && !record->adopted;
+    const bool open = record->state == core::FlowState::Open;
     bump(SidecarCount::FlowsLost);
     decided(DecisionKind::FlowLost, segment.key, "the host does not hold it", now);
     endFlow(segment.key);
-    if (confirmed)
+    if (open)
         output_.reset(segment);
     sendReports(now);
 }
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -1,6 +1,7 @@
 #include "celerystile/fleet/sidecar.hpp"
 
 #include <algorithm>
+#include <utility>
 
 // What a sidecar tells others of its flows and its host, and how it learns of flows that were open before it started.
 
@@ -38,12 +39,19 @@
     return record;
 }
 
+FlowClaim Sidecar::claimOf(const core::FlowKey& key, const core::FlowRecord& record)
+{
+    return { key, record.hostIsn, record.callerAck, record.state == core::FlowState::Open };
+}
+
 HeartbeatOutcome Sidecar::onHeartbeat(const HostReport& report, base::TimePoint now)
 {
     const bool restarted = host_.known() && host_.born() != 0 && report.born > host_.born();
     if (restarted)
         resetAll("the host has started anew", now);
     const auto outcome = host_.note(report, now);
+    for (const auto& held : std::exchange(unsettledHeld_, {}))
+        adoptHeld(held, now);
     if (outcome == HeartbeatOutcome::FirstOfIncarnation || outcome == HeartbeatOutcome::Changed) {
         announced_ = host_.state(now);
         output_.announce(record(now));
@@ -91,18 +99,28 @@
 
 void Sidecar::onHeldFlows(const HeldFlows& held, base::TimePoint now)
 {
-    if (held.born != 0 && host_.born() != 0 && held.born != host_.born())
-        return; // another incarnation of the host held them
+    if (host_.known())
+        adoptHeld(held, now);
+    else
+        unsettledHeld_.push_back(held);
+}
+
+void Sidecar::adoptHeld(const HeldFlows& held, base::TimePoint now)
+{
+    const bool otherIncarnation = held.born != 0 && held.born < host_.born();
     for (const auto& claim : held.flows) {
         if (table_.find(claim.key) || table_.size() >= rules_.maxFlows)
             continue;
+        if (otherIncarnation) {
+            resetCaller(claim, "the host has started anew", now);
+            continue;
+        }
         core::FlowRecord record;
         record.state = core::FlowState::Open;
         record.hostIsn = claim.hostSequence;
         record.hostIsnKnown = claim.hostSequence != 0;
-        record.callerAck = claim.hostSequence;
+        record.callerAck = claim.callerAck;
         record.lastSeen = secondsAt(now);
-        record.adopted = true;
         table_.add(claim.key, record);
         noteHeld(claim.key);
         bump(SidecarCount::FlowsAdopted);
@@ -110,6 +128,18 @@
     }
 }
 
+// The caller learns at once what it would else learn when its next request times out.
+void Sidecar::resetCaller(const FlowClaim& claim, std::string_view reason, base::TimePoint now)
+{
+    core::Segment about;
+    about.key = claim.key;
+    about.ack = true;
+    about.acknowledgement = claim.callerAck;
+    output_.reset(about);
+    bump(SidecarCount::FlowsReset);
+    decided(DecisionKind::FlowReset, claim.key, reason, now);
+}
+
 // The host speaks for the flow, so it holds it.
 void Sidecar::adopt(const core::Segment& segment, base::TimePoint now)
 {
@@ -157,10 +187,10 @@
 {
     if (forward.purpose == ForwardPurpose::Owned) {
         // The balancer is mistaken; without this word it would send the next packet here again.
-        endedSinceReport_.push_back({ segment.key, 0, false });
+        endedSinceReport_.push_back({ segment.key });
         FlowReport report;
         report.host = record(now);
-        report.ended.push_back({ segment.key, 0, false });
+        report.ended.push_back({ segment.key });
         output_.tell(forward.balancer, report);
         return bump(SidecarCount::DropUnclaimed);
     }
@@ -175,15 +205,8 @@
     std::vector<core::FlowKey> keys;
     for (const auto& [key, record] : table_.records()) {
         keys.push_back(key);
-        if (record.state != core::FlowState::Open || record.adopted)
-            continue;
-        core::Segment about;
-        about.key = key;
-        about.ack = true;
-        about.acknowledgement = record.callerAck;
-        output_.reset(about);
-        bump(SidecarCount::FlowsReset);
-        decided(DecisionKind::FlowReset, key, reason, now);
+        if (record.state == core::FlowState::Open)
+            resetCaller(claimOf(key, record), reason, now);
     }
     for (const auto& key : keys)
         endFlow(key);
@@ -195,7 +218,7 @@
     held.born = host_.born();
     for (const auto& [key, record] : table_.records()) {
         if (record.state == core::FlowState::Open)
-            held.flows.push_back({ key, record.hostIsn, true });
+            held.flows.push_back(claimOf(key, record));
     }
     return held;
 }
@@ -207,7 +230,7 @@
         return;
     FlowReport report;
     report.host = this->record(now);
-    report.held.push_back({ key, record->hostIsn, record->state == core::FlowState::Open });
+    report.held.push_back(claimOf(key, *record));
     output_.tell(balancer, report);
 }
 
@@ -221,7 +244,7 @@
     std::vector<FlowClaim> held;
     for (const auto& key : heldSinceReport_) {
         if (const auto* record = table_.find(key))
-            held.push_back({ key, record->hostIsn, record->state == core::FlowState::Open });
+            held.push_back(claimOf(key, *record));
     }
     std::vector<FlowReport> reports(1);
     reports.front().host = record(now);
@@ -252,7 +275,7 @@
     std::vector<FlowClaim> held;
     for (const auto& [key, record] : table_.records()) {
         if (record.hostIsnKnown || record.state == core::FlowState::Open)
-            held.push_back({ key, record.hostIsn, record.state == core::FlowState::Open });
+            held.push_back(claimOf(key, record));
     }
     if (held.empty())
         return output_.tell(balancer, report);
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -115,7 +115,7 @@
         const bool expired = now - entry.second.at >= rules_.openingLifetime;
         if (expired) {
             if (const auto* record = table_.find(entry.first); record && record->state == core::FlowState::Opening) {
-                endedSinceReport_.push_back({ entry.first, record->hostIsn, false });
+                endedSinceReport_.push_back(claimOf(entry.first, *record));
                 table_.remove(entry.first);
             }
         }
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -64,6 +64,7 @@
         to.setServicePort(value.key.service.port);
         to.setHostSequence(value.hostSequence);
         to.setProven(value.proven);
+        to.setCallerAck(value.callerAck);
     }
 
     fleet::FlowClaim read(schema::FlowClaim::Reader from)
@@ -73,6 +74,7 @@
         value.key.service = { base::IpAddress::fromV4(from.getServiceIp()), from.getServicePort() };
         value.hostSequence = from.getHostSequence();
         value.proven = from.getProven();
+        value.callerAck = from.getCallerAck();
         return value;
     }
 
@@ -180,7 +182,7 @@
         }
         void operator()(const fleet::SynDeclined& value)
         {
-            write(root.initSynDeclined(), fleet::FlowClaim { value.key, 0, false });
+            write(root.initSynDeclined(), fleet::FlowClaim { value.key });
         }
     };
 
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -40,6 +40,7 @@
   servicePort @3 :UInt16;
   hostSequence @4 :UInt32;
   proven @5 :Bool;
+  callerAck @6 :UInt32;
 }
 
 struct FlowReport {
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -521,6 +521,8 @@
 
   inline bool getProven() const;
 
+  inline  ::uint32_t getCallerAck() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -567,6 +569,9 @@
   inline bool getProven();
   inline void setProven(bool value);
 
+  inline  ::uint32_t getCallerAck();
+  inline void setCallerAck( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1455,6 +1460,20 @@
       ::capnp::bounded<128>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t FlowClaim::Reader::getCallerAck() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FlowClaim::Builder::getCallerAck() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FlowClaim::Builder::setCallerAck( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FlowReport::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
