--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -20,6 +20,9 @@
 
     constexpr std::chrono::milliseconds leaveTime { 3'000 }; // routers drop a process after two missed checks a second
     constexpr std::chrono::milliseconds leaveMargin { 1'000 }; // before the platform kills
+    constexpr std::string_view snapshotPath = "/snapshot";
+    constexpr std::chrono::milliseconds neighbourTimeout { 400 };
+    constexpr std::chrono::milliseconds neighbourInterval { 600 }; // while the store does not answer
     constexpr base::Duration shortestTick = std::chrono::milliseconds(5);
 
     // A connection that has fallen silent must be noticed before a change of the configuration is overdue.
@@ -40,7 +43,10 @@
             , configuration_(
                   store_, control_, std::string(platform::configurationPrefix), configurationRules(),
                   [this](const auto& items) { onConfiguration(items); },
-                  [this](bool answers, const auto& detail) { storeHealth(answers, detail); })
+                  [this](bool answers, const auto& detail) {
+                      storeAnswers_ = answers;
+                      storeHealth(answers, detail);
+                  })
             , registry_(
                   store_, control_, std::string(hostsPrefix), {}, [this](const auto& items) { onRegistry(items); },
                   [](bool, const auto&) {})
@@ -69,6 +75,8 @@
                 return opened;
             spawn("configuration", [this] { return configuration_.run(); });
             spawn("registry", [this] { return registry_.run(); });
+            for (const auto& neighbour : neighbours())
+                spawn("neighbour " + neighbour.toString(), [this, neighbour] { return followNeighbour(neighbour); });
             startTicking([this](base::TimePoint now) {
                 machine_.tick(now);
                 transport_.flush();
@@ -107,24 +115,74 @@
                 machine_.onDeclined(*declined, now);
         }
 
+        // The store may be away or turn this instance down; others may have its answers.
+        Task followNeighbour(base::Endpoint neighbour)
+        {
+            while (true) {
+                if (!storeAnswers_ || !ready_)
+                    co_await askNeighbour(neighbour);
+                co_await pause(neighbourInterval);
+            }
+        }
+
+        Task askNeighbour(base::Endpoint neighbour)
+        {
+            base::HttpConnection connection(neighbour);
+            base::HttpRequest request;
+            request.target = snapshotPath;
+            const auto reply = co_await connection.exchange(std::move(request), neighbourTimeout);
+            if (!reply || reply->status != 200)
+                co_return;
+            const auto snapshot = readSealed<fleet::FleetSnapshot>(reply->body, settings_.keyring);
+            if (!snapshot) {
+                logEvent(Event::MessageRejected, { { "detail", snapshot.error().detail } });
+                co_return;
+            }
+            applyConfiguration(snapshot->configuration, neighbour.toString());
+            if (!registryRead_)
+                applyHosts(snapshot->hosts);
+        }
+
+        asio::awaitable<base::HttpReply> onCall(base::HttpRequest request) override
+        {
+            if (request.target != snapshotPath)
+                co_return co_await FleetProcess::onCall(std::move(request));
+            fleet::FleetSnapshot snapshot;
+            snapshot.configuration = configurationText_;
+            snapshot.hosts = co_await asio::co_spawn(
+                traffic_,
+                [this]() -> asio::awaitable<std::vector<fleet::HostRecord>> { co_return machine_.hostRecords(); },
+                asio::use_awaitable);
+            co_return base::HttpReply { 200, sealedText(std::move(snapshot), settings_.keyring),
+                "application/octet-stream" };
+        }
+
         void onConfiguration(const store::PrefixWatch::Items& items)
         {
             const auto found = items.find(platform::configurationKey);
-            if (found == items.end())
+            if (found != items.end())
+                applyConfiguration(found->second.value, "store");
+        }
+
+        void applyConfiguration(const std::string& text, const std::string& source)
+        {
+            if (text.empty() || text == configurationText_)
                 return;
-            auto table = platform::parseConfiguration(found->second.value);
+            auto table = platform::parseConfiguration(text);
             if (!table) {
-                logEvent(Event::ConfigurationUnreadable, { { "detail", table.error().detail } });
+                logEvent(Event::ConfigurationUnreadable, { { "source", source }, { "detail", table.error().detail } });
                 return;
             }
             if (table->version <= version_) {
-                if (table->version < version_)
+                if (source == "store")
                     logEvent(Event::ConfigurationOlder, { { "version", std::to_string(table->version) } });
                 return;
             }
             version_ = table->version;
+            configurationText_ = text;
             logEvent(Event::ConfigurationApplied,
-                { { "version", std::to_string(version_) }, { "routes", std::to_string(table->routes.size()) } });
+                { { "version", std::to_string(version_) }, { "routes", std::to_string(table->routes.size()) },
+                    { "source", source } });
             onTraffic([this, routes = std::make_shared<const fleet::RouteTable>(std::move(*table))] {
                 machine_.setRoutes(routes);
                 noteReady();
@@ -135,12 +193,19 @@
         {
             std::vector<fleet::HostRecord> records;
             for (const auto& [key, item] : items) {
-                if (const auto record = readRecord(item.value); record)
-                    records.push_back(*record);
+                const auto report = readSealed<fleet::FlowReport>(item.value, settings_.keyring);
+                if (report)
+                    records.push_back(report->host);
                 else
-                    logEvent(Event::RegistryEntryUnreadable, { { "key", key }, { "detail", record.error().detail } });
+                    logEvent(Event::RegistryEntryUnreadable, { { "key", key }, { "detail", report.error().detail } });
             }
             logEvent(Event::RegistryChanged, { { "hosts", std::to_string(records.size()) } });
+            registryRead_ = true;
+            applyHosts(std::move(records));
+        }
+
+        void applyHosts(std::vector<fleet::HostRecord> records)
+        {
             onTraffic([this, records = std::move(records)] {
                 machine_.setRegistry(records, clock_.now());
                 transport_.flush();
@@ -148,19 +213,6 @@
             });
         }
 
-        base::Result<fleet::HostRecord> readRecord(const std::string& value) const
-        {
-            peer::DatagramBuffer aligned;
-            std::memcpy(aligned.reset(value.size()), value.data(), value.size());
-            const auto message = peer::decodeFleet(aligned.bytes(), settings_.keyring);
-            if (!message)
-                return tl::make_unexpected(message.error());
-            const auto* report = std::get_if<fleet::FlowReport>(&*message);
-            if (!report)
-                return base::failure(base::ErrorCode::Malformed, "not a host's record");
-            return report->host;
-        }
-
         void noteReady()
         {
             if (!ready_ && machine_.ready())
@@ -205,7 +257,12 @@
         store::PrefixWatch configuration_;
         store::PrefixWatch registry_;
         DecisionLog log_;
-        std::uint64_t version_ = 0; // control thread
+        // Of the control thread.
+        std::uint64_t version_ = 0;
+        std::string configurationText_;
+        bool registryRead_ = false;
+        bool storeAnswers_ = true;
+
         std::uint64_t malformed_ = 0;
         std::atomic<bool> ready_ = false;
         std::atomic<bool> leaving_ = false;
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -52,8 +52,11 @@
 int FleetProcess::run()
 {
     const auto& node = settings_.node;
+    std::string neighbours;
+    for (const auto& address : node.neighbours)
+        neighbours += (neighbours.empty() ? "" : ",") + address.toString();
     logEvent(Event::ProcessStarted,
-        { { "instance", node.name }, { "failure_domain", node.failureDomain }, { "store", node.store.toString() },
+        { { "instance", node.name }, { "neighbours", neighbours }, { "failure_domain", node.failureDomain }, { "store", node.store.toString() },
             { "version", std::string(base::version) } });
     auto opened = start();
     if (opened)
@@ -192,6 +195,17 @@
     });
 }
 
+std::vector<base::Endpoint> FleetProcess::neighbours() const
+{
+    const auto& node = settings_.node;
+    std::vector<base::Endpoint> endpoints;
+    for (const auto& address : node.neighbours) {
+        if (address != node.status.address)
+            endpoints.push_back({ address, node.status.port });
+    }
+    return endpoints;
+}
+
 void FleetProcess::storeHealth(bool answers, const std::string& detail)
 {
     if (answers)
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -64,6 +64,9 @@
     /// @brief Calls `tick` on the traffic thread and again at the time that it returns.
     void startTicking(std::function<base::TimePoint(base::TimePoint)> tick);
 
+    /// @brief Where neighbours take messages and answer calls: all processes use the same port.
+    std::vector<base::Endpoint> neighbours() const;
+
     void storeHealth(bool answers, const std::string& detail);
 
     const FleetSettings settings_;
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -35,14 +35,6 @@
         return rules;
     }
 
-    std::string storedBytes(const fleet::Message& message, const peer::Keyring& keyring)
-    {
-        peer::DatagramBuffer buffer;
-        peer::encode(message, keyring, buffer);
-        const auto bytes = buffer.bytes();
-        return { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
-    }
-
     class FleetSidecar final : public FleetProcess, private fleet::SidecarOutput {
     public:
         explicit FleetSidecar(const FleetSettings& settings)
@@ -86,6 +78,10 @@
             if (auto opened = serve(*node.hostReports); !opened)
                 return opened;
             spawn("start", [this] { return readPredecessor(); });
+            onTraffic([this] {
+                machine_.askBalancers(neighbours());
+                transport_.flush();
+            });
             startTicking([this](base::TimePoint now) {
                 machine_.tick(now);
                 takeCheckpoint(now);
@@ -116,35 +112,34 @@
             std::size_t held = 0;
             if (flows) {
                 checkpoint_.assume(flows->revision);
-                if (const auto read = readStored<fleet::HeldFlows>(flows->value); read) {
+                if (const auto read = readSealed<fleet::HeldFlows>(flows->value, settings_.keyring); read) {
                     held = read->flows.size();
-                    onTraffic([this, read = *read] { machine_.onHeldFlows(read, clock_.now()); });
+                    onTraffic([this, read = *read] {
+                        machine_.onHeldFlows(read, clock_.now());
+                        transport_.flush();
+                    });
+                } else {
+                    noteUnreadable(*flows, read.error());
                 }
             }
             if (entry) {
                 entry_.assume(entry->revision);
-                if (const auto read = readStored<fleet::FlowReport>(entry->value); read) {
+                if (const auto read = readSealed<fleet::FlowReport>(entry->value, settings_.keyring); read) {
                     onTraffic([this, record = read->host] {
                         machine_.restore(record, clock_.now());
                         transport_.flush();
                     });
+                } else {
+                    noteUnreadable(*entry, read.error());
                 }
             }
             logEvent(Event::CheckpointRead,
                 { { "entry", entry ? "yes" : "no" }, { "flows", std::to_string(held) } });
         }
 
-        template <typename Value> std::optional<Value> readStored(const std::string& value) const
+        static void noteUnreadable(const store::Item& item, const base::Error& error)
         {
-            peer::DatagramBuffer aligned;
-            std::memcpy(aligned.reset(value.size()), value.data(), value.size());
-            const auto message = peer::decodeFleet(aligned.bytes(), settings_.keyring, peer::maxStoredBytes);
-            if (!message) {
-                logEvent(Event::RegistryEntryUnreadable, { { "detail", message.error().detail } });
-                return std::nullopt;
-            }
-            const auto* found = std::get_if<Value>(&*message);
-            return found ? std::optional<Value>(*found) : std::nullopt;
+            logEvent(Event::RegistryEntryUnreadable, { { "key", item.key }, { "detail", error.detail } });
         }
 
         void takeCheckpoint(base::TimePoint now)
@@ -153,7 +148,7 @@
                 return;
             checkpointed_ = machine_.checkpointVersion();
             checkpointedAt_ = now;
-            asio::post(control_, [this, value = storedBytes(machine_.checkpoint(), settings_.keyring)]() mutable {
+            asio::post(control_, [this, value = sealedText(machine_.checkpoint(), settings_.keyring)]() mutable {
                 checkpoint_.set(std::move(value));
             });
         }
@@ -164,7 +159,7 @@
                 traffic_,
                 [this]() -> asio::awaitable<std::pair<bool, std::string>> {
                     co_return std::pair { machine_.host().state(clock_.now()) == fleet::HostState::Gone,
-                        storedBytes(machine_.checkpoint(), settings_.keyring) };
+                        sealedText(machine_.checkpoint(), settings_.keyring) };
                 },
                 asio::use_awaitable);
             checkpoint_.set(value);
@@ -297,7 +292,7 @@
             lasting.openFlows = 0;
             lasting.busyFlows = 0;
             asio::post(control_,
-                [this, value = storedBytes(fleet::FlowReport { lasting, {}, {} }, settings_.keyring)]() mutable {
+                [this, value = sealedText(fleet::FlowReport { lasting, {}, {} }, settings_.keyring)]() mutable {
                     entry_.set(std::move(value));
                 });
         }
--- a/apps/celerystiled/fleet_transport.cpp
+++ b/apps/celerystiled/fleet_transport.cpp
@@ -95,6 +95,14 @@
     return failures;
 }
 
+std::string sealedText(const fleet::Message& message, const peer::Keyring& keyring)
+{
+    peer::DatagramBuffer buffer;
+    peer::encode(message, keyring, buffer);
+    const auto bytes = buffer.bytes();
+    return { reinterpret_cast<const char*>(bytes.data()), bytes.size() };
+}
+
 void DecisionLog::write(const fleet::Decision& decision, base::TimePoint now)
 {
     if (now - second_ >= std::chrono::seconds(1)) {
--- a/apps/celerystiled/fleet_transport.hpp
+++ b/apps/celerystiled/fleet_transport.hpp
@@ -4,7 +4,9 @@
 #include "celerystile/fleet/decision.hpp"
 #include "celerystile/peer/fleet_message.hpp"
 
+#include <cstring>
 #include <functional>
+#include <string>
 #include <vector>
 
 /// @file
@@ -50,6 +52,23 @@
     std::uint64_t rejected_ = 0;
 };
 
+/// @brief A sealed message as it stands in the store or in a reply.
+std::string sealedText(const fleet::Message& message, const peer::Keyring& keyring);
+
+/// @brief Reads a sealed message of one kind.
+template <typename Value> base::Result<Value> readSealed(const std::string& text, const peer::Keyring& keyring)
+{
+    peer::DatagramBuffer aligned;
+    std::memcpy(aligned.reset(text.size()), text.data(), text.size());
+    auto message = peer::decodeFleet(aligned.bytes(), keyring, peer::maxStoredBytes);
+    if (!message)
+        return tl::make_unexpected(message.error());
+    auto* value = std::get_if<Value>(&*message);
+    if (!value)
+        return base::failure(base::ErrorCode::Malformed, "a message of another kind");
+    return std::move(*value);
+}
+
 /// @brief Writes decisions to the log, a bounded number a second; the others are counted. One thread.
 class DecisionLog {
 public:
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -70,6 +70,9 @@
     void onSidecarHello(const SidecarHello& hello);
     void onDeclined(const SynDeclined& declined, base::TimePoint now);
 
+    /// @brief All known hosts, for another balancer.
+    std::vector<HostRecord> hostRecords() const;
+
     void tick(base::TimePoint now);
 
     /// @brief When tick() has something to do next.
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -4,6 +4,7 @@
 #include "celerystile/fleet/host_record.hpp"
 
 #include <boost/container/static_vector.hpp>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -84,7 +85,16 @@
     bool operator==(const SynDeclined&) const = default;
 };
 
-using Message = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined>;
+/// @brief What a balancer knows, for one that starts or is cut off from the store. Too large for a datagram.
+struct FleetSnapshot {
+    std::string configuration; ///< the operators' configuration as the store holds it; empty: not known
+    std::vector<HostRecord> hosts;
+
+    bool operator==(const FleetSnapshot&) const = default;
+};
+
+using Message
+    = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot>;
 
 /// @brief Most flows named in one datagram, which then stays below 1,500 bytes.
 inline constexpr std::size_t maxFlowsPerDatagram = 48;
--- a/include/celerystile/peer/fleet_message.hpp
+++ b/include/celerystile/peer/fleet_message.hpp
@@ -8,8 +8,8 @@
 
 namespace celerystile::peer {
 
-/// @brief Largest value that is read from the store: a checkpoint of some thousand flows.
-inline constexpr std::size_t maxStoredBytes = 512 * 1024;
+/// @brief Largest message that is no datagram: a checkpoint in the store, a snapshot with a large configuration.
+inline constexpr std::size_t maxStoredBytes = 4 * 1024 * 1024;
 
 /// @brief Writes the message with its keyed hash into the buffer.
 void encode(const fleet::Message& message, const Keyring& keyring, DatagramBuffer& out);
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -86,6 +86,8 @@
         found->second.segment = segment;
         return retry(found->second, now);
     }
+    if (routes_->version == 0)
+        return bump(BalancerCount::DropUnsettled);
     const auto* route = routes_->find(segment.key.service);
     if (!route)
         return refuse(segment, "no route");
@@ -222,6 +224,14 @@
     place(pending, "declined by the hosts before", now);
 }
 
+std::vector<HostRecord> Balancer::hostRecords() const
+{
+    std::vector<HostRecord> records;
+    for (const auto& [sidecar, host] : board_.hosts())
+        records.push_back(host.record);
+    return records;
+}
+
 void Balancer::tick(base::TimePoint now)
 {
     std::vector<core::FlowKey> due;
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -93,7 +93,10 @@
     known.heardAt = now;
     if (known.epoch == hello.epoch)
         return;
+    const bool first = known.epoch == 0;
     known.epoch = hello.epoch;
+    if (first && now - start_ < rules_.relearnTime)
+        output_.tell(hello.balancer, SidecarHello { rules_.self });
     sendAll(hello.balancer, now);
 }
 
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -133,6 +133,21 @@
         return fleet::Message { fleet::FlowReport { *host, read(from.getHeld()), read(from.getEnded()) } };
     }
 
+    base::Result<fleet::Message> read(schema::FleetSnapshot::Reader from)
+    {
+        fleet::FleetSnapshot value;
+        const auto configuration = from.getConfiguration();
+        value.configuration.assign(
+            reinterpret_cast<const char*>(configuration.begin()), configuration.size());
+        for (const auto host : from.getHosts()) {
+            auto record = read(host);
+            if (!record)
+                return tl::make_unexpected(record.error());
+            value.hosts.push_back(*record);
+        }
+        return fleet::Message { std::move(value) };
+    }
+
     base::Result<fleet::Message> readMessage(schema::FleetMessage::Reader from)
     {
         switch (from.which()) {
@@ -152,6 +167,8 @@
         }
         case schema::FleetMessage::SYN_DECLINED:
             return fleet::Message { fleet::SynDeclined { read(from.getSynDeclined()).key } };
+        case schema::FleetMessage::SNAPSHOT:
+            return read(from.getSnapshot());
         }
         return failure(ErrorCode::Malformed, "unknown message");
     }
@@ -180,6 +197,15 @@
             held.setBorn(value.born);
             write(held.initFlows(static_cast<unsigned>(value.flows.size())), value.flows);
         }
+        void operator()(const fleet::FleetSnapshot& value)
+        {
+            auto snapshot = root.initSnapshot();
+            snapshot.setConfiguration(kj::arrayPtr(
+                reinterpret_cast<const kj::byte*>(value.configuration.data()), value.configuration.size()));
+            auto hosts = snapshot.initHosts(static_cast<unsigned>(value.hosts.size()));
+            for (unsigned i = 0; i < hosts.size(); ++i)
+                write(hosts[i], value.hosts[i]);
+        }
         void operator()(const fleet::SynDeclined& value)
         {
             write(root.initSynDeclined(), fleet::FlowClaim { value.key });
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -59,6 +59,11 @@
   flows @1 :List(FlowClaim);
 }
 
+struct FleetSnapshot {
+  configuration @0 :Data;
+  hosts @1 :List(HostRecord);
+}
+
 struct FleetMessage {
   union {
     forward @0 :FleetForward;
@@ -67,5 +72,6 @@
     sidecarHello @3 :Address;
     heldFlows @4 :HeldFlows;
     synDeclined @5 :FlowClaim;
+    snapshot @6 :FleetSnapshot;
   }
 }
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -23,6 +23,7 @@
 CAPNP_DECLARE_SCHEMA(ded8aa68a8056ded);
 CAPNP_DECLARE_SCHEMA(dff0407799e40763);
 CAPNP_DECLARE_SCHEMA(db708e03ebf1fbc1);
+CAPNP_DECLARE_SCHEMA(c56842d120d60211);
 CAPNP_DECLARE_SCHEMA(a6eac2e750961be4);
 
 }  // namespace schemas
@@ -137,6 +138,21 @@
   };
 };
 
+struct FleetSnapshot {
+  FleetSnapshot() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(c56842d120d60211, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetMessage {
   FleetMessage() = delete;
 
@@ -150,6 +166,7 @@
     SIDECAR_HELLO,
     HELD_FLOWS,
     SYN_DECLINED,
+    SNAPSHOT,
   };
 
   struct _capnpPrivate {
@@ -873,6 +890,97 @@
 };
 #endif  // !CAPNP_LITE
 
+class FleetSnapshot::Reader {
+public:
+  typedef FleetSnapshot Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasConfiguration() const;
+  inline  ::capnp::Data::Reader getConfiguration() const;
+
+  inline bool hasHosts() const;
+  inline  ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader getHosts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class FleetSnapshot::Builder {
+public:
+  typedef FleetSnapshot Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasConfiguration();
+  inline  ::capnp::Data::Builder getConfiguration();
+  inline void setConfiguration( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initConfiguration(unsigned int size);
+  inline void adoptConfiguration(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownConfiguration();
+
+  inline bool hasHosts();
+  inline  ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder getHosts();
+  inline void setHosts( ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder initHosts(unsigned int size);
+  inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>> disownHosts();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class FleetSnapshot::Pipeline {
+public:
+  typedef FleetSnapshot Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetMessage::Reader {
 public:
   typedef FleetMessage Reads;
@@ -915,6 +1023,10 @@
   inline bool hasSynDeclined() const;
   inline  ::celerystile::peer::schema::FlowClaim::Reader getSynDeclined() const;
 
+  inline bool isSnapshot() const;
+  inline bool hasSnapshot() const;
+  inline  ::celerystile::peer::schema::FleetSnapshot::Reader getSnapshot() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -992,6 +1104,14 @@
   inline void adoptSynDeclined(::capnp::Orphan< ::celerystile::peer::schema::FlowClaim>&& value);
   inline ::capnp::Orphan< ::celerystile::peer::schema::FlowClaim> disownSynDeclined();
 
+  inline bool isSnapshot();
+  inline bool hasSnapshot();
+  inline  ::celerystile::peer::schema::FleetSnapshot::Builder getSnapshot();
+  inline void setSnapshot( ::celerystile::peer::schema::FleetSnapshot::Reader value);
+  inline  ::celerystile::peer::schema::FleetSnapshot::Builder initSnapshot();
+  inline void adoptSnapshot(::capnp::Orphan< ::celerystile::peer::schema::FleetSnapshot>&& value);
+  inline ::capnp::Orphan< ::celerystile::peer::schema::FleetSnapshot> disownSnapshot();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1682,6 +1802,74 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FleetSnapshot::Reader::hasConfiguration() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetSnapshot::Builder::hasConfiguration() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader FleetSnapshot::Reader::getConfiguration() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder FleetSnapshot::Builder::getConfiguration() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetSnapshot::Builder::setConfiguration( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder FleetSnapshot::Builder::initConfiguration(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void FleetSnapshot::Builder::adoptConfiguration(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> FleetSnapshot::Builder::disownConfiguration() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool FleetSnapshot::Reader::hasHosts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetSnapshot::Builder::hasHosts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader FleetSnapshot::Reader::getHosts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::getHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void FleetSnapshot::Builder::setHosts( ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>::Builder FleetSnapshot::Builder::initHosts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void FleetSnapshot::Builder::adoptHosts(
+    ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>> FleetSnapshot::Builder::disownHosts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::celerystile::peer::schema::FleetMessage::Which FleetMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2015,6 +2203,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessage::Reader::isSnapshot() const {
+  return which() == FleetMessage::SNAPSHOT;
+}
+inline bool FleetMessage::Builder::isSnapshot() {
+  return which() == FleetMessage::SNAPSHOT;
+}
+inline bool FleetMessage::Reader::hasSnapshot() const {
+  if (which() != FleetMessage::SNAPSHOT) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessage::Builder::hasSnapshot() {
+  if (which() != FleetMessage::SNAPSHOT) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celerystile::peer::schema::FleetSnapshot::Reader FleetMessage::Reader::getSnapshot() const {
+  KJ_IREQUIRE((which() == FleetMessage::SNAPSHOT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FleetSnapshot>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celerystile::peer::schema::FleetSnapshot::Builder FleetMessage::Builder::getSnapshot() {
+  KJ_IREQUIRE((which() == FleetMessage::SNAPSHOT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FleetSnapshot>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::setSnapshot( ::celerystile::peer::schema::FleetSnapshot::Reader value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SNAPSHOT);
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FleetSnapshot>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celerystile::peer::schema::FleetSnapshot::Builder FleetMessage::Builder::initSnapshot() {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SNAPSHOT);
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FleetSnapshot>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::adoptSnapshot(
+    ::capnp::Orphan< ::celerystile::peer::schema::FleetSnapshot>&& value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SNAPSHOT);
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FleetSnapshot>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celerystile::peer::schema::FleetSnapshot> FleetMessage::Builder::disownSnapshot() {
+  KJ_IREQUIRE((which() == FleetMessage::SNAPSHOT),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FleetSnapshot>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
