New flows wait at a saturated host instead of being shed

SynQueue lets new flows in as the host finishes requests: those that can meet their objective first, then by priority. Callers that gave up hold no place. Ruled out: uneven placement (busiest/mean 1.0).

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -113,6 +113,8 @@
                 machine_.onSidecarHello(*hello);
             else if (const auto* declined = std::get_if<fleet::SynDeclined>(&message))
                 machine_.onDeclined(*declined, now);
+            else if (const auto* queued = std::get_if<fleet::SynQueued>(&message))
+                machine_.onQueued(*queued);
         }
 
         // The store may be away or turn this instance down; others may have its answers.
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds checkpointInterval { 1'000 }; // one write a second while flows change
+    constexpr std::chrono::milliseconds checkpointInterval { 2500 }; // one write a second while flows change
     constexpr std::chrono::milliseconds checkpointLife { 60'000 }; // the longest life of a flow
     constexpr std::chrono::milliseconds checkpointRenewal { 20'000 };
     constexpr std::chrono::milliseconds finishTime { 400 }; // for the last write before the process ends
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -24,6 +24,7 @@
     DropNoRoute, ///< packets of open flows for an address that has no route
     DropNoHost, ///< packets for a service without a known host
     DropUnsettled, ///< SYNs before the first list of hosts
+    DropQueuedCopy, ///< copies of SYNs that wait at a sidecar
     Count_,
 };
 
@@ -69,6 +70,7 @@
     void onReport(const FlowReport& report, base::TimePoint now);
     void onSidecarHello(const SidecarHello& hello);
     void onDeclined(const SynDeclined& declined, base::TimePoint now);
+    void onQueued(const SynQueued& queued);
 
     /// @brief All known hosts, for another balancer.
     std::vector<HostRecord> hostRecords() const;
@@ -94,6 +96,10 @@
         CandidateList candidates;
         std::vector<Endpoint> tried;
         std::uint8_t position = 0;
+        bool queued = false; // waits at a sidecar
+        std::uint32_t priority = 0;
+        std::uint32_t objectiveMilliseconds = 0;
+        base::TimePoint begunAt {};
         base::TimePoint retryAt {};
         base::TimePoint expiresAt {};
     };
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -32,6 +32,9 @@
     Endpoint balancer; ///< who is told the outcome
     std::uint8_t position = 0; ///< the receiver among the candidates
     std::uint8_t trials = 0; ///< hosts to which this packet was given on trial
+    std::uint32_t priority = 0; ///< of a new flow; 0 is the most important
+    std::uint32_t ageMilliseconds = 0; ///< time since the first copy of a SYN
+    std::uint32_t objectiveMilliseconds = 0; ///< within which the caller wants its answer
     CandidateList candidates; ///< sidecars in the order in which they are asked
     core::Bytes packet; ///< belongs to the datagram
 };
@@ -93,8 +96,15 @@
     bool operator==(const FleetSnapshot&) const = default;
 };
 
-using Message
-    = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot>;
+/// @brief The SYN waits at a sidecar until its host has a place.
+struct SynQueued {
+    core::FlowKey key;
+
+    bool operator==(const SynQueued&) const = default;
+};
+
+using Message = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot,
+    SynQueued>;
 
 /// @brief Most flows named in one datagram, which then stays below 1,500 bytes.
 inline constexpr std::size_t maxFlowsPerDatagram = 48;
--- a/include/celerystile/fleet/route_table.hpp
+++ b/include/celerystile/fleet/route_table.hpp
@@ -28,6 +28,7 @@
     Endpoint address;
     std::vector<RouteTarget> targets;
     std::uint32_t priority = 0; ///< 0 is the most important
+    std::chrono::milliseconds latencyObjective { 0 }; ///< within which callers want an answer
 
     bool operator==(const Route&) const = default;
 
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -5,6 +5,7 @@
 #include "celerystile/fleet/decision.hpp"
 #include "celerystile/fleet/host_status.hpp"
 #include "celerystile/fleet/message.hpp"
+#include "celerystile/fleet/syn_queue.hpp"
 
 #include <array>
 #include <deque>
@@ -28,6 +29,8 @@
     FlowsReset, ///< callers reset because the host has ended
     SynPassedOn, ///< SYNs that went to the next candidate
     SynDeclined, ///< SYNs that nobody took
+    SynQueued, ///< SYNs that waited for a place at the host
+    SynExpired, ///< SYNs whose caller gave up while they waited
     ClaimsDropped, ///< the caller took another host's answer
     Trials, ///< packets given to the host without knowing the flow
     PassedOn, ///< packets of unknown flows that went to the next candidate
@@ -68,6 +71,11 @@
     std::uint64_t epoch = 0; ///< start of this process, Unix milliseconds
     HostStatusRules host;
     std::size_t maxFlows = 100'000;
+    std::size_t maxQueued = 512; ///< new flows that wait for a place at the host
+    double requestsPerSlot = 2.0; ///< requests at the host, its own queue included, before new flows wait
+    std::uint32_t extraRequests = 2; ///< added to the above, so that a host with few slots does not idle
+    base::Duration synLifetime = std::chrono::milliseconds(1300); ///< callers give up a SYN after 1.4 s
+    base::Duration answerPatience = std::chrono::seconds(3); ///< a request without any packet for so long is given up
     base::Duration openingPatience = std::chrono::milliseconds(30); ///< a host's handshake takes under a millisecond
     base::Duration openingLifetime = std::chrono::seconds(2); ///< callers give up a SYN after 1.4 s
     base::Duration closedLinger = std::chrono::seconds(5); ///< late packets of an ended flow are still served
@@ -150,6 +158,9 @@
     void onSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void takeSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void passSynOn(const Forward& forward, const core::Segment& segment, std::string_view reason, base::TimePoint now);
+    bool saturated() const;
+    bool queueSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
+    void admitQueued(base::TimePoint now);
     std::string_view whyNot(const Forward& forward, base::TimePoint now) const;
     void onUnknown(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     bool tryHost(const Forward& forward, const core::Segment& segment, base::TimePoint now);
@@ -185,6 +196,8 @@
     core::FlowTable table_;
     std::uint32_t awaiting_ = 0; // flows whose record says awaitingAnswer
     SavedForwards opening_; // SYNs the host has not answered
+    SavedForwards queued_; // SYNs in queue_
+    SynQueue queue_;
     SavedForwards tried_; // packets on trial at the host
     std::deque<Timed> openingQueue_;
     std::deque<Timed> closedQueue_;
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -18,8 +18,17 @@
         "drop_no_route",
         "drop_no_host",
         "drop_unsettled",
+        "drop_queued_copy",
     };
 
+    // A SYN says how many copies of it came before; callers send them at fixed times.
+    base::Duration ageOf(const core::Segment& syn)
+    {
+        constexpr std::array<std::chrono::milliseconds, 3> sentAfter { std::chrono::milliseconds(0),
+            std::chrono::milliseconds(200), std::chrono::milliseconds(600) };
+        return sentAfter[std::min<std::size_t>(syn.acknowledgement, sentAfter.size() - 1)];
+    }
+
     bool contains(const std::vector<Endpoint>& list, const Endpoint& sidecar)
     {
         return std::find(list.begin(), list.end(), sidecar) != list.end();
@@ -82,6 +91,8 @@
     if (owner)
         owners_.forget(segment.key); // the caller uses its port again: a new flow
     if (const auto found = pending_.find(segment.key); found != pending_.end()) {
+        if (found->second.queued)
+            return bump(BalancerCount::DropQueuedCopy);
         found->second.packet.assign(packet.begin(), packet.end());
         found->second.segment = segment;
         return retry(found->second, now);
@@ -97,7 +108,10 @@
     pending.segment = segment;
     pending.packet.assign(packet.begin(), packet.end());
     pending.service = route->select(segment.key.hash());
-    pending.expiresAt = now + rules_.synLifetime;
+    pending.priority = route->priority;
+    pending.objectiveMilliseconds = static_cast<std::uint32_t>(route->latencyObjective.count());
+    pending.begunAt = now - ageOf(segment);
+    pending.expiresAt = pending.begunAt + rules_.synLifetime;
     auto& stored = pending_.insert_or_assign(segment.key, std::move(pending)).first->second;
     place(stored, "new flow", now);
 }
@@ -134,6 +148,10 @@
     forward.balancer = rules_.self;
     forward.candidates = pending.candidates;
     forward.position = pending.position;
+    forward.priority = pending.priority;
+    forward.objectiveMilliseconds = pending.objectiveMilliseconds;
+    forward.ageMilliseconds = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(now - pending.begunAt).count());
     forward.packet = pending.packet;
     output_.forward(to, forward);
 }
@@ -224,6 +242,15 @@
     place(pending, "declined by the hosts before", now);
 }
 
+void Balancer::onQueued(const SynQueued& queued)
+{
+    const auto found = pending_.find(queued.key);
+    if (found == pending_.end())
+        return;
+    found->second.queued = true;
+    found->second.retryAt = found->second.expiresAt;
+}
+
 std::vector<HostRecord> Balancer::hostRecords() const
 {
     std::vector<HostRecord> records;
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -23,6 +23,8 @@
         "flows_reset",
         "syn_passed_on",
         "syn_declined",
+        "syn_queued",
+        "syn_expired",
         "claims_dropped",
         "trials",
         "passed_on",
@@ -39,6 +41,7 @@
     , output_(output)
     , start_(start)
     , host_(rules.host, start)
+    , queue_(rules.maxQueued)
     , lastReport_(start)
     , lastTick_(start)
     , nextSweep_(start + sweepInterval)
@@ -104,7 +107,9 @@
     record.lastSeen = secondsAt(now);
     if (segment.ack && !segment.rst)
         record.callerAck = segment.acknowledgement;
-    if (segment.payloadBytes > 0)
+    if (segment.fin || segment.rst)
+        setAwaiting(record, false); // the caller has given up or has all it asked for
+    else if (segment.payloadBytes > 0)
         setAwaiting(record, true);
     record.callerFinished = record.callerFinished || segment.fin;
     output_.deliver(packet);
@@ -159,8 +164,11 @@
     if (!record)
         return;
     record->lastSeen = secondsAt(now);
-    if (segment.payloadBytes > 0)
+    if (segment.payloadBytes > 0 || segment.fin) {
         setAwaiting(*record, false);
+        admitQueued(now);
+        record = table_.find(segment.key); // admission may have moved it
+    }
     if (segment.syn && segment.ack && record->state == core::FlowState::Opening) {
         record->hostIsn = segment.sequence;
         record->hostIsnKnown = true;
@@ -209,6 +217,7 @@
 {
     noticePause(now);
     expireOpening(now);
+    admitQueued(now);
     if (host_.dead(now) && table_.openFlows() > 0)
         resetAll("the host has fallen silent", now);
     announceIfChanged(now);
@@ -245,9 +254,13 @@
 {
     const auto idle = std::chrono::duration_cast<std::chrono::seconds>(rules_.idleTimeout).count();
     std::vector<core::FlowKey> expired;
-    for (const auto& [key, record] : table_.records()) {
-        if (secondsAt(now) - record.lastSeen >= static_cast<std::uint32_t>(idle))
+    const auto patience = std::chrono::duration_cast<std::chrono::seconds>(rules_.answerPatience).count();
+    for (auto& [key, record] : table_.records()) {
+        const auto quiet = secondsAt(now) - record.lastSeen;
+        if (quiet >= static_cast<std::uint32_t>(idle))
             expired.push_back(key);
+        else if (quiet >= static_cast<std::uint32_t>(patience))
+            setAwaiting(record, false);
     }
     for (const auto& key : expired)
         endFlow(key);
@@ -262,6 +275,8 @@
 {
     constexpr base::Duration longest = std::chrono::milliseconds(200);
     auto next = now + longest;
+    if (!queue_.empty())
+        next = now + std::chrono::milliseconds(20);
     if (!openingQueue_.empty())
         next = std::min(next, openingQueue_.front().at + rules_.openingPatience);
     return next;
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -24,10 +24,61 @@
             return bump(SidecarCount::DropUnclaimed); // a late copy of a flow that has long been open
         endFlow(segment.key); // the caller uses its port again
     }
+    if (queue_.contains(segment.key))
+        return output_.tell(forward.balancer, SynQueued { segment.key });
     const auto reason = whyNot(forward, now);
     if (!reason.empty())
         return passSynOn(forward, segment, reason, now);
-    takeSyn(forward, segment, now);
+    if (!saturated())
+        return takeSyn(forward, segment, now);
+    // Somebody else may have a place; the last one asked lets the flow wait.
+    const bool last = forward.position + 1U >= forward.candidates.size();
+    if (!last || !queueSyn(forward, segment, now))
+        passSynOn(forward, segment, "the host is saturated", now);
+}
+
+bool Sidecar::saturated() const
+{
+    const auto limit = rules_.requestsPerSlot * host_.slots() + rules_.extraRequests;
+    return !queue_.empty() || awaiting_ >= limit;
+}
+
+bool Sidecar::queueSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now)
+{
+    const auto begunAt = now - std::chrono::milliseconds(forward.ageMilliseconds);
+    const auto objective = std::chrono::milliseconds(forward.objectiveMilliseconds);
+    if (!queue_.add({ segment.key, forward.priority, begunAt + objective, begunAt + rules_.synLifetime }))
+        return false;
+    auto& saved = queued_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
+    saved.forward.packet = saved.packet;
+    bump(SidecarCount::SynQueued);
+    output_.tell(forward.balancer, SynQueued { segment.key });
+    return true;
+}
+
+// As many are let in as the host has finished requests.
+void Sidecar::admitQueued(base::TimePoint now)
+{
+    for (const auto& key : queue_.expire(now)) {
+        queued_.erase(key);
+        bump(SidecarCount::SynExpired);
+    }
+    const auto limit = rules_.requestsPerSlot * host_.slots() + rules_.extraRequests;
+    while (awaiting_ < limit) {
+        const auto key = queue_.next(now);
+        if (!key)
+            return;
+        const auto found = queued_.find(*key);
+        if (found == queued_.end())
+            continue;
+        auto saved = std::move(found->second);
+        queued_.erase(found);
+        saved.forward.packet = saved.packet;
+        if (const auto reason = whyNot(saved.forward, now); !reason.empty())
+            passSynOn(saved.forward, saved.segment, reason, now);
+        else
+            takeSyn(saved.forward, saved.segment, now);
+    }
 }
 
 std::string_view Sidecar::whyNot(const Forward& forward, base::TimePoint now) const
@@ -59,7 +110,7 @@
     core::FlowRecord record;
     record.callerIsn = segment.sequence;
     record.lastSeen = secondsAt(now);
-    table_.add(segment.key, record);
+    setAwaiting(table_.add(segment.key, record), true); // callers open a flow for a request
     auto& saved = opening_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
     saved.forward.packet = saved.packet;
     openingQueue_.push_back({ segment.key, now });
@@ -98,10 +149,12 @@
         const auto key = openingQueue_.front().key;
         openingQueue_.pop_front();
         const auto saved = opening_.find(key);
-        const auto* record = table_.find(key);
+        auto* record = table_.find(key);
         if (saved == opening_.end() || !record || record->state != core::FlowState::Opening)
             continue;
-        if (!record->hostIsnKnown) {
+        if (record->hostIsnKnown) {
+            setAwaiting(*record, false); // the caller has not come back for the host's answer
+        } else {
             unansweredAt_ = now;
             auto original = saved->second;
             original.forward.packet = original.packet;
@@ -111,16 +164,18 @@
             }
         }
     }
+    std::vector<core::FlowKey> expired;
     boost::unordered::erase_if(opening_, [&](const SavedForwards::value_type& entry) {
-        const bool expired = now - entry.second.at >= rules_.openingLifetime;
-        if (expired) {
+        const bool tooOld = now - entry.second.at >= rules_.openingLifetime;
+        if (tooOld) {
             if (const auto* record = table_.find(entry.first); record && record->state == core::FlowState::Opening) {
-                endedSinceReport_.push_back(claimOf(entry.first, *record));
-                table_.remove(entry.first);
+                expired.push_back(entry.first);
             }
         }
-        return expired;
+        return tooOld;
     });
+    for (const auto& key : expired)
+        endFlow(key);
 }
 
 } // namespace celerystile::fleet
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -29,6 +29,9 @@
         to.setPosition(value.position);
         to.setTrials(value.trials);
         to.setService(value.service);
+        to.setPriority(value.priority);
+        to.setAgeMilliseconds(value.ageMilliseconds);
+        to.setObjectiveMilliseconds(value.objectiveMilliseconds);
         write(to.initBalancer(), value.balancer);
         auto candidates = to.initCandidates(static_cast<unsigned>(value.candidates.size()));
         for (unsigned i = 0; i < candidates.size(); ++i)
@@ -45,6 +48,9 @@
         value.position = from.getPosition();
         value.trials = from.getTrials();
         value.service = from.getService();
+        value.priority = from.getPriority();
+        value.ageMilliseconds = from.getAgeMilliseconds();
+        value.objectiveMilliseconds = from.getObjectiveMilliseconds();
         value.balancer = read(from.getBalancer());
         const auto candidates = from.getCandidates();
         if (candidates.size() > fleet::maxCandidates)
@@ -167,6 +173,8 @@
         }
         case schema::FleetMessage::SYN_DECLINED:
             return fleet::Message { fleet::SynDeclined { read(from.getSynDeclined()).key } };
+        case schema::FleetMessage::SYN_QUEUED:
+            return fleet::Message { fleet::SynQueued { read(from.getSynQueued()).key } };
         case schema::FleetMessage::SNAPSHOT:
             return read(from.getSnapshot());
         }
@@ -197,6 +205,10 @@
             held.setBorn(value.born);
             write(held.initFlows(static_cast<unsigned>(value.flows.size())), value.flows);
         }
+        void operator()(const fleet::SynQueued& value)
+        {
+            write(root.initSynQueued(), fleet::FlowClaim { value.key });
+        }
         void operator()(const fleet::FleetSnapshot& value)
         {
             auto snapshot = root.initSnapshot();
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -18,6 +18,9 @@
   balancer @4 :Address;
   candidates @5 :List(Address);
   packet @6 :Data;
+  priority @7 :UInt32;
+  ageMilliseconds @8 :UInt32;
+  objectiveMilliseconds @9 :UInt32;
 }
 
 struct HostRecord {
@@ -73,5 +76,6 @@
     heldFlows @4 :HeldFlows;
     synDeclined @5 :FlowClaim;
     snapshot @6 :FleetSnapshot;
+    synQueued @7 :FlowClaim;
   }
 }
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -56,7 +56,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d020704a72d14860, 2, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d020704a72d14860, 3, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -167,6 +167,7 @@
     HELD_FLOWS,
     SYN_DECLINED,
     SNAPSHOT,
+    SYN_QUEUED,
   };
 
   struct _capnpPrivate {
@@ -294,6 +295,12 @@
   inline bool hasPacket() const;
   inline  ::capnp::Data::Reader getPacket() const;
 
+  inline  ::uint32_t getPriority() const;
+
+  inline  ::uint32_t getAgeMilliseconds() const;
+
+  inline  ::uint32_t getObjectiveMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -355,6 +362,15 @@
   inline void adoptPacket(::capnp::Orphan< ::capnp::Data>&& value);
   inline ::capnp::Orphan< ::capnp::Data> disownPacket();
 
+  inline  ::uint32_t getPriority();
+  inline void setPriority( ::uint32_t value);
+
+  inline  ::uint32_t getAgeMilliseconds();
+  inline void setAgeMilliseconds( ::uint32_t value);
+
+  inline  ::uint32_t getObjectiveMilliseconds();
+  inline void setObjectiveMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1027,6 +1043,10 @@
   inline bool hasSnapshot() const;
   inline  ::celerystile::peer::schema::FleetSnapshot::Reader getSnapshot() const;
 
+  inline bool isSynQueued() const;
+  inline bool hasSynQueued() const;
+  inline  ::celerystile::peer::schema::FlowClaim::Reader getSynQueued() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1112,6 +1132,14 @@
   inline void adoptSnapshot(::capnp::Orphan< ::celerystile::peer::schema::FleetSnapshot>&& value);
   inline ::capnp::Orphan< ::celerystile::peer::schema::FleetSnapshot> disownSnapshot();
 
+  inline bool isSynQueued();
+  inline bool hasSynQueued();
+  inline  ::celerystile::peer::schema::FlowClaim::Builder getSynQueued();
+  inline void setSynQueued( ::celerystile::peer::schema::FlowClaim::Reader value);
+  inline  ::celerystile::peer::schema::FlowClaim::Builder initSynQueued();
+  inline void adoptSynQueued(::capnp::Orphan< ::celerystile::peer::schema::FlowClaim>&& value);
+  inline ::capnp::Orphan< ::celerystile::peer::schema::FlowClaim> disownSynQueued();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1331,6 +1359,48 @@
       ::capnp::bounded<2>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t FleetForward::Reader::getPriority() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetForward::Builder::getPriority() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void FleetForward::Builder::setPriority( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FleetForward::Reader::getAgeMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetForward::Builder::getAgeMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void FleetForward::Builder::setAgeMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FleetForward::Reader::getObjectiveMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetForward::Builder::getObjectiveMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void FleetForward::Builder::setObjectiveMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostRecord::Reader::hasSidecar() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2257,6 +2327,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessage::Reader::isSynQueued() const {
+  return which() == FleetMessage::SYN_QUEUED;
+}
+inline bool FleetMessage::Builder::isSynQueued() {
+  return which() == FleetMessage::SYN_QUEUED;
+}
+inline bool FleetMessage::Reader::hasSynQueued() const {
+  if (which() != FleetMessage::SYN_QUEUED) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessage::Builder::hasSynQueued() {
+  if (which() != FleetMessage::SYN_QUEUED) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celerystile::peer::schema::FlowClaim::Reader FleetMessage::Reader::getSynQueued() const {
+  KJ_IREQUIRE((which() == FleetMessage::SYN_QUEUED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celerystile::peer::schema::FlowClaim::Builder FleetMessage::Builder::getSynQueued() {
+  KJ_IREQUIRE((which() == FleetMessage::SYN_QUEUED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::setSynQueued( ::celerystile::peer::schema::FlowClaim::Reader value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SYN_QUEUED);
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celerystile::peer::schema::FlowClaim::Builder FleetMessage::Builder::initSynQueued() {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SYN_QUEUED);
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::adoptSynQueued(
+    ::capnp::Orphan< ::celerystile::peer::schema::FlowClaim>&& value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SYN_QUEUED);
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celerystile::peer::schema::FlowClaim> FleetMessage::Builder::disownSynQueued() {
+  KJ_IREQUIRE((which() == FleetMessage::SYN_QUEUED),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
