--- a/include/celerystile/fleet/placement.hpp
+++ b/include/celerystile/fleet/placement.hpp
@@ -29,7 +29,7 @@
 /// @brief Settings of least-loaded placement.
 struct LeastLoadedRules {
     std::size_t sampled = 4; ///< hosts drawn by rendezvous hashing, of which the least loaded is taken
-    double remoteMargin = 1.0; ///< flows per slot that another failure domain's host must be emptier by
+    double remoteMargin = 2.0; ///< flows per slot that another failure domain's host must be emptier by
     double coldPenalty = 0.6; ///< share by which a cold host counts as more loaded
 };
 
