Store calls no longer grow with hosts times balancers

Sidecars tell balancers directly, so the registry is only polled by cheap reads; the configuration watch waits 20 s and is checked by cheap reads; checkpoints share ten writes a second in the whole fleet.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -1,4 +1,5 @@
 #include "celerystile/fleet/balancer.hpp"
+#include "celerystile/store/prefix_poll.hpp"
 #include "celerystile/store/prefix_watch.hpp"
 #include "fleet_process.hpp"
 #include "fleet_transport.hpp"
@@ -25,14 +26,6 @@
     constexpr std::chrono::milliseconds neighbourInterval { 600 }; // while the store does not answer
     constexpr base::Duration shortestTick = std::chrono::milliseconds(5);
 
-    // A connection that has fallen silent must be noticed before a change of the configuration is overdue.
-    store::PrefixWatchRules configurationRules()
-    {
-        store::PrefixWatchRules rules;
-        rules.wait = std::chrono::milliseconds(2'500);
-        return rules;
-    }
-
     class FleetBalancer final : public FleetProcess, private fleet::BalancerOutput {
     public:
         explicit FleetBalancer(const FleetSettings& settings)
@@ -41,15 +34,14 @@
             , transport_(traffic_, settings_.keyring)
             , machine_(rules(settings, epoch_), *placement_, *this, clock_.now())
             , configuration_(
-                  store_, control_, std::string(platform::configurationPrefix), configurationRules(),
+                  store_, control_, std::string(platform::configurationPrefix), {},
                   [this](const auto& items) { onConfiguration(items); },
                   [this](bool answers, const auto& detail) {
                       storeAnswers_ = answers;
                       storeHealth(answers, detail);
                   })
             , registry_(
-                  store_, control_, std::string(hostsPrefix), {}, [this](const auto& items) { onRegistry(items); },
-                  [](bool, const auto&) {})
+                  store_, control_, std::string(hostsPrefix), {}, [this](const auto& items) { onRegistry(items); })
         {
         }
 
@@ -74,6 +66,7 @@
                 !opened)
                 return opened;
             spawn("configuration", [this] { return configuration_.run(); });
+            spawn("configuration recheck", [this] { return configuration_.recheck(); });
             spawn("registry", [this] { return registry_.run(); });
             for (const auto& neighbour : neighbours())
                 spawn("neighbour " + neighbour.toString(), [this, neighbour] { return followNeighbour(neighbour); });
@@ -191,15 +184,15 @@
             });
         }
 
-        void onRegistry(const store::PrefixWatch::Items& items)
+        void onRegistry(const std::vector<store::Item>& items)
         {
             std::vector<fleet::HostRecord> records;
-            for (const auto& [key, item] : items) {
+            for (const auto& item : items) {
                 const auto report = readSealed<fleet::FlowReport>(item.value, settings_.keyring);
                 if (report)
                     records.push_back(report->host);
                 else
-                    logEvent(Event::RegistryEntryUnreadable, { { "key", key }, { "detail", report.error().detail } });
+                    logEvent(Event::RegistryEntryUnreadable, { { "key", item.key }, { "detail", report.error().detail } });
             }
             logEvent(Event::RegistryChanged, { { "hosts", std::to_string(records.size()) } });
             registryRead_ = true;
@@ -257,7 +250,7 @@
         FleetTransport transport_;
         fleet::Balancer machine_;
         store::PrefixWatch configuration_;
-        store::PrefixWatch registry_;
+        store::PrefixPoll registry_;
         DecisionLog log_;
         // Of the control thread.
         std::uint64_t version_ = 0;
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -169,6 +169,7 @@
     const auto& calls = store_.calls();
     const auto latency = store_.latency().values();
     state["store_reads"] = calls.reads;
+    state["store_cheap_reads"] = calls.cheapReads;
     state["store_writes"] = calls.writes;
     state["store_renewals"] = calls.renewals;
     state["store_failures"] = calls.failures;
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -19,7 +19,9 @@
 
 namespace {
 
-    constexpr std::chrono::milliseconds checkpointInterval { 2500 }; // one write a second while flows change
+    // Half of a turnover of flows is lost at worst; in a large fleet all checkpoints share ten writes a second.
+    constexpr std::chrono::milliseconds shortestCheckpointInterval { 2'500 };
+    constexpr std::chrono::milliseconds checkpointIntervalPerHost { 100 };
     constexpr std::chrono::milliseconds checkpointLife { 60'000 }; // the longest life of a flow
     constexpr std::chrono::milliseconds checkpointRenewal { 20'000 };
     constexpr std::chrono::milliseconds finishTime { 400 }; // for the last write before the process ends
@@ -142,9 +144,14 @@
             logEvent(Event::RegistryEntryUnreadable, { { "key", item.key }, { "detail", error.detail } });
         }
 
+        std::chrono::milliseconds checkpointInterval() const
+        {
+            return std::max(shortestCheckpointInterval, checkpointIntervalPerHost * machine_.fleetHosts());
+        }
+
         void takeCheckpoint(base::TimePoint now)
         {
-            if (machine_.checkpointVersion() == checkpointed_ || now - checkpointedAt_ < checkpointInterval)
+            if (machine_.checkpointVersion() == checkpointed_ || now - checkpointedAt_ < checkpointInterval())
                 return;
             checkpointed_ = machine_.checkpointVersion();
             checkpointedAt_ = now;
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -68,7 +68,7 @@
 
     void onPacket(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     void onReport(const FlowReport& report, base::TimePoint now);
-    void onSidecarHello(const SidecarHello& hello);
+    void onSidecarHello(const SidecarHello& from);
     void onDeclined(const SynDeclined& declined, base::TimePoint now);
     void onQueued(const SynQueued& queued);
 
@@ -111,6 +111,7 @@
     void retry(PendingSyn& pending, base::TimePoint now);
     void refuse(const core::Segment& segment, std::string_view reason);
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
+    BalancerHello hello() const;
     void sayHello(base::TimePoint now);
 
     BalancerRules rules_;
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -62,6 +62,7 @@
 struct BalancerHello {
     Endpoint balancer;
     std::uint64_t epoch = 0;
+    std::uint32_t hosts = 0; ///< how many hosts it knows, by which shared budgets are divided
 
     bool operator==(const BalancerHello&) const = default;
 };
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -126,6 +126,9 @@
     /// @brief Changes whenever checkpoint() would.
     std::uint64_t checkpointVersion() const { return checkpointVersion_; }
 
+    /// @brief How many hosts the fleet has, by a balancer's word.
+    std::uint32_t fleetHosts() const { return fleetHosts_; }
+
     HostRecord record(base::TimePoint now) const;
     const HostStatus& host() const { return host_; }
     const core::FlowTable& flows() const { return table_; }
@@ -211,6 +214,7 @@
     base::TimePoint lastTick_;
     base::TimePoint nextSweep_;
     std::uint64_t checkpointVersion_ = 0;
+    std::uint32_t fleetHosts_ = 1;
     std::array<std::uint64_t, sidecarCounts> counts_ {};
 };
 
--- a/include/celerystile/store/key_value.hpp
+++ b/include/celerystile/store/key_value.hpp
@@ -89,7 +89,7 @@
 
     virtual ~KeyValueStore() = default;
     virtual Call<std::optional<Item>> get(std::string key, Freshness freshness) = 0;
-    virtual Call<Listing> list(std::string prefix) = 0;
+    virtual Call<Listing> list(std::string prefix, Freshness freshness) = 0;
 
     /// @brief Waits for changes after `after`, at most `wait`.
     virtual Call<Changes> watch(std::string prefix, Revision after, std::chrono::milliseconds wait) = 0;
--- a/include/celerystile/store/prefix_watch.hpp
+++ b/include/celerystile/store/prefix_watch.hpp
@@ -13,8 +13,9 @@
 
 /// @brief Settings of a watch.
 struct PrefixWatchRules {
-    std::chrono::milliseconds wait { 8'000 }; ///< longest time of one call
+    std::chrono::milliseconds wait { 20'000 }; ///< longest time of one call
     std::chrono::milliseconds retryDelay { 250 }; ///< after a failed call
+    std::chrono::milliseconds recheckEvery { 2'000 }; ///< cheap reads that notice a watch that has fallen silent
 };
 
 /// @brief Watches a prefix. Runs on one io_context.
@@ -33,16 +34,20 @@
 
     /// @brief Runs until stop().
     boost::asio::awaitable<void> run();
+
+    /// @brief Runs beside run(): a watch whose connection has fallen silent would bring nothing for its whole time.
+    boost::asio::awaitable<void> recheck();
     void stop();
 
 private:
     boost::asio::awaitable<bool> listAll();
     boost::asio::awaitable<bool> waitForChanges();
-    void apply(const Change& change);
+    bool apply(const Change& change);
     bool answered(bool answers, const std::string& detail);
 
     KeyValueStore& store_;
     boost::asio::steady_timer timer_;
+    boost::asio::steady_timer recheckTimer_;
     std::string prefix_;
     PrefixWatchRules rules_;
     Handler handler_;
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -59,7 +59,12 @@
     }
     board_.setRegistered(records, now);
     for (const auto& sidecar : newcomers)
-        output_.tell(sidecar, BalancerHello { rules_.self, rules_.epoch });
+        output_.tell(sidecar, hello());
+}
+
+BalancerHello Balancer::hello() const
+{
+    return { rules_.self, rules_.epoch, static_cast<std::uint32_t>(board_.hosts().size()) };
 }
 
 void Balancer::onPacket(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
@@ -215,17 +220,17 @@
         owners_.end(report.host.sidecar, claim.key);
 }
 
-void Balancer::onSidecarHello(const SidecarHello& hello)
+void Balancer::onSidecarHello(const SidecarHello& from)
 {
-    output_.tell(hello.sidecar, BalancerHello { rules_.self, rules_.epoch });
-    const auto* host = board_.find(hello.sidecar);
-    const auto flows = owners_.heldBy(hello.sidecar);
+    output_.tell(from.sidecar, hello());
+    const auto* host = board_.find(from.sidecar);
+    const auto flows = owners_.heldBy(from.sidecar);
     for (std::size_t at = 0; at < flows.size(); at += maxFlowsPerDatagram) {
         const auto end = std::min(flows.size(), at + maxFlowsPerDatagram);
         HeldFlows part;
         part.born = host ? host->record.born : 0;
         part.flows.assign(flows.begin() + static_cast<std::ptrdiff_t>(at), flows.begin() + static_cast<std::ptrdiff_t>(end));
-        output_.tell(hello.sidecar, part);
+        output_.tell(from.sidecar, part);
     }
 }
 
@@ -294,7 +299,7 @@
 void Balancer::sayHello(base::TimePoint now)
 {
     for (const auto& [sidecar, host] : board_.hosts())
-        output_.tell(sidecar, BalancerHello { rules_.self, rules_.epoch });
+        output_.tell(sidecar, hello());
     const std::chrono::duration<double> paced(
         static_cast<double>(board_.hosts().size()) * helloBytes / rules_.controlBytesPerSecond);
     nextHello_ = now + std::max(rules_.helloInterval, std::chrono::duration_cast<base::Duration>(paced));
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -89,6 +89,7 @@
 
 void Sidecar::onHello(const BalancerHello& hello, base::TimePoint now)
 {
+    fleetHosts_ = std::max<std::uint32_t>(1, hello.hosts);
     auto& known = balancers_[hello.balancer];
     known.heardAt = now;
     if (known.epoch == hello.epoch)
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -163,7 +163,7 @@
             return read(from.getReport());
         case schema::FleetMessage::BALANCER_HELLO: {
             const auto hello = from.getBalancerHello();
-            return fleet::Message { fleet::BalancerHello { read(hello.getBalancer()), hello.getEpoch() } };
+            return fleet::Message { fleet::BalancerHello { read(hello.getBalancer()), hello.getEpoch(), hello.getHosts() } };
         }
         case schema::FleetMessage::SIDECAR_HELLO:
             return fleet::Message { fleet::SidecarHello { read(from.getSidecarHello()) } };
@@ -197,6 +197,7 @@
             auto hello = root.initBalancerHello();
             write(hello.initBalancer(), value.balancer);
             hello.setEpoch(value.epoch);
+            hello.setHosts(value.hosts);
         }
         void operator()(const fleet::SidecarHello& value) { write(root.initSidecarHello(), value.sidecar); }
         void operator()(const fleet::HeldFlows& value)
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -55,6 +55,7 @@
 struct BalancerHello {
   balancer @0 :Address;
   epoch @1 :UInt64;
+  hosts @2 :UInt32;
 }
 
 struct HeldFlows {
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -116,7 +116,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dff0407799e40763, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dff0407799e40763, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -755,6 +755,8 @@
 
   inline  ::uint64_t getEpoch() const;
 
+  inline  ::uint32_t getHosts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -793,6 +795,9 @@
   inline  ::uint64_t getEpoch();
   inline void setEpoch( ::uint64_t value);
 
+  inline  ::uint32_t getHosts();
+  inline void setHosts( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1824,6 +1829,20 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t BalancerHello::Reader::getHosts() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BalancerHello::Builder::getHosts() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void BalancerHello::Builder::setHosts( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldFlows::Reader::getBorn() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/celerystile/store/prefix_watch.cpp
+++ b/src/celerystile/store/prefix_watch.cpp
@@ -10,6 +10,7 @@
     Handler handler, HealthHandler health)
     : store_(store)
     , timer_(context)
+    , recheckTimer_(context)
     , prefix_(std::move(prefix))
     , rules_(rules)
     , handler_(std::move(handler))
@@ -21,6 +22,7 @@
 {
     stopped_ = true;
     timer_.cancel();
+    recheckTimer_.cancel();
 }
 
 asio::awaitable<void> PrefixWatch::run()
@@ -48,7 +50,7 @@
 
 asio::awaitable<bool> PrefixWatch::listAll()
 {
-    const auto listing = co_await store_.list(prefix_);
+    const auto listing = co_await store_.list(prefix_, Freshness::Latest);
     if (stopped_ || !listing)
         co_return answered(false, listing ? "stopped" : listing.error().detail);
     items_.clear();
@@ -78,15 +80,37 @@
 }
 
 // A list of several pages may already show later changes than the revision from which the watch starts.
-void PrefixWatch::apply(const Change& change)
+// @return whether something is different now.
+bool PrefixWatch::apply(const Change& change)
 {
     const auto found = items_.find(change.item.key);
-    if (found != items_.end() && found->second.revision > change.item.revision)
-        return;
+    if (found != items_.end() && found->second.revision >= change.item.revision)
+        return false;
     if (!change.deleted)
         items_[change.item.key] = change.item;
     else if (found != items_.end())
         items_.erase(found);
+    return true;
+}
+
+// A cheap read may be older than what is known, so it only ever adds newer values.
+asio::awaitable<void> PrefixWatch::recheck()
+{
+    while (!stopped_) {
+        recheckTimer_.expires_after(rules_.recheckEvery);
+        co_await recheckTimer_.async_wait(base::asValues);
+        if (stopped_ || !listed_)
+            continue;
+        const auto listing = co_await store_.list(prefix_, Freshness::Seconds);
+        bool changed = false;
+        if (listing) {
+            for (const auto& item : listing->items)
+                changed = apply({ item, false }) || changed;
+        }
+        if (changed && !stopped_)
+            handler_(items_);
+        answered(listing.has_value(), listing ? "" : listing.error().detail);
+    }
 }
 
 } // namespace celerystile::store
