--- /dev/null
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -0,0 +1,184 @@
+#include "fleet_test_support.hpp"
+
+#include <doctest/doctest.h>
+#include <set>
+
+namespace celerystile::fleet {
+
+namespace {
+
+    using namespace testing;
+
+    constexpr const char* caller = "100.64.0.7:40001";
+    constexpr ServiceId service = 7;
+
+    struct Fixture {
+        Fixture()
+        {
+            machine.setRoutes(routesTo(service));
+            machine.setRegistry({ hostOf("10.0.0.1:80"), hostOf("10.0.0.2:80"), hostOf("10.0.0.3:80") }, now);
+            output.told.clear();
+        }
+
+        void packet(const core::Segment& segment) { machine.onPacket(segment, packetBytes, now); }
+
+        void pass(milliseconds time)
+        {
+            now += time;
+            machine.tick(now);
+        }
+
+        base::TimePoint now { std::chrono::hours(1) };
+        BalancerRecorder output;
+        std::unique_ptr<Placement> placement = makeLeastLoadedPlacement({});
+        Balancer machine { rules(), *placement, output, now };
+
+        static BalancerRules rules()
+        {
+            BalancerRules rules;
+            rules.self = endpoint("10.9.0.1:7720");
+            rules.epoch = 5;
+            return rules;
+        }
+    };
+
+} // namespace
+
+TEST_CASE("a SYN goes to a host, and the flow's packets to the host that claims it")
+{
+    Fixture fixture;
+    fixture.packet(synOf(caller));
+    REQUIRE(fixture.output.forwards.size() == 1);
+    const auto chosen = fixture.output.forwards.front().to;
+    CHECK(fixture.output.forwards.front().forward.purpose == ForwardPurpose::Open);
+    CHECK(fixture.output.forwards.front().forward.candidates.size() == 3);
+
+    auto record = hostOf("10.0.0.1:80");
+    record.sidecar = chosen;
+    fixture.machine.onReport({ record, { { synOf(caller).key, 900 } }, {} }, fixture.now);
+    fixture.packet(dataOf(caller, 901));
+    REQUIRE(fixture.output.forwards.size() == 2);
+    CHECK(fixture.output.forwards.back().to == chosen);
+    CHECK(fixture.output.forwards.back().forward.purpose == ForwardPurpose::Owned);
+}
+
+TEST_CASE("a SYN that a host leaves unanswered goes to the next one within tens of milliseconds")
+{
+    Fixture fixture;
+    fixture.packet(synOf(caller));
+    fixture.pass(milliseconds(20));
+    CHECK(fixture.output.forwards.size() == 1);
+    fixture.pass(milliseconds(25));
+    REQUIRE(fixture.output.forwards.size() == 2);
+    const auto silent = fixture.output.forwards[0].to;
+    CHECK(fixture.output.forwards[1].to != silent);
+
+    SUBCASE("and other flows avoid the silent host for a while")
+    {
+        for (int port = 1; port <= 40; ++port)
+            fixture.packet(synOf(("100.64.0.8:" + std::to_string(port)).c_str()));
+        for (std::size_t i = 2; i < fixture.output.forwards.size(); ++i)
+            CHECK(fixture.output.forwards[i].to != silent);
+    }
+    SUBCASE("until its sidecar is heard of again")
+    {
+        auto record = hostOf("10.0.0.1:80");
+        record.sidecar = silent;
+        fixture.machine.onReport({ record, {}, {} }, fixture.now);
+        CHECK(fixture.machine.board().usable(service, fixture.now).size() == 3);
+    }
+}
+
+TEST_CASE("of two hosts that answered a SYN the caller's acknowledgement chooses")
+{
+    Fixture fixture;
+    fixture.packet(synOf(caller));
+    fixture.machine.onReport({ hostOf("10.0.0.1:80"), { { synOf(caller).key, 900 } }, {} }, fixture.now);
+    fixture.machine.onReport({ hostOf("10.0.0.2:80"), { { synOf(caller).key, 5000 } }, {} }, fixture.now);
+    fixture.packet(dataOf(caller, 5001));
+    CHECK(fixture.output.forwards.back().to == endpoint("10.0.0.2:80"));
+    fixture.packet(dataOf(caller, 9999));
+    CHECK(fixture.output.forwards.back().to == endpoint("10.0.0.2:80"));
+}
+
+TEST_CASE("an address without a route is refused at once, and nobody before a configuration is known")
+{
+    Fixture fixture;
+    auto elsewhere = synOf(caller);
+    elsewhere.key.service = endpoint("198.18.0.9:443");
+    fixture.packet(elsewhere);
+    CHECK(fixture.output.resets.size() == 1);
+
+    BalancerRecorder output;
+    Balancer fresh(Fixture::rules(), *fixture.placement, output, fixture.now);
+    fresh.onPacket(synOf(caller), packetBytes, fixture.now);
+    CHECK(output.resets.empty());
+    CHECK(fresh.count(BalancerCount::DropUnsettled) == 1);
+}
+
+TEST_CASE("a SYN that all asked hosts decline is offered to the others, then refused")
+{
+    Fixture fixture;
+    std::vector<HostRecord> many;
+    for (int i = 1; i <= 9; ++i)
+        many.push_back(hostOf(("10.0.1." + std::to_string(i) + ":80").c_str()));
+    fixture.machine.setRegistry(many, fixture.now + std::chrono::seconds(4));
+    fixture.packet(synOf(caller));
+    fixture.machine.onDeclined({ synOf(caller).key }, fixture.now);
+    REQUIRE(fixture.output.forwards.size() == 2);
+    CHECK(fixture.output.resets.empty());
+    std::set<Endpoint> asked;
+    for (const auto& sent : fixture.output.forwards)
+        asked.insert(sent.forward.candidates.begin(), sent.forward.candidates.end());
+    CHECK(asked.size() == 9);
+    fixture.machine.onDeclined({ synOf(caller).key }, fixture.now);
+    CHECK(fixture.output.resets.size() == 1);
+}
+
+TEST_CASE("no packet past the handshake is ever answered with a reset by a balancer")
+{
+    Fixture fixture;
+    for (int i = 0; i < 50; ++i) {
+        fixture.packet(dataOf(caller, 1000));
+        fixture.pass(milliseconds(100));
+    }
+    CHECK(fixture.output.resets.empty());
+    CHECK(fixture.machine.count(BalancerCount::ForwardedLookup) == 50);
+}
+
+TEST_CASE("copies of a SYN that waits at a sidecar do not open it elsewhere")
+{
+    Fixture fixture;
+    fixture.packet(synOf(caller));
+    fixture.machine.onQueued({ synOf(caller).key });
+    fixture.pass(milliseconds(200));
+    fixture.packet(synOf(caller, 100, 1));
+    fixture.pass(milliseconds(400));
+    fixture.packet(synOf(caller, 100, 2));
+    CHECK(fixture.output.forwards.size() == 1);
+}
+
+TEST_CASE("a restarted sidecar is told the flows that it held, with its host's incarnation")
+{
+    Fixture fixture;
+    fixture.machine.onReport({ hostOf("10.0.0.1:80"), { { synOf(caller).key, 900, 901, true } }, {} }, fixture.now);
+    fixture.packet(dataOf(caller, 4'901));
+    fixture.machine.onSidecarHello({ endpoint("10.0.0.1:80") });
+    const auto held = fixture.output.toldOf<HeldFlows>();
+    REQUIRE(held.size() == 1);
+    CHECK(held.front().born == 1'000);
+    REQUIRE(held.front().flows.size() == 1);
+    CHECK(held.front().flows.front().callerAck == 4'901);
+}
+
+TEST_CASE("a view outlives its store: a host that vanished from the registry is used while it is heard of")
+{
+    Fixture fixture;
+    fixture.machine.onReport({ hostOf("10.0.0.1:80"), {}, {} }, fixture.now);
+    fixture.machine.setRegistry({}, fixture.now);
+    CHECK(fixture.machine.board().usable(service, fixture.now).size() == 1);
+    fixture.pass(milliseconds(3'100));
+    CHECK(fixture.machine.board().usable(service, fixture.now).empty());
+}
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/fleet/placement_test.cpp
@@ -0,0 +1,160 @@
+#include "celerystile/fleet/placement.hpp"
+
+#include "celerystile/base/random.hpp"
+#include "celerystile/fleet/owner_table.hpp"
+#include "celerystile/fleet/route_table.hpp"
+#include "celerystile/fleet/syn_queue.hpp"
+
+#include "fleet_test_support.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <numeric>
+#include <rapidcheck.h>
+
+namespace celerystile::fleet {
+
+namespace {
+
+    using namespace testing;
+
+    /// The naive version that the differential tests compare with: the worst imbalance of flows after a day of
+    /// arrivals and departures, placed by the strategy alone.
+    double worstImbalance(const Placement& placement, std::uint64_t seed)
+    {
+        constexpr int hostCount = 7;
+        constexpr int arrivals = 6'000;
+        constexpr std::size_t openAtOnce = 350;
+        base::Random random(seed);
+        HostBoard board { {} };
+        const base::TimePoint now { std::chrono::hours(1) };
+        std::vector<HostRecord> records;
+        for (int i = 0; i < hostCount; ++i) {
+            records.push_back(hostOf(("10.0.0." + std::to_string(i + 1) + ":80").c_str()));
+            records.back().failureDomain = static_cast<std::uint64_t>(i % 3);
+        }
+        board.setRegistered(records, now);
+        std::vector<Endpoint> open;
+        std::map<Endpoint, int> counts;
+        double worst = 0;
+        for (int i = 0; i < arrivals; ++i) {
+            const auto order = placement.order(board.usable(7, now), { random(), random.below(3), now });
+            open.push_back(order.front());
+            ++counts[order.front()];
+            if (open.size() > openAtOnce) {
+                const auto gone = random.below(open.size());
+                --counts[open[gone]];
+                open[gone] = open.back();
+                open.pop_back();
+            }
+            for (auto& record : records) {
+                record.openFlows = static_cast<std::uint32_t>(counts[record.sidecar]);
+                board.noteHeard(record, now);
+            }
+            if (i < arrivals / 2)
+                continue;
+            const auto most = std::max_element(
+                counts.begin(), counts.end(), [](const auto& a, const auto& b) { return a.second < b.second; });
+            worst = std::max(worst, most->second * double(hostCount) / static_cast<double>(open.size()));
+        }
+        return worst;
+    }
+
+} // namespace
+
+TEST_CASE("least-loaded placement spreads flows more evenly than hashing, own failure domain first included")
+{
+    for (const std::uint64_t seed : { 1, 2, 3 }) {
+        const auto naive = worstImbalance(*makeRendezvousPlacement(), seed);
+        const auto local = worstImbalance(*makeLocalFirstPlacement(), seed);
+        const auto ours = worstImbalance(*makeLeastLoadedPlacement({}), seed);
+        CAPTURE(naive);
+        CAPTURE(local);
+        CAPTURE(ours);
+        CHECK(ours < naive);
+        CHECK(ours < local);
+        CHECK(ours < 1.25); // two flows a slot of margin on fifty flows a host, and room for the samples
+    }
+}
+
+TEST_CASE("rendezvous placement: a host that leaves moves only its own flows")
+{
+    rc::check("order of the others is kept", [] {
+        const auto hash = *rc::gen::arbitrary<std::uint64_t>();
+        std::vector<KnownHost> hosts(6);
+        std::vector<const KnownHost*> all;
+        for (std::size_t i = 0; i < hosts.size(); ++i) {
+            hosts[i].record = hostOf(("10.0.0." + std::to_string(i + 1) + ":80").c_str());
+            all.push_back(&hosts[i]);
+        }
+        const auto placement = makeRendezvousPlacement();
+        auto before = placement->order(all, { hash, 0, {} });
+        const auto gone = before[2];
+        std::erase_if(all, [&](const KnownHost* host) { return host->record.sidecar == gone; });
+        before.erase(before.begin() + 2);
+        RC_ASSERT(placement->order(all, { hash, 0, {} }) == before);
+    });
+}
+
+TEST_CASE("a traffic split follows its weights and is the same for all copies of a SYN")
+{
+    Route route;
+    route.targets = { { 1, 90 }, { 2, 10 }, { 3, 0 } };
+    base::Random random(7);
+    std::map<ServiceId, int> chosen;
+    for (int i = 0; i < 20'000; ++i) {
+        const auto hash = random();
+        ++chosen[route.select(hash)];
+        CHECK(route.select(hash) == route.select(hash));
+    }
+    CHECK(chosen[1] > 17'700);
+    CHECK(chosen[1] < 18'300);
+    CHECK(chosen[3] == 0);
+    CHECK(Route {}.select(5) == 0);
+}
+
+TEST_CASE("the owner table agrees with a naive map under random claims and ends")
+{
+    rc::check("same owner", [] {
+        OwnerTable table(1'000);
+        std::map<core::FlowKey, Endpoint> naive; // proven claims only: the last one wins
+        const base::TimePoint now { std::chrono::hours(1) };
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 60));
+        for (const auto step : steps) {
+            const auto key = synOf(("100.64.0.1:" + std::to_string(1 + step % 5)).c_str()).key;
+            const auto sidecar = endpoint(("10.0.0." + std::to_string(1 + step / 5 % 3) + ":80").c_str());
+            if (step < 40) {
+                table.claim(sidecar, { key, 900, 901, true }, now);
+                naive[key] = sidecar;
+            } else {
+                table.end(sidecar, key);
+                if (const auto found = naive.find(key); found != naive.end() && found->second == sidecar)
+                    naive.erase(found);
+            }
+        }
+        RC_ASSERT(table.size() == naive.size());
+        for (const auto& [key, sidecar] : naive) {
+            auto segment = dataOf("100.64.0.1:1", 901);
+            segment.key = key;
+            RC_ASSERT(table.resolve(segment, now) == sidecar);
+        }
+    });
+}
+
+TEST_CASE("the queue of new flows: within the objective first, then priority, then age; the expired are given up")
+{
+    const base::TimePoint now { std::chrono::hours(1) };
+    SynQueue queue(3);
+    const auto key = [](int port) { return synOf(("100.64.0.1:" + std::to_string(port)).c_str()).key; };
+    CHECK(queue.add({ key(1), 1, now - milliseconds(1), now + milliseconds(50) }));
+    CHECK(queue.add({ key(2), 2, now + milliseconds(100), now + milliseconds(900) }));
+    CHECK(queue.add({ key(3), 1, now + milliseconds(100), now + milliseconds(950) }));
+    CHECK_FALSE(queue.add({ key(4), 0, now + milliseconds(100), now + milliseconds(950) }));
+    CHECK(queue.next(now) == key(3));
+    CHECK(queue.next(now) == key(2));
+    CHECK(queue.expire(now + milliseconds(60)) == std::vector { key(1) });
+    CHECK_FALSE(queue.next(now));
+}
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -0,0 +1,344 @@
+#include "celerystile/fleet/sidecar.hpp"
+
+#include "fleet_test_support.hpp"
+
+#include <doctest/doctest.h>
+
+namespace celerystile::fleet {
+
+namespace {
+
+    using namespace testing;
+
+    constexpr const char* caller = "100.64.0.7:40001";
+    const Endpoint self = endpoint("10.0.0.1:80");
+    const Endpoint other = endpoint("10.0.0.2:80");
+    const Endpoint balancer = endpoint("10.9.0.1:7720");
+
+    HostReport report(std::uint64_t sequence = 1, std::uint64_t born = 1'000)
+    {
+        return { "i-1", "desk", endpoint("10.0.0.1:8080"), 2, false, milliseconds(0), sequence, born };
+    }
+
+    Forward opening(CandidateList candidates = { self, other })
+    {
+        Forward forward;
+        forward.purpose = ForwardPurpose::Open;
+        forward.service = core::hashName("desk");
+        forward.balancer = balancer;
+        forward.candidates = std::move(candidates);
+        forward.objectiveMilliseconds = 200;
+        forward.packet = packetBytes;
+        return forward;
+    }
+
+    Forward owned()
+    {
+        Forward forward;
+        forward.purpose = ForwardPurpose::Owned;
+        forward.balancer = balancer;
+        forward.packet = packetBytes;
+        return forward;
+    }
+
+    Forward lookup()
+    {
+        auto forward = opening();
+        forward.purpose = ForwardPurpose::Lookup;
+        return forward;
+    }
+
+    struct Fixture {
+        explicit Fixture(bool heard = true)
+        {
+            if (heard)
+                machine.onHeartbeat(report(), now);
+            machine.onHello({ balancer, 5, 3 }, now);
+            output.told.clear();
+        }
+
+        /// Opens a flow up to the caller's first request.
+        void open(const char* from = caller, std::uint32_t hostSequence = 900)
+        {
+            machine.onForward(opening(), synOf(from), now);
+            machine.onHostPacket(synAckOf(from, hostSequence), packetBytes, now);
+            machine.onForward(owned(), dataOf(from, hostSequence + 1), now);
+        }
+
+        void pass(milliseconds time)
+        {
+            now += time;
+            machine.tick(now);
+        }
+
+        /// Time during which the host lives and says so.
+        void live(milliseconds time)
+        {
+            for (milliseconds at { 0 }; at < time; at += milliseconds(100)) {
+                machine.onHeartbeat(report(++sequence), now);
+                pass(milliseconds(100));
+            }
+        }
+
+        static SidecarRules rules()
+        {
+            SidecarRules rules;
+            rules.self = self;
+            rules.epoch = 3;
+            return rules;
+        }
+
+        base::TimePoint now { std::chrono::hours(1) };
+        std::uint64_t sequence = 1;
+        SidecarRecorder output;
+        Sidecar machine { rules(), output, now };
+    };
+
+} // namespace
+
+TEST_CASE("an opened flow is claimed to the balancer that forwarded it")
+{
+    Fixture fixture;
+    fixture.open();
+    CHECK(fixture.output.delivered.size() == 2);
+    const auto reports = fixture.output.toldOf<FlowReport>();
+    REQUIRE(!reports.empty());
+    REQUIRE(reports.front().held.size() == 1);
+    CHECK(reports.front().held.front().hostSequence == 900);
+    CHECK(fixture.machine.flows().openFlows() == 1);
+}
+
+TEST_CASE("no new flow before the host is known, while it drains, is silent, has ended or serves something else")
+{
+    const auto passedOn = [](Fixture& fixture) {
+        fixture.machine.onForward(opening(), synOf(caller), fixture.now);
+        return fixture.output.delivered.empty() && fixture.output.forwards.size() == 1
+            && fixture.output.forwards.front().to == other;
+    };
+    SUBCASE("not known")
+    {
+        Fixture fixture(false);
+        CHECK(passedOn(fixture));
+    }
+    SUBCASE("draining")
+    {
+        Fixture fixture;
+        auto draining = report(2);
+        draining.draining = true;
+        CHECK(fixture.machine.onHeartbeat(draining, fixture.now) == HeartbeatOutcome::Changed);
+        CHECK(passedOn(fixture));
+        CHECK((fixture.output.announced.back().state == HostState::Draining));
+    }
+    SUBCASE("silent")
+    {
+        Fixture fixture;
+        for (int i = 0; i < 10; ++i)
+            fixture.pass(milliseconds(200));
+        CHECK(passedOn(fixture));
+    }
+    SUBCASE("ended")
+    {
+        Fixture fixture;
+        fixture.machine.onLeave("i-1", fixture.now);
+        CHECK(passedOn(fixture));
+    }
+    SUBCASE("another service has taken the address")
+    {
+        Fixture fixture;
+        auto changed = report(1, 2'000);
+        changed.service = "archive";
+        fixture.machine.onHeartbeat(changed, fixture.now);
+        CHECK(passedOn(fixture));
+    }
+}
+
+TEST_CASE("a late heartbeat of an earlier incarnation changes nothing")
+{
+    Fixture fixture;
+    fixture.machine.onHeartbeat(report(1, 2'000), fixture.now);
+    auto late = report(99, 1'000);
+    late.draining = true;
+    CHECK(fixture.machine.onHeartbeat(late, fixture.now) == HeartbeatOutcome::Late);
+    CHECK((fixture.machine.host().state(fixture.now) == HostState::Ready));
+    CHECK(fixture.machine.onHeartbeat(report(1, 2'000), fixture.now) == HeartbeatOutcome::Late);
+}
+
+TEST_CASE("a SYN that the host refuses or leaves unanswered goes on, and is declined when nobody is left")
+{
+    Fixture fixture;
+    fixture.machine.onForward(opening(), synOf(caller), fixture.now);
+    SUBCASE("refused")
+    {
+        fixture.machine.onReturned(synOf(caller), packetBytes, fixture.now);
+        REQUIRE(fixture.output.forwards.size() == 1);
+        CHECK(fixture.output.forwards.front().to == other);
+        CHECK(fixture.machine.flows().size() == 0);
+    }
+    SUBCASE("unanswered")
+    {
+        fixture.pass(milliseconds(35));
+        REQUIRE(fixture.output.forwards.size() == 1);
+        CHECK(fixture.output.forwards.front().to == other);
+        // A late answer is still delivered: the caller's acknowledgement decides.
+        fixture.machine.onHostPacket(synAckOf(caller, 900), packetBytes, fixture.now);
+        CHECK(fixture.output.answered.size() == 1);
+    }
+    SUBCASE("nobody left")
+    {
+        fixture.machine.onForward(opening({ self }), synOf("100.64.0.8:1"), fixture.now);
+        fixture.machine.onReturned(synOf("100.64.0.8:1"), packetBytes, fixture.now);
+        CHECK(fixture.output.toldOf<SynDeclined>().size() == 1);
+    }
+}
+
+TEST_CASE("the caller's acknowledgement of another host's answer drops the claim")
+{
+    Fixture fixture;
+    fixture.machine.onForward(opening(), synOf(caller), fixture.now);
+    fixture.machine.onHostPacket(synAckOf(caller, 900), packetBytes, fixture.now);
+    fixture.output.delivered.clear();
+    fixture.machine.onForward(owned(), dataOf(caller, 5'001), fixture.now);
+    CHECK(fixture.output.delivered.empty());
+    CHECK(fixture.machine.flows().size() == 0);
+    CHECK(fixture.output.resets.empty());
+}
+
+TEST_CASE("callers are reset when the host has started anew, and never while it lives")
+{
+    Fixture fixture;
+    fixture.open();
+    fixture.live(milliseconds(5'000));
+    CHECK(fixture.output.resets.empty());
+    fixture.machine.onHeartbeat(report(1, 2'000), fixture.now);
+    REQUIRE(fixture.output.resets.size() == 1);
+    CHECK(fixture.output.resets.front().acknowledgement == 901);
+    CHECK(fixture.machine.flows().size() == 0);
+}
+
+TEST_CASE("a process that stood still does not take its own silence for the host's")
+{
+    Fixture fixture;
+    fixture.open();
+    fixture.pass(milliseconds(6'000));
+    CHECK(fixture.output.resets.empty());
+    CHECK((fixture.machine.host().state(fixture.now) == HostState::Ready));
+}
+
+TEST_CASE("flows of before a restart: kept with the same incarnation, reset with a later one")
+{
+    HeldFlows held;
+    held.born = 1'000;
+    held.flows = { { synOf(caller).key, 900, 4'901, true } };
+    Fixture fixture(false);
+    fixture.machine.onHeldFlows(held, fixture.now);
+    SUBCASE("same")
+    {
+        fixture.machine.onHeartbeat(report(40, 1'000), fixture.now);
+        fixture.machine.onForward(lookup(), dataOf(caller, 4'901), fixture.now);
+        CHECK(fixture.output.delivered.size() == 1);
+        CHECK(fixture.output.resets.empty());
+    }
+    SUBCASE("later")
+    {
+        fixture.machine.onHeartbeat(report(1, 2'000), fixture.now);
+        REQUIRE(fixture.output.resets.size() == 1);
+        CHECK(fixture.output.resets.front().acknowledgement == 4'901);
+    }
+}
+
+TEST_CASE("after a start an unknown packet is tried at the host once, and at two hosts at most")
+{
+    Fixture fixture;
+    fixture.machine.onForward(lookup(), dataOf(caller, 500), fixture.now);
+    CHECK(fixture.output.delivered.size() == 1);
+    SUBCASE("given back: it goes on with one trial counted")
+    {
+        fixture.machine.onReturned(dataOf(caller, 500), packetBytes, fixture.now);
+        REQUIRE(fixture.output.forwards.size() == 1);
+        CHECK(fixture.output.forwards.front().forward.trials == 1);
+        fixture.machine.onForward(lookup(), dataOf(caller, 500), fixture.now);
+        CHECK(fixture.output.delivered.size() == 1);
+    }
+    SUBCASE("answered: the flow is held here")
+    {
+        auto answer = dataOf(caller, 700);
+        fixture.machine.onHostPacket(answer, packetBytes, fixture.now);
+        CHECK(fixture.machine.flows().openFlows() == 1);
+    }
+    SUBCASE("two hosts have been tried")
+    {
+        auto forward = lookup();
+        forward.trials = 2;
+        fixture.machine.onForward(forward, dataOf("100.64.0.9:1", 500), fixture.now);
+        CHECK(fixture.output.delivered.size() == 1);
+        CHECK(fixture.output.forwards.size() == 1);
+    }
+}
+
+TEST_CASE("a sidecar that has run for long tries nothing at its host")
+{
+    Fixture fixture;
+    fixture.live(milliseconds(9'000));
+    fixture.machine.onForward(lookup(), dataOf(caller, 500), fixture.now);
+    CHECK(fixture.output.delivered.empty());
+    CHECK(fixture.output.forwards.size() == 1);
+}
+
+TEST_CASE("a flow that its host has forgotten is reset, one that was never proven is not")
+{
+    Fixture fixture;
+    fixture.open();
+    fixture.machine.onReturned(dataOf(caller, 901), packetBytes, fixture.now);
+    CHECK(fixture.output.resets.size() == 1);
+    fixture.machine.onForward(opening(), synOf("100.64.0.9:1"), fixture.now);
+    fixture.machine.onHostPacket(synAckOf("100.64.0.9:1", 70), packetBytes, fixture.now);
+    fixture.machine.onReturned(dataOf("100.64.0.9:1", 71), packetBytes, fixture.now);
+    CHECK(fixture.output.resets.size() == 1);
+}
+
+TEST_CASE("load: callers that come back at once wait for a place instead of being shed")
+{
+    Fixture fixture;
+    constexpr int callers = 40;
+    const auto limit = static_cast<std::size_t>(2 * 2.0 + 2);
+    std::size_t atHost = 0;
+    std::size_t most = 0;
+    for (int i = 1; i <= callers; ++i) {
+        const auto from = "100.64.0.8:" + std::to_string(i);
+        fixture.machine.onForward(opening({ self }), synOf(from.c_str()), fixture.now);
+    }
+    atHost = fixture.output.delivered.size();
+    CHECK(atHost == limit);
+    CHECK(fixture.output.toldOf<SynQueued>().size() == callers - limit);
+    // The host finishes one request after the other; each lets one waiting flow in.
+    for (int i = 1; i <= callers; ++i) {
+        const auto from = "100.64.0.8:" + std::to_string(i);
+        if (!fixture.machine.flows().records().contains(synOf(from.c_str()).key))
+            continue;
+        fixture.machine.onHostPacket(dataOf(from.c_str(), 1, 500), packetBytes, fixture.now);
+        most = std::max(most, static_cast<std::size_t>(fixture.machine.record(fixture.now).busyFlows));
+    }
+    CHECK(most <= limit);
+    CHECK(fixture.output.delivered.size() > limit);
+    CHECK(fixture.output.toldOf<SynDeclined>().empty());
+}
+
+TEST_CASE("a new balancer is told all open flows, in datagrams of bounded size")
+{
+    Fixture fixture;
+    for (int i = 1; i <= 120; ++i) {
+        const auto from = "100.64.0.8:" + std::to_string(i);
+        fixture.open(from.c_str());
+        fixture.machine.onHostPacket(dataOf(from.c_str(), 1, 500), packetBytes, fixture.now);
+    }
+    fixture.output.told.clear();
+    fixture.machine.onHello({ endpoint("10.9.0.2:7720"), 1, 3 }, fixture.now);
+    std::size_t flows = 0;
+    for (const auto& told : fixture.output.toldOf<FlowReport>()) {
+        CHECK(told.held.size() <= maxFlowsPerDatagram);
+        flows += told.held.size();
+    }
+    CHECK(flows == 120);
+}
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/peer/fleet_message_test.cpp
@@ -0,0 +1,99 @@
+#include "celerystile/peer/fleet_message.hpp"
+
+#include "celerystile/base/random.hpp"
+
+#include <cstring>
+#include <doctest/doctest.h>
+
+namespace celerystile::peer {
+
+namespace {
+
+    Keyring keyring() { return *Keyring::create("a passphrase for the tests", ""); }
+    base::Endpoint endpoint(const char* text) { return *base::Endpoint::parse(text); }
+
+    template <typename Value> void roundTrip(const Value& value)
+    {
+        DatagramBuffer buffer;
+        encode(fleet::Message { value }, keyring(), buffer);
+        const auto read = decodeFleet(buffer.bytes(), keyring(), maxStoredBytes);
+        REQUIRE(read);
+        CHECK(std::get<Value>(*read) == value);
+    }
+
+    fleet::HostRecord host()
+    {
+        fleet::HostRecord record;
+        record.sidecar = endpoint("10.0.0.1:80");
+        record.service = 7;
+        record.failureDomain = 9;
+        record.born = 1'700'000'000'000;
+        record.epoch = 1'700'000'000'001;
+        record.slots = 5;
+        record.state = fleet::HostState::Draining;
+        record.coldMilliseconds = 20;
+        record.openFlows = 3;
+        record.busyFlows = 2;
+        return record;
+    }
+
+    fleet::FlowClaim claim() { return { { endpoint("100.64.0.7:1"), endpoint("198.18.0.1:443") }, 5, 6, true }; }
+
+} // namespace
+
+TEST_CASE("messages of a fleet are read as they were written")
+{
+    roundTrip(fleet::FlowReport { host(), { claim(), claim() }, { claim() } });
+    roundTrip(fleet::BalancerHello { endpoint("10.9.0.1:7720"), 4, 10 });
+    roundTrip(fleet::SidecarHello { endpoint("10.9.0.1:7720") });
+    roundTrip(fleet::HeldFlows { 12, { claim() } });
+    roundTrip(fleet::SynDeclined { claim().key });
+    roundTrip(fleet::SynQueued { claim().key });
+    roundTrip(fleet::FleetSnapshot { "text", { host() } });
+}
+
+TEST_CASE("a forwarded packet keeps its header and its bytes")
+{
+    const std::array<std::uint8_t, 5> packet { 1, 2, 3, 4, 5 };
+    fleet::Forward forward;
+    forward.purpose = fleet::ForwardPurpose::Lookup;
+    forward.service = 7;
+    forward.balancer = endpoint("10.9.0.1:7720");
+    forward.position = 1;
+    forward.trials = 2;
+    forward.priority = 3;
+    forward.ageMilliseconds = 200;
+    forward.objectiveMilliseconds = 100;
+    forward.candidates = { endpoint("10.0.0.1:80"), endpoint("10.0.0.2:80") };
+    forward.packet = packet;
+    DatagramBuffer buffer;
+    encode(forward, keyring(), buffer);
+    const auto message = decodeFleet(buffer.bytes(), keyring());
+    REQUIRE(message);
+    const auto& read = std::get<fleet::Forward>(*message);
+    CHECK(read.purpose == forward.purpose);
+    CHECK(read.candidates == forward.candidates);
+    CHECK(read.trials == 2);
+    CHECK(read.priority == 3);
+    CHECK(read.ageMilliseconds == 200);
+    CHECK(read.objectiveMilliseconds == 100);
+    CHECK(std::equal(read.packet.begin(), read.packet.end(), packet.begin(), packet.end()));
+}
+
+TEST_CASE("bytes of a stranger are refused")
+{
+    DatagramBuffer buffer;
+    encode(fleet::Message { fleet::FlowReport { host(), { claim() }, {} } }, keyring(), buffer);
+    CHECK_FALSE(decodeFleet(buffer.bytes(), *Keyring::create("another passphrase, not ours", "")));
+    base::Random random(21);
+    const auto bytes = buffer.bytes();
+    for (int i = 0; i < 5'000; ++i) {
+        DatagramBuffer changed;
+        auto* to = changed.reset(bytes.size());
+        std::memcpy(to, bytes.data(), bytes.size());
+        to[random.below(bytes.size())] ^= static_cast<std::uint8_t>(1 + random.below(255));
+        CHECK_FALSE(decodeFleet(changed.bytes(), keyring()));
+    }
+}
+
+} // namespace celerystile::peer
