Callers of a lost host are reset when their next packet comes

A balancer now resets them once the sidecar has missed its reports for two seconds and most others are heard; a sidecar that stops says that it will be back.

--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -165,6 +165,8 @@
             const auto [gone, value] = co_await asio::co_spawn(
                 traffic_,
                 [this]() -> asio::awaitable<std::pair<bool, std::string>> {
+                    machine_.announceRestart(clock_.now());
+                    transport_.flush();
                     co_return std::pair { machine_.host().state(clock_.now()) == fleet::HostState::Gone,
                         sealedText(machine_.checkpoint(), settings_.keyring) };
                 },
@@ -298,6 +300,7 @@
             auto lasting = record; // loads are told directly; the registry holds what changes rarely
             lasting.openFlows = 0;
             lasting.busyFlows = 0;
+            lasting.restarting = false;
             asio::post(control_,
                 [this, value = sealedText(fleet::FlowReport { lasting, {}, {} }, settings_.keyring)]() mutable {
                     entry_.set(std::move(value));
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -21,6 +21,7 @@
     FlowsPlaced, ///< SYNs sent to a host
     SynRetried, ///< SYNs sent on because a host left them unanswered
     SynRefused, ///< resets in answer to a SYN
+    FlowsReset, ///< callers of open flows reset because their host is lost
     DropNoRoute, ///< packets of open flows for an address that has no route
     DropNoHost, ///< packets for a service without a known host
     DropUnsettled, ///< SYNs before the first list of hosts
@@ -110,6 +111,7 @@
     void sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void retry(PendingSyn& pending, base::TimePoint now);
     void refuse(const core::Segment& segment, std::string_view reason);
+    bool resetIfLost(const core::Segment& segment, const Endpoint& owner, base::TimePoint now);
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     BalancerHello hello() const;
     void sayHello(base::TimePoint now);
--- a/include/celerystile/fleet/host_board.hpp
+++ b/include/celerystile/fleet/host_board.hpp
@@ -14,6 +14,9 @@
 /// @brief Settings of the board.
 struct HostBoardRules {
     base::Duration heardLifetime = std::chrono::seconds(3); ///< a sidecar's own word outlives its registry entry so long
+    base::Duration memory = std::chrono::seconds(60); ///< a lost host is remembered as long as a flow lives
+    base::Duration silence = std::chrono::milliseconds(2'000); ///< shortest silence after which a sidecar is lost
+    double silentReports = 3.5; ///< the same in reports that did not come
     base::Duration suspicion = std::chrono::seconds(2); ///< a host that left a SYN unanswered is avoided so long
 };
 
@@ -61,10 +64,15 @@
     /// @brief Hosts of a service that may hold open flows.
     std::vector<const KnownHost*> holding(ServiceId service) const;
 
+    /// @brief Whether a sidecar has fallen silent unannounced while most others are heard: it is lost, not this
+    /// balancer cut off.
+    bool lost(const Endpoint& sidecar, base::TimePoint now) const;
+
     const KnownHost* find(const Endpoint& sidecar) const;
     const Map& hosts() const { return hosts_; }
 
 private:
+    bool silent(const KnownHost& host, base::TimePoint now) const;
     void update(KnownHost& host, const HostRecord& record, base::TimePoint now);
 
     HostBoardRules rules_;
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -112,6 +112,9 @@
     /// @brief What the predecessor of this process last announced.
     void restore(const HostRecord& record, base::TimePoint now);
 
+    /// @brief The process stops and is expected back; balancers do not take its silence for a loss.
+    void announceRestart(base::TimePoint now);
+
     /// @brief Asks balancers which flows were held here.
     void askBalancers(const std::vector<Endpoint>& balancers);
 
@@ -184,6 +187,7 @@
     void claimTo(const Endpoint& balancer, const core::FlowKey& key, base::TimePoint now);
     void noteHeld(const core::FlowKey& key);
     void sendReports(base::TimePoint now);
+    base::Duration reportInterval(base::Duration shortest) const;
     void sendAll(const Endpoint& balancer, base::TimePoint now);
     void announceIfChanged(base::TimePoint now);
     void expireOpening(base::TimePoint now);
@@ -195,6 +199,7 @@
     SidecarOutput& output_;
     base::TimePoint start_;
     HostStatus host_;
+    bool restarting_ = false;
     HostState announced_ = HostState::Gone;
     core::FlowTable table_;
     std::uint32_t awaiting_ = 0; // flows whose record says awaitingAnswer
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -15,6 +15,7 @@
         "flows_placed",
         "syn_retried",
         "syn_refused",
+        "flows_reset",
         "drop_no_route",
         "drop_no_host",
         "drop_unsettled",
@@ -74,6 +75,8 @@
     const auto owner = owners_.resolve(segment, now);
     if (!owner)
         return lookUp(segment, packet, now);
+    if (resetIfLost(segment, *owner, now))
+        return;
     bump(BalancerCount::ForwardedOwned);
     Forward forward;
     forward.purpose = ForwardPurpose::Owned;
@@ -182,6 +185,19 @@
     output_.reset(segment);
 }
 
+// The caller can try elsewhere at once instead of waiting for its deadline.
+bool Balancer::resetIfLost(const core::Segment& segment, const Endpoint& owner, base::TimePoint now)
+{
+    if (segment.rst || !board_.lost(owner, now))
+        return false;
+    bump(BalancerCount::FlowsReset);
+    output_.decided({ DecisionKind::FlowReset, segment.key, "its host is lost", owner, routes_->version, 0,
+        now - board_.find(owner)->heardAt });
+    owners_.forget(segment.key);
+    output_.reset(segment);
+    return true;
+}
+
 void Balancer::lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
 {
     const auto* route = routes_->find(segment.key.service);
--- a/src/celerystile/fleet/host_board.cpp
+++ b/src/celerystile/fleet/host_board.cpp
@@ -71,7 +71,7 @@
 void HostBoard::expire(base::TimePoint now)
 {
     boost::unordered::erase_if(hosts_, [&](const Map::value_type& entry) {
-        return !entry.second.registered && now - entry.second.heardAt >= rules_.heardLifetime;
+        return !entry.second.registered && now - entry.second.heardAt >= rules_.memory;
     });
 }
 
@@ -82,6 +82,8 @@
     for (const auto& [sidecar, host] : hosts_) {
         if (host.record.service != service || host.record.state != HostState::Ready)
             continue;
+        if (!host.registered && now - host.heardAt >= rules_.heardLifetime)
+            continue;
         (now < host.suspectedUntil ? suspected : hosts).push_back(&host);
     }
     return hosts.empty() ? suspected : hosts;
@@ -97,6 +99,25 @@
     return hosts;
 }
 
+bool HostBoard::silent(const KnownHost& host, base::TimePoint now) const
+{
+    if (host.heardAt == base::TimePoint {} || host.record.restarting)
+        return false;
+    const auto reports = std::chrono::duration<double, std::milli>(
+        host.record.reportMilliseconds * rules_.silentReports);
+    return now - host.heardAt >= std::max(rules_.silence, std::chrono::duration_cast<base::Duration>(reports));
+}
+
+bool HostBoard::lost(const Endpoint& sidecar, base::TimePoint now) const
+{
+    const auto* host = find(sidecar);
+    if (!host || !silent(*host, now))
+        return false;
+    const auto silentOnes = std::count_if(
+        hosts_.begin(), hosts_.end(), [&](const Map::value_type& entry) { return silent(entry.second, now); });
+    return static_cast<std::size_t>(silentOnes) * 2 < hosts_.size();
+}
+
 const KnownHost* HostBoard::find(const Endpoint& sidecar) const
 {
     const auto found = hosts_.find(sidecar);
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -228,12 +228,7 @@
             endFlow(key);
     }
     const bool news = !heldSinceReport_.empty() || !endedSinceReport_.empty();
-    constexpr double reportBytes = 220; // a sealed report with a few flows and its UDP and IP headers
-    const std::chrono::duration<double> paced(
-        static_cast<double>(balancers_.size()) * reportBytes / rules_.controlBytesPerSecond);
-    const auto pace = std::chrono::duration_cast<base::Duration>(paced);
-    const auto interval = std::max(pace, news ? rules_.reportInterval : rules_.aliveInterval);
-    if (now - lastReport_ >= interval)
+    if (now - lastReport_ >= reportInterval(news ? rules_.reportInterval : rules_.aliveInterval))
         sendReports(now);
     if (now >= nextSweep_) {
         sweep(now);
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -23,6 +23,21 @@
 
 } // namespace
 
+// The more balancers there are, the rarer each is told: the bytes a second stay the same.
+base::Duration Sidecar::reportInterval(base::Duration shortest) const
+{
+    constexpr double reportBytes = 220; // a sealed report with a few flows and its UDP and IP headers
+    const std::chrono::duration<double> paced(
+        static_cast<double>(balancers_.size()) * reportBytes / rules_.controlBytesPerSecond);
+    return std::max(shortest, std::chrono::duration_cast<base::Duration>(paced));
+}
+
+void Sidecar::announceRestart(base::TimePoint now)
+{
+    restarting_ = true;
+    sendReports(now);
+}
+
 HostRecord Sidecar::record(base::TimePoint now) const
 {
     HostRecord record;
@@ -36,6 +51,9 @@
     record.coldMilliseconds = static_cast<std::uint32_t>(host_.coldLeft(now).count());
     record.openFlows = table_.openFlows();
     record.busyFlows = awaiting_;
+    record.restarting = restarting_;
+    record.reportMilliseconds = static_cast<std::uint32_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(reportInterval(rules_.aliveInterval)).count());
     return record;
 }
 
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -111,6 +111,8 @@
         to.setColdMilliseconds(value.coldMilliseconds);
         to.setOpenFlows(value.openFlows);
         to.setBusyFlows(value.busyFlows);
+        to.setReportMilliseconds(value.reportMilliseconds);
+        to.setRestarting(value.restarting);
     }
 
     base::Result<fleet::HostRecord> read(schema::HostRecord::Reader from)
@@ -128,6 +130,8 @@
         value.coldMilliseconds = from.getColdMilliseconds();
         value.openFlows = from.getOpenFlows();
         value.busyFlows = from.getBusyFlows();
+        value.reportMilliseconds = from.getReportMilliseconds();
+        value.restarting = from.getRestarting();
         return value;
     }
 
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -34,6 +34,8 @@
   coldMilliseconds @7 :UInt32;
   openFlows @8 :UInt32;
   busyFlows @9 :UInt32;
+  reportMilliseconds @10 :UInt32;
+  restarting @11 :Bool;
 }
 
 struct FlowClaim {
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -436,6 +436,10 @@
 
   inline  ::uint32_t getBusyFlows() const;
 
+  inline  ::uint32_t getReportMilliseconds() const;
+
+  inline bool getRestarting() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -498,6 +502,12 @@
   inline  ::uint32_t getBusyFlows();
   inline void setBusyFlows( ::uint32_t value);
 
+  inline  ::uint32_t getReportMilliseconds();
+  inline void setReportMilliseconds( ::uint32_t value);
+
+  inline bool getRestarting();
+  inline void setRestarting(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1571,6 +1581,34 @@
       ::capnp::bounded<12>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t HostRecord::Reader::getReportMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HostRecord::Builder::getReportMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS);
+}
+inline void HostRecord::Builder::setReportMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<13>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool HostRecord::Reader::getRestarting() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<296>() * ::capnp::ELEMENTS);
+}
+
+inline bool HostRecord::Builder::getRestarting() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<296>() * ::capnp::ELEMENTS);
+}
+inline void HostRecord::Builder::setRestarting(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<296>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t FlowClaim::Reader::getCallerIp() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
