--- a/include/celerystile/fleet/placement.hpp
+++ b/include/celerystile/fleet/placement.hpp
@@ -26,9 +26,19 @@
     virtual CandidateList order(const std::vector<const KnownHost*>& hosts, const PlacementInput& input) const = 0;
 };
 
+/// @brief Hosts drawn for a flow by rendezvous hashing: some of the own failure domain, some of the others.
+struct SampleRules {
+    std::size_t local = 3;
+    std::size_t remote = 3;
+};
+
+/// @brief The hosts that a flow's packets are offered to, the same ones whatever their load.
+std::vector<const KnownHost*> sampleHosts(
+    const std::vector<const KnownHost*>& hosts, const PlacementInput& input, const SampleRules& rules);
+
 /// @brief Settings of least-loaded placement.
 struct LeastLoadedRules {
-    std::size_t sampled = 4; ///< hosts drawn by rendezvous hashing, of which the least loaded is taken
+    SampleRules sample; ///< of these hosts the least loaded is taken
     double remoteMargin = 2.0; ///< flows per slot that another failure domain's host must be emptier by
     double coldPenalty = 0.6; ///< share by which a cold host counts as more loaded
 };
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -203,26 +203,21 @@
     const auto* route = routes_->find(segment.key.service);
     if (!route)
         return bump(BalancerCount::DropNoRoute);
-    std::vector<std::pair<std::uint64_t, Endpoint>> ranked;
+    std::vector<const KnownHost*> hosts;
     for (const auto& target : route->targets) {
-        for (const auto* host : board_.holding(target.service))
-            ranked.emplace_back(
-                rendezvousScore(segment.key.hash(), host->record.sidecar), host->record.sidecar);
+        const auto holding = board_.holding(target.service);
+        hosts.insert(hosts.end(), holding.begin(), holding.end());
     }
-    std::sort(ranked.begin(), ranked.end(), std::greater<> {});
     Forward forward;
     forward.purpose = ForwardPurpose::Lookup;
     forward.balancer = rules_.self;
     forward.packet = packet;
-    for (const auto& [score, sidecar] : ranked) {
-        if (forward.candidates.size() < maxCandidates)
-            forward.candidates.push_back(sidecar);
-    }
+    for (const auto* host : sampleHosts(hosts, { segment.key.hash(), rules_.failureDomain, now }, {}))
+        forward.candidates.push_back(host->record.sidecar);
     if (forward.candidates.empty())
         return bump(BalancerCount::DropNoHost);
     bump(BalancerCount::ForwardedLookup);
     output_.forward(forward.candidates.front(), forward);
-    (void)now;
 }
 
 void Balancer::onReport(const FlowReport& report, base::TimePoint now)
--- a/src/celerystile/fleet/placement.cpp
+++ b/src/celerystile/fleet/placement.cpp
@@ -74,13 +74,12 @@
 
         CandidateList order(const std::vector<const KnownHost*>& hosts, const PlacementInput& input) const override
         {
-            auto ranked = rankByHash(hosts, input.flowHash);
-            const auto sampled = std::min(rules_.sampled, ranked.size());
-            for (std::size_t i = 0; i < sampled; ++i)
-                ranked[i].load = loadOf(*ranked[i].host, input);
-            std::stable_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(sampled),
-                [](const Ranked& a, const Ranked& b) { return a.load < b.load; });
-            return firstOf(ranked);
+            std::vector<Ranked> sampled;
+            for (const auto* host : sampleHosts(hosts, input, rules_.sample))
+                sampled.push_back({ host, 0, loadOf(*host, input) });
+            std::stable_sort(
+                sampled.begin(), sampled.end(), [](const Ranked& a, const Ranked& b) { return a.load < b.load; });
+            return firstOf(sampled);
         }
 
     private:
@@ -98,6 +97,23 @@
 
 } // namespace
 
+std::vector<const KnownHost*> sampleHosts(
+    const std::vector<const KnownHost*>& hosts, const PlacementInput& input, const SampleRules& rules)
+{
+    std::vector<const KnownHost*> sampled;
+    std::size_t local = 0;
+    std::size_t remote = 0;
+    for (const auto& entry : rankByHash(hosts, input.flowHash)) {
+        auto& taken = isLocal(*entry.host, input) ? local : remote;
+        const auto most = isLocal(*entry.host, input) ? rules.local : rules.remote;
+        if (taken < most) {
+            ++taken;
+            sampled.push_back(entry.host);
+        }
+    }
+    return sampled;
+}
+
 std::uint64_t rendezvousScore(std::uint64_t flowHash, const Endpoint& sidecar)
 {
     return base::mix(flowHash ^ core::EndpointHash {}(sidecar));
