--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -24,7 +24,6 @@
     constexpr std::string_view snapshotPath = "/snapshot";
     constexpr std::chrono::milliseconds neighbourTimeout { 400 };
     constexpr std::chrono::milliseconds neighbourInterval { 600 }; // while the store does not answer
-    constexpr base::Duration longestTick = std::chrono::milliseconds(100); // lag is measured by it
     constexpr base::Duration shortestTick = std::chrono::milliseconds(5);
 
     class FleetBalancer final : public FleetProcess, private fleet::BalancerOutput {
@@ -74,7 +73,7 @@
             startTicking([this](base::TimePoint now) {
                 machine_.tick(now);
                 transport_.flush();
-                return std::clamp(machine_.nextTick(), now + shortestTick, now + longestTick);
+                return std::max(machine_.nextTick(), now + shortestTick);
             });
             return true;
         }
@@ -86,7 +85,7 @@
             co_await pause(std::min(leaveTime, longest));
         }
 
-        bool ready() const override { return ready_ && !leaving_ && !overloaded(); }
+        bool ready() const override { return ready_ && !leaving_; }
 
         void onPacket(core::Bytes bytes)
         {
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -190,15 +190,9 @@
 void FleetProcess::scheduleTick(base::TimePoint at)
 {
     tickTimer_.expires_at(at);
-    tickTimer_.async_wait([this, at](boost::system::error_code error) {
-        if (error)
-            return;
-        const auto now = clock_.now();
-        const bool overloaded = lag_.note(at, now);
-        if (overloaded != overloaded_)
-            logEvent(overloaded ? Event::Overloaded : Event::OverloadOver);
-        overloaded_ = overloaded;
-        scheduleTick(tick_(now));
+    tickTimer_.async_wait([this](boost::system::error_code error) {
+        if (!error)
+            scheduleTick(tick_(clock_.now()));
     });
 }
 
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -3,7 +3,6 @@
 #include "celerystile/base/clock.hpp"
 #include "celerystile/base/events.hpp"
 #include "celerystile/base/http.hpp"
-#include "celerystile/fleet/overload_detector.hpp"
 #include "fleet_options.hpp"
 #include "platform/store_client.hpp"
 
@@ -11,7 +10,6 @@
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/object.hpp>
-#include <atomic>
 #include <thread>
 
 /// @file
@@ -63,9 +61,6 @@
     /// @brief Serves onCall() at this address.
     base::Result<bool> serve(const base::Endpoint& local);
 
-    /// @brief Whether the traffic thread can't keep up; any thread.
-    bool overloaded() const { return overloaded_; }
-
     /// @brief Calls `tick` on the traffic thread and again at the time that it returns.
     void startTicking(std::function<base::TimePoint(base::TimePoint)> tick);
 
@@ -92,8 +87,6 @@
     boost::asio::signal_set reloadSignals_;
     boost::asio::steady_timer tickTimer_;
     std::function<base::TimePoint(base::TimePoint)> tick_;
-    fleet::OverloadDetector lag_ { {} };
-    std::atomic<bool> overloaded_ = false;
     std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> acceptors_;
 };
 
--- a/include/celerystile/base/events.hpp
+++ b/include/celerystile/base/events.hpp
@@ -64,8 +64,6 @@
     RegistryEntryUnreadable = 6202,
     SettingsReloaded = 6301,
     TaskFailed = 6302,
-    Overloaded = 6303,
-    OverloadOver = 6304,
 };
 
 /// @brief One row of the catalogue.
--- a/src/celerystile/base/events.cpp
+++ b/src/celerystile/base/events.cpp
@@ -83,8 +83,6 @@
         EventInfo { Event::RegistryEntryUnreadable, Level::Warning, "registry_entry_unreadable", "An entry of the registry can't be read; it names no host to use.", "Look for another writer, or for a key that differs." },
         EventInfo { Event::SettingsReloaded, Level::Info, "settings_reloaded", "The settings file was read again.", "-" },
         EventInfo { Event::TaskFailed, Level::Alarm, "task_failed", "A control task ended by an error and was started again.", "Report it with the detail." },
-        EventInfo { Event::Overloaded, Level::Warning, "overloaded", "The process can't keep up and asks the routers to leave it out.", "If it recurs, give the instance more of a processor." },
-        EventInfo { Event::OverloadOver, Level::Info, "overload_over", "The process keeps up again.", "-" },
     };
 
     el::Level toElpp(Level level)
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -127,6 +127,7 @@
     fixture.machine.onDeclined({ synOf(caller).key }, fixture.now);
     REQUIRE(fixture.output.forwards.size() == 2);
     CHECK(fixture.output.resets.empty());
+    CHECK(fixture.output.forwards[0].forward.candidates.size() == 6);
     std::set<Endpoint> asked;
     for (const auto& sent : fixture.output.forwards)
         asked.insert(sent.forward.candidates.begin(), sent.forward.candidates.end());
@@ -135,7 +136,7 @@
     CHECK(fixture.output.resets.size() == 1);
 }
 
-TEST_CASE("no packet past the handshake is ever answered with a reset by a balancer")
+TEST_CASE("a packet past the handshake whose owner is not known is never answered with a reset")
 {
     Fixture fixture;
     for (int i = 0; i < 50; ++i) {
@@ -146,6 +147,47 @@
     CHECK(fixture.machine.count(BalancerCount::ForwardedLookup) == 50);
 }
 
+TEST_CASE("callers of a lost host are reset; nobody is while the silence may have another cause")
+{
+    Fixture fixture;
+    const auto hear = [&](const char* sidecar, bool restarting = false) {
+        auto record = hostOf(sidecar);
+        record.reportMilliseconds = 600;
+        record.restarting = restarting;
+        fixture.machine.onReport({ record, {}, {} }, fixture.now);
+    };
+    fixture.machine.onReport({ hostOf("10.0.0.1:80"), { { synOf(caller).key, 900, 901, true } }, {} }, fixture.now);
+    for (const auto* sidecar : { "10.0.0.1:80", "10.0.0.2:80", "10.0.0.3:80" })
+        hear(sidecar);
+    SUBCASE("lost")
+    {
+        fixture.pass(milliseconds(1'900));
+        fixture.packet(dataOf(caller, 901));
+        CHECK(fixture.output.resets.empty());
+        fixture.pass(milliseconds(300));
+        hear("10.0.0.2:80");
+        hear("10.0.0.3:80");
+        fixture.packet(dataOf(caller, 901));
+        REQUIRE(fixture.output.resets.size() == 1);
+        CHECK(fixture.output.resets.front().acknowledgement == 901);
+    }
+    SUBCASE("all are silent: this balancer is cut off")
+    {
+        fixture.pass(milliseconds(5'000));
+        fixture.packet(dataOf(caller, 901));
+        CHECK(fixture.output.resets.empty());
+    }
+    SUBCASE("the sidecar restarts")
+    {
+        hear("10.0.0.1:80", true);
+        fixture.pass(milliseconds(5'000));
+        hear("10.0.0.2:80");
+        hear("10.0.0.3:80");
+        fixture.packet(dataOf(caller, 901));
+        CHECK(fixture.output.resets.empty());
+    }
+}
+
 TEST_CASE("copies of a SYN that waits at a sidecar do not open it elsewhere")
 {
     Fixture fixture;
--- a/src/celerystile/fleet/placement.cpp
+++ b/src/celerystile/fleet/placement.cpp
@@ -101,16 +101,18 @@
     const std::vector<const KnownHost*>& hosts, const PlacementInput& input, const SampleRules& rules)
 {
     std::vector<const KnownHost*> sampled;
+    std::vector<const KnownHost*> others;
     std::size_t local = 0;
     std::size_t remote = 0;
     for (const auto& entry : rankByHash(hosts, input.flowHash)) {
         auto& taken = isLocal(*entry.host, input) ? local : remote;
         const auto most = isLocal(*entry.host, input) ? rules.local : rules.remote;
-        if (taken < most) {
-            ++taken;
-            sampled.push_back(entry.host);
-        }
+        (taken < most ? sampled : others).push_back(entry.host);
+        ++taken;
     }
+    // Where one side has too few hosts, the other fills up.
+    const auto missing = std::min(others.size(), rules.local + rules.remote - sampled.size());
+    sampled.insert(sampled.end(), others.begin(), others.begin() + static_cast<std::ptrdiff_t>(missing));
     return sampled;
 }
 
--- /dev/null
+++ b/src/celerystile/store/upkeep_test.cpp
@@ -0,0 +1,236 @@
+#include "celerystile/store/leased_entry.hpp"
+#include "celerystile/store/prefix_poll.hpp"
+#include "celerystile/store/prefix_watch.hpp"
+#include "memory_store.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <doctest/doctest.h>
+
+// The store's troubles: what a process keeps in it and what it learns from it come through.
+
+namespace celerystile::store {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr const char* key = "hosts/a";
+    constexpr milliseconds patience { 2'000 }; // entries are to be back two seconds after an outage
+
+    LeasedEntryRules quickRules()
+    {
+        LeasedEntryRules rules;
+        rules.renewEvery = milliseconds(20);
+        rules.verifyEvery = milliseconds(20);
+        rules.settle = milliseconds(20);
+        rules.retryDelay = milliseconds(10);
+        return rules;
+    }
+
+    struct EntryFixture {
+        EntryFixture()
+        {
+            boost::asio::co_spawn(context, entry.run(), boost::asio::detached);
+        }
+
+        ~EntryFixture()
+        {
+            entry.stop();
+            context.run_for(milliseconds(50));
+        }
+
+        /// Runs until the condition holds. @return whether it came to hold in time.
+        template <typename Condition> bool until(Condition condition)
+        {
+            const auto end = std::chrono::steady_clock::now() + patience;
+            while (!condition() && std::chrono::steady_clock::now() < end)
+                context.run_for(milliseconds(5));
+            return condition();
+        }
+
+        bool holds(const std::string& value)
+        {
+            return until([&] { return store.value(key) == value && entry.written(); });
+        }
+
+        boost::asio::io_context context;
+        base::SteadyClock clock;
+        fakes::MemoryStore store;
+        LeasedEntry entry { store, clock, context, key, quickRules() };
+    };
+
+} // namespace
+
+TEST_CASE("an entry is written, replaced and kept")
+{
+    EntryFixture fixture;
+    fixture.entry.set("ready");
+    CHECK(fixture.holds("ready"));
+    fixture.entry.set("draining");
+    CHECK(fixture.holds("draining"));
+}
+
+TEST_CASE("an entry is back after an outage, a lapse of its lease, a silent revocation")
+{
+    EntryFixture fixture;
+    fixture.entry.set("ready");
+    REQUIRE(fixture.holds("ready"));
+    SUBCASE("outage with a change meanwhile")
+    {
+        fixture.store.down = true;
+        fixture.entry.set("draining");
+        fixture.context.run_for(milliseconds(60));
+        CHECK(fixture.entry.state().failures > 0);
+        fixture.store.down = false;
+        CHECK(fixture.holds("draining"));
+    }
+    SUBCASE("lapse")
+    {
+        fixture.store.lapse();
+        CHECK(fixture.holds("ready"));
+    }
+    SUBCASE("revocation that no renewal shows")
+    {
+        fixture.store.revoke(key);
+        CHECK(fixture.holds("ready"));
+    }
+}
+
+TEST_CASE("a write whose answer was lost is not taken for undone, and one carried out late undoes nothing")
+{
+    EntryFixture fixture;
+    SUBCASE("answer lost")
+    {
+        fixture.store.loseAnswers = 1;
+        fixture.entry.set("ready");
+        CHECK(fixture.holds("ready"));
+    }
+    SUBCASE("carried out late")
+    {
+        fixture.store.delayWrites = 1;
+        fixture.entry.set("ready");
+        REQUIRE(fixture.until([&] { return fixture.store.delayWrites == 0; }));
+        fixture.entry.set("draining");
+        REQUIRE(fixture.holds("draining"));
+        fixture.store.carryOutDelayed();
+        CHECK(fixture.store.value(key) == "draining");
+    }
+}
+
+TEST_CASE("another process's later value under the same key is found and replaced, not waited for")
+{
+    EntryFixture fixture;
+    fixture.store.put(key, "of another process");
+    fixture.entry.set("ready");
+    CHECK(fixture.holds("ready"));
+}
+
+namespace {
+
+    struct WatchFixture {
+        WatchFixture()
+        {
+            rules.retryDelay = milliseconds(5);
+            rules.recheckEvery = milliseconds(10);
+        }
+
+        void start()
+        {
+            watch.emplace(
+                store, context, "op/", rules, [this](const PrefixWatch::Items& items) { seen = items; },
+                [this](bool answers, const std::string&) { health.push_back(answers); });
+            boost::asio::co_spawn(context, watch->run(), boost::asio::detached);
+            boost::asio::co_spawn(context, watch->recheck(), boost::asio::detached);
+        }
+
+        /// Lets both loops take many steps.
+        void steps() { context.run_for(milliseconds(80)); }
+
+        std::string value() const
+        {
+            const auto found = seen.find("op/config");
+            return found == seen.end() ? "" : found->second.value;
+        }
+
+        ~WatchFixture()
+        {
+            watch->stop();
+            context.run_for(milliseconds(30));
+        }
+
+        boost::asio::io_context context;
+        fakes::MemoryStore store;
+        PrefixWatchRules rules;
+        std::optional<PrefixWatch> watch;
+        PrefixWatch::Items seen;
+        std::vector<bool> health;
+    };
+
+} // namespace
+
+TEST_CASE("a watched prefix is followed through an outage and lost history")
+{
+    WatchFixture fixture;
+    fixture.store.put("op/config", "1");
+    fixture.start();
+    fixture.steps();
+    CHECK(fixture.value() == "1");
+    fixture.store.put("op/config", "2");
+    fixture.steps();
+    CHECK(fixture.value() == "2");
+    SUBCASE("outage")
+    {
+        fixture.store.down = true;
+        fixture.steps();
+        CHECK(fixture.value() == "2");
+        fixture.store.put("op/config", "3");
+        fixture.store.down = false;
+        fixture.steps();
+        CHECK(fixture.value() == "3");
+        REQUIRE(fixture.health.size() >= 2);
+        CHECK_FALSE(fixture.health.front());
+        CHECK(fixture.health.back());
+    }
+    SUBCASE("history gone")
+    {
+        fixture.store.put("op/config", "3");
+        fixture.store.compact();
+        fixture.steps();
+        CHECK(fixture.value() == "3");
+    }
+    SUBCASE("a watch that has fallen silent: the cheap reads notice")
+    {
+        fixture.store.watchesSilent = true;
+        fixture.store.put("op/config", "3");
+        fixture.steps();
+        CHECK(fixture.value() == "3");
+    }
+}
+
+TEST_CASE("a polled prefix tells changes only, and keeps the last list through an outage")
+{
+    boost::asio::io_context context;
+    fakes::MemoryStore store;
+    PrefixPollRules rules;
+    rules.every = milliseconds(5);
+    rules.retryDelay = milliseconds(5);
+    std::vector<std::size_t> sizes;
+    PrefixPoll poll(
+        store, context, "hosts/", rules, [&](const std::vector<Item>& items) { sizes.push_back(items.size()); });
+    boost::asio::co_spawn(context, poll.run(), boost::asio::detached);
+    store.put("hosts/a", "1");
+    context.run_for(milliseconds(60));
+    CHECK(sizes == std::vector<std::size_t> { 1 });
+    store.down = true;
+    context.run_for(milliseconds(60));
+    store.down = false;
+    store.put("hosts/b", "1");
+    context.run_for(milliseconds(60));
+    CHECK(sizes == std::vector<std::size_t> { 1, 2 });
+    poll.stop();
+    context.run_for(milliseconds(30));
+}
+
+} // namespace celerystile::store
