--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -192,7 +192,8 @@
                 if (report)
                     records.push_back(report->host);
                 else
-                    logEvent(Event::RegistryEntryUnreadable, { { "key", item.key }, { "detail", report.error().detail } });
+                    logEvent(
+                        Event::RegistryEntryUnreadable, { { "key", item.key }, { "detail", report.error().detail } });
             }
             logEvent(Event::RegistryChanged, { { "hosts", std::to_string(records.size()) } });
             registryRead_ = true;
@@ -241,8 +242,7 @@
         void tell(const base::Endpoint& to, const fleet::Message& message) override { transport_.send(to, message); }
         void reset(const core::Segment& about) override
         {
-            transport_.send(
-                { about.key.caller.address, settings_.node.packets.port }, platform::makeReset(about));
+            transport_.send({ about.key.caller.address, settings_.node.packets.port }, platform::makeReset(about));
         }
         void decided(const fleet::Decision& decision) override { log_.write(decision, clock_.now()); }
 
--- a/apps/celerystiled/fleet_options.cpp
+++ b/apps/celerystiled/fleet_options.cpp
@@ -33,8 +33,7 @@
     if (!node)
         return base::failure(node.error().code, "--settings-file: " + node.error().detail);
     if (!fleet::makePlacement(settings.text("placement")))
-        return base::failure(
-            base::ErrorCode::Invalid, "--placement: must be least-loaded, local-first or rendezvous");
+        return base::failure(base::ErrorCode::Invalid, "--placement: must be least-loaded, local-first or rendezvous");
     return FleetSettings { settings.text("settings-file"), std::move(*node), *keyring, settings.text("placement") };
 }
 
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -56,8 +56,8 @@
     for (const auto& address : node.neighbours)
         neighbours += (neighbours.empty() ? "" : ",") + address.toString();
     logEvent(Event::ProcessStarted,
-        { { "instance", node.name }, { "neighbours", neighbours }, { "failure_domain", node.failureDomain }, { "store", node.store.toString() },
-            { "version", std::string(base::version) } });
+        { { "instance", node.name }, { "neighbours", neighbours }, { "failure_domain", node.failureDomain },
+            { "store", node.store.toString() }, { "version", std::string(base::version) } });
     auto opened = start();
     if (opened)
         opened = serve(node.readiness);
@@ -163,8 +163,7 @@
 asio::awaitable<base::HttpReply> FleetProcess::statusReply(const std::string& target)
 {
     auto state = co_await asio::co_spawn(
-        traffic_,
-        [this]() -> asio::awaitable<boost::json::object> { co_return this->state(clock_.now()); },
+        traffic_, [this]() -> asio::awaitable<boost::json::object> { co_return this->state(clock_.now()); },
         asio::use_awaitable);
     const auto& calls = store_.calls();
     const auto latency = store_.latency().values();
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -73,8 +73,8 @@
                     node.packets, [this](const fleet::Message& message) { onMessage(message); });
                 !opened)
                 return opened;
-            if (auto opened = transport_.listenForPackets(
-                    *node.hostPackets, [this](core::Bytes bytes) { onHostPacket(bytes); });
+            if (auto opened
+                = transport_.listenForPackets(*node.hostPackets, [this](core::Bytes bytes) { onHostPacket(bytes); });
                 !opened)
                 return opened;
             if (auto opened = serve(*node.hostReports); !opened)
@@ -135,8 +135,7 @@
                     noteUnreadable(*entry, read.error());
                 }
             }
-            logEvent(Event::CheckpointRead,
-                { { "entry", entry ? "yes" : "no" }, { "flows", std::to_string(held) } });
+            logEvent(Event::CheckpointRead, { { "entry", entry ? "yes" : "no" }, { "flows", std::to_string(held) } });
         }
 
         static void noteUnreadable(const store::Item& item, const base::Error& error)
@@ -162,7 +161,7 @@
 
         Task stopping() override
         {
-            const auto [gone, value] = co_await asio::co_spawn(
+            const auto last = co_await asio::co_spawn(
                 traffic_,
                 [this]() -> asio::awaitable<std::pair<bool, std::string>> {
                     machine_.announceRestart(clock_.now());
@@ -171,7 +170,8 @@
                         sealedText(machine_.checkpoint(), settings_.keyring) };
                 },
                 asio::use_awaitable);
-            checkpoint_.set(value);
+            const bool gone = last.first;
+            checkpoint_.set(last.second);
             entry_.stop();
             checkpoint_.stop();
             asio::steady_timer limit(control_, finishTime);
--- a/apps/celerystiled/main.cpp
+++ b/apps/celerystiled/main.cpp
@@ -14,9 +14,10 @@
 
 using namespace celerystile;
 
-constexpr const char* usage = "usage: celerystiled balancer|sidecar [flags]\n"
-                              "       celerystiled balancer --help | sidecar --help | --version\n"
-                              "With --settings-file or CELERYSTILE_NODE_FILE the hosts are found in the store's registry.\n";
+constexpr const char* usage
+    = "usage: celerystiled balancer|sidecar [flags]\n"
+      "       celerystiled balancer --help | sidecar --help | --version\n"
+      "With --settings-file or CELERYSTILE_NODE_FILE the hosts are found in the store's registry.\n";
 
 // A settings file says that the process runs where a registry in the store lists the hosts.
 bool usesRegistry(const std::vector<std::string>& arguments)
--- a/include/celerystile/base/settings.hpp
+++ b/include/celerystile/base/settings.hpp
@@ -66,6 +66,6 @@
     std::span<const Option> options, std::vector<std::string> arguments);
 
 /// @brief Version of the product.
-inline constexpr std::string_view version = "0.1.0";
+inline constexpr std::string_view version = "0.2.0";
 
 } // namespace celerystile::base
--- a/include/celerystile/fleet/host_board.hpp
+++ b/include/celerystile/fleet/host_board.hpp
@@ -13,7 +13,8 @@
 
 /// @brief Settings of the board.
 struct HostBoardRules {
-    base::Duration heardLifetime = std::chrono::seconds(3); ///< a sidecar's own word outlives its registry entry so long
+    base::Duration heardLifetime
+        = std::chrono::seconds(3); ///< a sidecar's own word outlives its registry entry so long
     base::Duration memory = std::chrono::seconds(60); ///< a lost host is remembered as long as a flow lives
     base::Duration silence = std::chrono::milliseconds(2'000); ///< shortest silence after which a sidecar is lost
     double silentReports = 3.5; ///< the same in reports that did not come
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -104,8 +104,8 @@
     bool operator==(const SynQueued&) const = default;
 };
 
-using Message = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot,
-    SynQueued>;
+using Message
+    = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot, SynQueued>;
 
 /// @brief Most flows named in one datagram, which then stays below 1,500 bytes.
 inline constexpr std::size_t maxFlowsPerDatagram = 48;
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -135,8 +135,7 @@
         pending_.erase(segment.key);
         return refuse(segment, "no host takes it");
     }
-    pending.candidates
-        = placement_.order(hosts, { pending.segment.key.hash(), rules_.failureDomain, now });
+    pending.candidates = placement_.order(hosts, { pending.segment.key.hash(), rules_.failureDomain, now });
     pending.position = 0;
     sendSyn(pending, reason, now);
 }
@@ -240,7 +239,8 @@
         const auto end = std::min(flows.size(), at + maxFlowsPerDatagram);
         HeldFlows part;
         part.born = host ? host->record.born : 0;
-        part.flows.assign(flows.begin() + static_cast<std::ptrdiff_t>(at), flows.begin() + static_cast<std::ptrdiff_t>(end));
+        part.flows.assign(
+            flows.begin() + static_cast<std::ptrdiff_t>(at), flows.begin() + static_cast<std::ptrdiff_t>(end));
         output_.tell(from.sidecar, part);
     }
 }
--- a/src/celerystile/fleet/host_board.cpp
+++ b/src/celerystile/fleet/host_board.cpp
@@ -103,8 +103,8 @@
 {
     if (host.heardAt == base::TimePoint {} || host.record.restarting)
         return false;
-    const auto reports = std::chrono::duration<double, std::milli>(
-        host.record.reportMilliseconds * rules_.silentReports);
+    const auto reports
+        = std::chrono::duration<double, std::milli>(host.record.reportMilliseconds * rules_.silentReports);
     return now - host.heardAt >= std::max(rules_.silence, std::chrono::duration_cast<base::Duration>(reports));
 }
 
--- a/src/celerystile/fleet/owner_table.cpp
+++ b/src/celerystile/fleet/owner_table.cpp
@@ -12,7 +12,8 @@
     const auto found = flows_.find(claim.key);
     if (found == flows_.end()) {
         if (flows_.size() < maxFlows_)
-            flows_.emplace(claim.key, Flow { { sidecar, claim.hostSequence }, std::nullopt, claim.proven, claim.callerAck, now });
+            flows_.emplace(
+                claim.key, Flow { { sidecar, claim.hostSequence }, std::nullopt, claim.proven, claim.callerAck, now });
         return;
     }
     auto& flow = found->second;
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -16,8 +16,8 @@
     {
         for (std::size_t at = 0; at < items.size(); at += maxFlowsPerDatagram) {
             const auto end = std::min(items.size(), at + maxFlowsPerDatagram);
-            send(std::vector<Item>(items.begin() + static_cast<std::ptrdiff_t>(at),
-                items.begin() + static_cast<std::ptrdiff_t>(end)));
+            send(std::vector<Item>(
+                items.begin() + static_cast<std::ptrdiff_t>(at), items.begin() + static_cast<std::ptrdiff_t>(end)));
         }
     }
 
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -6,7 +6,8 @@
 
 namespace {
 
-    constexpr base::Duration avoidTime = std::chrono::milliseconds(500); // between probes of a host that does not answer
+    constexpr base::Duration avoidTime
+        = std::chrono::milliseconds(500); // between probes of a host that does not answer
 
 } // namespace
 
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -147,8 +147,7 @@
     {
         fleet::FleetSnapshot value;
         const auto configuration = from.getConfiguration();
-        value.configuration.assign(
-            reinterpret_cast<const char*>(configuration.begin()), configuration.size());
+        value.configuration.assign(reinterpret_cast<const char*>(configuration.begin()), configuration.size());
         for (const auto host : from.getHosts()) {
             auto record = read(host);
             if (!record)
@@ -167,7 +166,8 @@
             return read(from.getReport());
         case schema::FleetMessage::BALANCER_HELLO: {
             const auto hello = from.getBalancerHello();
-            return fleet::Message { fleet::BalancerHello { read(hello.getBalancer()), hello.getEpoch(), hello.getHosts() } };
+            return fleet::Message { fleet::BalancerHello {
+                read(hello.getBalancer()), hello.getEpoch(), hello.getHosts() } };
         }
         case schema::FleetMessage::SIDECAR_HELLO:
             return fleet::Message { fleet::SidecarHello { read(from.getSidecarHello()) } };
@@ -210,10 +210,7 @@
             held.setBorn(value.born);
             write(held.initFlows(static_cast<unsigned>(value.flows.size())), value.flows);
         }
-        void operator()(const fleet::SynQueued& value)
-        {
-            write(root.initSynQueued(), fleet::FlowClaim { value.key });
-        }
+        void operator()(const fleet::SynQueued& value) { write(root.initSynQueued(), fleet::FlowClaim { value.key }); }
         void operator()(const fleet::FleetSnapshot& value)
         {
             auto snapshot = root.initSnapshot();
--- a/src/celerystile/store/leased_entry.cpp
+++ b/src/celerystile/store/leased_entry.cpp
@@ -8,8 +8,8 @@
 
 namespace asio = boost::asio;
 
-LeasedEntry::LeasedEntry(KeyValueStore& store, const base::Clock& clock, asio::io_context& context, std::string key,
-    LeasedEntryRules rules)
+LeasedEntry::LeasedEntry(
+    KeyValueStore& store, const base::Clock& clock, asio::io_context& context, std::string key, LeasedEntryRules rules)
     : store_(store)
     , clock_(clock)
     , timer_(context)
--- a/src/celerystile/store/upkeep_test.cpp
+++ b/src/celerystile/store/upkeep_test.cpp
@@ -30,10 +30,7 @@
     }
 
     struct EntryFixture {
-        EntryFixture()
-        {
-            boost::asio::co_spawn(context, entry.run(), boost::asio::detached);
-        }
+        EntryFixture() { boost::asio::co_spawn(context, entry.run(), boost::asio::detached); }
 
         ~EntryFixture()
         {
