--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -73,6 +73,7 @@
             startTicking([this](base::TimePoint now) {
                 machine_.tick(now);
                 transport_.flush();
+                noteCut(machine_.board().cutOff(now));
                 return std::max(machine_.nextTick(), now + shortestTick);
             });
             return true;
@@ -85,7 +86,7 @@
             co_await pause(std::min(leaveTime, longest));
         }
 
-        bool ready() const override { return ready_ && !leaving_; }
+        bool ready() const override { return ready_ && !leaving_ && !cutOff_; }
 
         void onPacket(core::Bytes bytes)
         {
@@ -209,6 +210,14 @@
             });
         }
 
+        // Callers are better served through another instance while this one reaches no host.
+        void noteCut(bool cutOff)
+        {
+            if (cutOff != cutOff_)
+                logEvent(cutOff ? Event::CutOff : Event::Reconnected);
+            cutOff_ = cutOff;
+        }
+
         void noteReady()
         {
             if (!ready_ && machine_.ready())
@@ -261,6 +270,7 @@
         std::uint64_t malformed_ = 0;
         std::atomic<bool> ready_ = false;
         std::atomic<bool> leaving_ = false;
+        std::atomic<bool> cutOff_ = false;
     };
 
 } // namespace
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -174,22 +174,23 @@
             checkpoint_.set(last.second);
             entry_.stop();
             checkpoint_.stop();
-            asio::steady_timer limit(control_, finishTime);
-            bool finished = false;
-            asio::co_spawn(
-                control_,
-                [&]() -> Task {
-                    co_await checkpoint_.finish(gone);
-                    co_await entry_.finish(gone);
-                    finished = true;
-                    limit.cancel();
-                },
-                asio::detached);
-            co_await limit.async_wait(base::asValues);
-            if (!finished)
+            // The writes may outlive this function, when the store does not answer in time.
+            const auto limit = std::make_shared<asio::steady_timer>(control_, finishTime);
+            const auto finished = std::make_shared<bool>(false);
+            asio::co_spawn(control_, finishWrites(gone, limit, finished), asio::detached);
+            co_await limit->async_wait(base::asValues);
+            if (!*finished)
                 logEvent(Event::PlatformUnavailable, { { "detail", "the last write was not answered in time" } });
         }
 
+        Task finishWrites(bool gone, std::shared_ptr<asio::steady_timer> limit, std::shared_ptr<bool> finished)
+        {
+            co_await checkpoint_.finish(gone);
+            co_await entry_.finish(gone);
+            *finished = true;
+            limit->cancel();
+        }
+
         bool ready() const override { return true; }
 
         void onMessage(const fleet::Message& message)
--- a/include/celerystile/base/events.hpp
+++ b/include/celerystile/base/events.hpp
@@ -64,6 +64,8 @@
     RegistryEntryUnreadable = 6202,
     SettingsReloaded = 6301,
     TaskFailed = 6302,
+    CutOff = 6303,
+    Reconnected = 6304,
 };
 
 /// @brief One row of the catalogue.
--- a/include/celerystile/fleet/host_board.hpp
+++ b/include/celerystile/fleet/host_board.hpp
@@ -69,6 +69,9 @@
     /// balancer cut off.
     bool lost(const Endpoint& sidecar, base::TimePoint now) const;
 
+    /// @brief Whether nearly all sidecars that were heard have fallen silent at once: this balancer is cut off.
+    bool cutOff(base::TimePoint now) const;
+
     const KnownHost* find(const Endpoint& sidecar) const;
     const Map& hosts() const { return hosts_; }
 
--- a/src/celerystile/base/events.cpp
+++ b/src/celerystile/base/events.cpp
@@ -101,6 +101,10 @@
             Event::SettingsReloaded, Level::Info, "settings_reloaded", "The settings file was read again.", "-" },
         EventInfo { Event::TaskFailed, Level::Alarm, "task_failed",
             "A control task ended by an error and was started again.", "Report it with the detail." },
+        EventInfo { Event::CutOff, Level::Warning, "cut_off",
+            "The balancer hears no sidecar any more and asks the routers to leave it out.",
+            "Look at the network of that instance." },
+        EventInfo { Event::Reconnected, Level::Info, "reconnected", "The balancer hears sidecars again.", "-" },
     };
 
     el::Level toElpp(Level level)
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -173,7 +173,9 @@
     }
     SUBCASE("all are silent: this balancer is cut off")
     {
+        CHECK_FALSE(fixture.machine.board().cutOff(fixture.now));
         fixture.pass(milliseconds(5'000));
+        CHECK(fixture.machine.board().cutOff(fixture.now));
         fixture.packet(dataOf(caller, 901));
         CHECK(fixture.output.resets.empty());
     }
--- a/src/celerystile/fleet/host_board.cpp
+++ b/src/celerystile/fleet/host_board.cpp
@@ -118,6 +118,18 @@
     return static_cast<std::size_t>(silentOnes) * 2 < hosts_.size();
 }
 
+bool HostBoard::cutOff(base::TimePoint now) const
+{
+    std::size_t heard = 0;
+    std::size_t silentOnes = 0;
+    for (const auto& [sidecar, host] : hosts_) {
+        heard += host.heardAt != base::TimePoint {} && host.registered ? 1 : 0;
+        silentOnes += host.registered && silent(host, now) ? 1 : 0;
+    }
+    constexpr std::size_t fewest = 2; // one silent host says nothing of the others
+    return heard >= fewest && silentOnes * 10 >= heard * 9;
+}
+
 const KnownHost* HostBoard::find(const Endpoint& sidecar) const
 {
     const auto found = hosts_.find(sidecar);
