--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -158,12 +158,12 @@
     using SavedForwards = boost::unordered_flat_map<core::FlowKey, SavedForward, core::FlowKeyHash>;
 
     void bump(SidecarCount which) { ++counts_[static_cast<std::size_t>(which)]; }
-    void decided(DecisionKind kind, const core::FlowKey& key, std::string_view reason, base::TimePoint now);
+    void decided(DecisionKind kind, const core::FlowKey& key, std::string_view reason);
     static SavedForward save(const Forward& forward, const core::Segment& segment, base::TimePoint now);
 
     void onSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void takeSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
-    void passSynOn(const Forward& forward, const core::Segment& segment, std::string_view reason, base::TimePoint now);
+    void passSynOn(const Forward& forward, const core::Segment& segment, std::string_view reason);
     bool saturated() const;
     bool queueSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void admitQueued(base::TimePoint now);
@@ -177,11 +177,11 @@
     void deliver(core::FlowRecord& record, const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     void adopt(const core::Segment& segment, base::TimePoint now);
     void adoptHeld(const HeldFlows& held, base::TimePoint now);
-    void resetCaller(const FlowClaim& claim, std::string_view reason, base::TimePoint now);
+    void resetCaller(const FlowClaim& claim, std::string_view reason);
     static FlowClaim claimOf(const core::FlowKey& key, const core::FlowRecord& record);
     void endFlow(const core::FlowKey& key);
     void closeIfFinished(core::FlowRecord& record, const core::FlowKey& key, base::TimePoint now);
-    void resetAll(std::string_view reason, base::TimePoint now);
+    void resetAll(std::string_view reason);
     void setAwaiting(core::FlowRecord& record, bool awaiting);
 
     void claimTo(const Endpoint& balancer, const core::FlowKey& key, base::TimePoint now);
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -53,9 +53,8 @@
     return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(now - start_).count());
 }
 
-void Sidecar::decided(DecisionKind kind, const core::FlowKey& key, std::string_view reason, base::TimePoint now)
+void Sidecar::decided(DecisionKind kind, const core::FlowKey& key, std::string_view reason)
 {
-    (void)now;
     output_.decided({ kind, key, reason, rules_.self, host_.born(), table_.openFlows(), {} });
 }
 
@@ -193,7 +192,7 @@
         original.forward.packet = original.packet;
         endFlow(segment.key);
         opening_.erase(segment.key);
-        return passSynOn(original.forward, original.segment, "the host refused it", now);
+        return passSynOn(original.forward, original.segment, "the host refused it");
     }
     if (const auto saved = tried_.find(segment.key); saved != tried_.end()) {
         auto original = std::move(saved->second);
@@ -206,7 +205,7 @@
         return bump(SidecarCount::DropUnclaimed);
     const bool open = record->state == core::FlowState::Open;
     bump(SidecarCount::FlowsLost);
-    decided(DecisionKind::FlowLost, segment.key, "the host does not hold it", now);
+    decided(DecisionKind::FlowLost, segment.key, "the host does not hold it");
     endFlow(segment.key);
     if (open)
         output_.reset(segment);
@@ -219,7 +218,7 @@
     expireOpening(now);
     admitQueued(now);
     if (host_.dead(now) && table_.openFlows() > 0)
-        resetAll("the host has fallen silent", now);
+        resetAll("the host has fallen silent");
     announceIfChanged(now);
     while (!closedQueue_.empty() && closedQueue_.front().at + rules_.closedLinger <= now) {
         const auto key = closedQueue_.front().key;
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -66,7 +66,7 @@
 {
     const bool restarted = host_.known() && host_.born() != 0 && report.born > host_.born();
     if (restarted)
-        resetAll("the host has started anew", now);
+        resetAll("the host has started anew");
     const auto outcome = host_.note(report, now);
     for (const auto& held : std::exchange(unsettledHeld_, {}))
         adoptHeld(held, now);
@@ -134,7 +134,7 @@
         if (table_.find(claim.key) || table_.size() >= rules_.maxFlows)
             continue;
         if (otherIncarnation) {
-            resetCaller(claim, "the host has started anew", now);
+            resetCaller(claim, "the host has started anew");
             continue;
         }
         core::FlowRecord record;
@@ -151,7 +151,7 @@
 }
 
 // The caller learns at once what it would else learn when its next request times out.
-void Sidecar::resetCaller(const FlowClaim& claim, std::string_view reason, base::TimePoint now)
+void Sidecar::resetCaller(const FlowClaim& claim, std::string_view reason)
 {
     core::Segment about;
     about.key = claim.key;
@@ -159,7 +159,7 @@
     about.acknowledgement = claim.callerAck;
     output_.reset(about);
     bump(SidecarCount::FlowsReset);
-    decided(DecisionKind::FlowReset, claim.key, reason, now);
+    decided(DecisionKind::FlowReset, claim.key, reason);
 }
 
 // The host speaks for the flow, so it holds it.
@@ -176,7 +176,7 @@
     table_.add(segment.key, record);
     noteHeld(segment.key);
     bump(SidecarCount::FlowsAdopted);
-    decided(DecisionKind::FlowAdopted, segment.key, "the host answers on it", now);
+    decided(DecisionKind::FlowAdopted, segment.key, "the host answers on it");
     ++checkpointVersion_;
 }
 
@@ -219,16 +219,16 @@
     if (sendToNext(forward))
         return bump(SidecarCount::PassedOn);
     bump(SidecarCount::DropUnclaimed);
-    decided(DecisionKind::PacketUnclaimed, segment.key, "no sidecar holds the flow", now);
+    decided(DecisionKind::PacketUnclaimed, segment.key, "no sidecar holds the flow");
 }
 
-void Sidecar::resetAll(std::string_view reason, base::TimePoint now)
+void Sidecar::resetAll(std::string_view reason)
 {
     std::vector<core::FlowKey> keys;
     for (const auto& [key, record] : table_.records()) {
         keys.push_back(key);
         if (record.state == core::FlowState::Open)
-            resetCaller(claimOf(key, record), reason, now);
+            resetCaller(claimOf(key, record), reason);
     }
     for (const auto& key : keys)
         endFlow(key);
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -29,13 +29,13 @@
         return output_.tell(forward.balancer, SynQueued { segment.key });
     const auto reason = whyNot(forward, now);
     if (!reason.empty())
-        return passSynOn(forward, segment, reason, now);
+        return passSynOn(forward, segment, reason);
     if (!saturated())
         return takeSyn(forward, segment, now);
     // Somebody else may have a place; the last one asked lets the flow wait.
     const bool last = forward.position + 1U >= forward.candidates.size();
     if (!last || !queueSyn(forward, segment, now))
-        passSynOn(forward, segment, "the host is saturated", now);
+        passSynOn(forward, segment, "the host is saturated");
 }
 
 bool Sidecar::saturated() const
@@ -76,7 +76,7 @@
         queued_.erase(found);
         saved.forward.packet = saved.packet;
         if (const auto reason = whyNot(saved.forward, now); !reason.empty())
-            passSynOn(saved.forward, saved.segment, reason, now);
+            passSynOn(saved.forward, saved.segment, reason);
         else
             takeSyn(saved.forward, saved.segment, now);
     }
@@ -120,10 +120,9 @@
     output_.deliver(forward.packet);
 }
 
-void Sidecar::passSynOn(
-    const Forward& forward, const core::Segment& segment, std::string_view reason, base::TimePoint now)
+void Sidecar::passSynOn(const Forward& forward, const core::Segment& segment, std::string_view reason)
 {
-    decided(DecisionKind::FlowMovedOn, segment.key, reason, now);
+    decided(DecisionKind::FlowMovedOn, segment.key, reason);
     if (sendToNext(forward))
         return bump(SidecarCount::SynPassedOn);
     bump(SidecarCount::SynDeclined);
@@ -161,7 +160,7 @@
             original.forward.packet = original.packet;
             if (sendToNext(original.forward)) {
                 bump(SidecarCount::SynPassedOn);
-                decided(DecisionKind::FlowMovedOn, key, "the host left it unanswered", now);
+                decided(DecisionKind::FlowMovedOn, key, "the host left it unanswered");
             }
         }
     }
