Checkpoints of a fleet share 22 writes a second

Cause: with ten a second a sidecar of 56 writes every 5.6 s; more flows are younger than the last checkpoint when everything loses power, and their callers time out.

--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -19,9 +19,9 @@
 
 namespace {
 
-    // Half of a turnover of flows is lost at worst; in a large fleet all checkpoints share ten writes a second.
+    // Half of a turnover of flows is lost at worst; in a large fleet all checkpoints share 22 writes a second.
     constexpr std::chrono::milliseconds shortestCheckpointInterval { 2'500 };
-    constexpr std::chrono::milliseconds checkpointIntervalPerHost { 100 };
+    constexpr std::chrono::milliseconds checkpointIntervalPerHost { 45 };
     constexpr std::chrono::milliseconds checkpointLife { 60'000 }; // the longest life of a flow
     constexpr std::chrono::milliseconds checkpointRenewal { 20'000 };
     constexpr std::chrono::milliseconds finishTime { 400 }; // for the last write before the process ends
