A host that started under its sidecar is given no packets on trial

Sidecars of hosts that had just been added (side-tcr-11, side-clt-11, up for 5 s) tried packets of unknown flows at their hosts, which can't hold flows of before. The packets came from balancers that had joined and did not know the owner. Ruled out: a mistaken claim (no claim names these hosts for the flows). Heartbeats are numbered, so the number bounds the host's age. The test of trials now starts with a host that has spoken before; what it checks is the same.

--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -59,6 +59,7 @@
             constexpr double silentBeats = 2.3; // two lost heartbeats and some delay
             constexpr double deadBeats = 3.4;
             const auto beat = std::chrono::duration<double, std::milli>(settings.node.heartbeat);
+            rules.host.heartbeat = settings.node.heartbeat;
             rules.host.silentAfter = std::chrono::duration_cast<base::Duration>(beat * silentBeats);
             rules.host.deadAfter = std::chrono::duration_cast<base::Duration>(beat * deadBeats);
             return rules;
@@ -254,7 +255,8 @@
                 if (outcome == fleet::HeartbeatOutcome::FirstOfIncarnation)
                     logEvent(Event::HostStarted,
                         { { "id", report->id }, { "service", report->service },
-                            { "born", std::to_string(report->born) } });
+                            { "born", std::to_string(report->born) },
+                            { "sequence", std::to_string(report->sequence) } });
                 if (outcome == fleet::HeartbeatOutcome::Late)
                     logEvent(Event::HeartbeatRefused,
                         { { "id", report->id }, { "detail", "older than what is known" },
--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -33,6 +33,7 @@
 
 /// @brief Settings of the status.
 struct HostStatusRules {
+    base::Duration heartbeat = std::chrono::milliseconds(770); ///< between two heartbeats, about
     base::Duration silentAfter = std::chrono::milliseconds(1800); ///< a little over two heartbeats
     base::Duration deadAfter = std::chrono::milliseconds(2600); ///< three heartbeats and a margin
 };
@@ -42,6 +43,7 @@
 public:
     HostStatus(HostStatusRules rules, base::TimePoint start)
         : rules_(rules)
+        , start_(start)
         , heardAt_(start)
     {
     }
@@ -65,14 +67,22 @@
     /// @brief Whether nothing at all has come from the host for so long that it must have ended.
     bool dead(base::TimePoint now) const;
     bool known() const { return known_; }
+
+    /// @brief Whether the host's incarnation may be older than this process: it may hold flows that are not known here.
+    bool mayPredate() const { return mayPredate_; }
     ServiceId service() const { return service_; }
     std::uint64_t born() const { return born_; }
     std::uint32_t slots() const { return slots_; }
     std::chrono::milliseconds coldLeft(base::TimePoint now) const;
 
 private:
+    bool startedUnderUs(const HostReport& report, base::TimePoint now) const;
+
     HostStatusRules rules_;
+    base::TimePoint start_;
     bool known_ = false;
+    bool heard_ = false; // has spoken to this process; otherwise what is known was restored
+    bool mayPredate_ = true;
     std::string id_;
     ServiceId service_ = 0;
     std::uint64_t born_ = 0;
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -2,6 +2,18 @@
 
 namespace celerystile::fleet {
 
+// Heartbeats are numbered from the host's start, so the number bounds its age. A predecessor of this process may have
+// acknowledged any but the first.
+bool HostStatus::startedUnderUs(const HostReport& report, base::TimePoint now) const
+{
+    constexpr std::uint64_t first = 1;
+    constexpr double jitter = 1.25; // the beats are only about regular
+    if (heard_ || report.sequence <= first)
+        return true;
+    const auto age = std::chrono::duration<double>(rules_.heartbeat) * jitter * static_cast<double>(report.sequence);
+    return now - start_ >= std::chrono::duration_cast<base::Duration>(age);
+}
+
 HeartbeatOutcome HostStatus::note(const HostReport& report, base::TimePoint now)
 {
     const bool sameIncarnation = known_ && report.born == born_;
@@ -13,7 +25,10 @@
     const auto told = report.draining ? HostState::Draining : HostState::Ready;
     const bool wasSilent = state(now) == HostState::Silent;
     const bool changed = wasSilent || service != service_ || told != told_ || report.slots != slots_;
+    if (!sameIncarnation)
+        mayPredate_ = !startedUnderUs(report, now);
     known_ = true;
+    heard_ = true;
     id_ = report.id;
     service_ = service;
     born_ = report.born;
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -190,6 +190,8 @@
 // The host gives a packet back whose flow it does not hold, so asking it does no harm; asking many would.
 bool Sidecar::tryHost(const Forward& forward, const core::Segment& segment, base::TimePoint now)
 {
+    if (!host_.mayPredate())
+        return false; // every flow of this host has come through this process
     const bool relearning = now - start_ < rules_.relearnTime;
     if (segment.rst || forward.trials >= maxTrials || !(relearning || forward.purpose == ForwardPurpose::Owned))
         return false;
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -49,10 +49,12 @@
     }
 
     struct Fixture {
-        explicit Fixture(bool heard = true)
+        /// @param firstHeartbeat number of the first one that this process hears; 0: none
+        explicit Fixture(std::uint64_t firstHeartbeat = 1)
+            : sequence(firstHeartbeat)
         {
-            if (heard)
-                machine.onHeartbeat(report(), now);
+            if (firstHeartbeat > 0)
+                machine.onHeartbeat(report(firstHeartbeat), now);
             machine.onHello({ balancer, 5, 3 }, now);
             output.told.clear();
         }
@@ -89,7 +91,7 @@
         }
 
         base::TimePoint now { std::chrono::hours(1) };
-        std::uint64_t sequence = 1;
+        std::uint64_t sequence;
         SidecarRecorder output;
         Sidecar machine { rules(), output, now };
     };
@@ -117,7 +119,7 @@
     };
     SUBCASE("not known")
     {
-        Fixture fixture(false);
+        Fixture fixture(0);
         CHECK(passedOn(fixture));
     }
     SUBCASE("draining")
@@ -229,7 +231,7 @@
     HeldFlows held;
     held.born = 1'000;
     held.flows = { { synOf(caller).key, 900, 4'901, true } };
-    Fixture fixture(false);
+    Fixture fixture(0);
     fixture.machine.onHeldFlows(held, fixture.now);
     SUBCASE("same")
     {
@@ -246,9 +248,50 @@
     }
 }
 
+TEST_CASE("a host that started under this process is given no packet on trial: all its flows are known here")
+{
+    const auto tried = [](Fixture& fixture, Forward forward) {
+        fixture.output.delivered.clear();
+        fixture.machine.onForward(forward, dataOf(caller, 500), fixture.now);
+        return !fixture.output.delivered.empty();
+    };
+    SUBCASE("its first heartbeat is heard")
+    {
+        Fixture fixture(1);
+        CHECK(!tried(fixture, lookup()));
+        CHECK(!tried(fixture, owned()));
+    }
+    SUBCASE("it has started anew since")
+    {
+        Fixture fixture(40);
+        fixture.machine.onHeartbeat(report(3, 2'000), fixture.now);
+        CHECK(!tried(fixture, lookup()));
+    }
+    SUBCASE("it is younger than the process by the number of its heartbeats")
+    {
+        Fixture fixture(0);
+        fixture.pass(milliseconds(4'000));
+        fixture.machine.onHeartbeat(report(4), fixture.now);
+        CHECK(!tried(fixture, lookup()));
+    }
+    SUBCASE("a predecessor of the process may have heard it")
+    {
+        Fixture fixture(2);
+        CHECK(tried(fixture, lookup()));
+    }
+    SUBCASE("the predecessor's entry names it")
+    {
+        Fixture fixture(0);
+        auto record = hostOf("10.0.0.1:80", core::hashName("desk"));
+        fixture.machine.restore(record, fixture.now);
+        fixture.machine.onHeartbeat(report(1, 1'000), fixture.now);
+        CHECK(tried(fixture, lookup()));
+    }
+}
+
 TEST_CASE("after a start an unknown packet is tried at the host once, and at two hosts at most")
 {
-    Fixture fixture;
+    Fixture fixture(40);
     fixture.machine.onForward(lookup(), dataOf(caller, 500), fixture.now);
     CHECK(fixture.output.delivered.size() == 1);
     SUBCASE("given back: it goes on with one trial counted")
