Balancers repair missed claims, look-ups widen, trials only where flows may be unknown

Now: reports tell how many flows a host holds, a balancer that knows fewer asks for all; sidecars pace what they tell; retransmissions of an unknown flow visit the next hosts; a sidecar whose predecessor stopped in order, or whose host started under it, tries nothing; others try each flow once, until they have settled (contactMs after their start).

--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -56,6 +56,7 @@
             rules.self = settings.node.packets;
             rules.failureDomain = core::hashName(settings.node.failureDomain);
             rules.epoch = epoch;
+            rules.relearnTime = settings.node.settleTime;
             constexpr double silentBeats = 2.3; // two lost heartbeats and some delay
             constexpr double deadBeats = 3.4;
             const auto beat = std::chrono::duration<double, std::milli>(settings.node.heartbeat);
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "celerystile/fleet/claim_repair.hpp"
 #include "celerystile/fleet/decision.hpp"
+#include "celerystile/fleet/lookup_walk.hpp"
 #include "celerystile/fleet/owner_table.hpp"
 #include "celerystile/fleet/placement.hpp"
 #include "celerystile/fleet/route_table.hpp"
@@ -26,6 +28,7 @@
     DropNoHost, ///< packets for a service without a known host
     DropUnsettled, ///< SYNs before the first list of hosts
     DropQueuedCopy, ///< copies of SYNs that wait at a sidecar
+    ClaimsAsked, ///< sidecars asked to tell all their flows again
     Count_,
 };
 
@@ -51,6 +54,8 @@
     std::uint64_t failureDomain = 0;
     std::uint64_t epoch = 0; ///< start of this process, Unix milliseconds
     HostBoardRules board;
+    ClaimRepairRules repair;
+    LookupWalkRules lookup;
     base::Duration synPatience = std::chrono::milliseconds(40); ///< a host's handshake takes a few milliseconds
     base::Duration synLifetime = std::chrono::milliseconds(1500); ///< callers give up a SYN after 1.4 s
     std::size_t maxPendingSyns = 4'096;
@@ -113,7 +118,8 @@
     void refuse(const core::Segment& segment, std::string_view reason);
     bool resetIfLost(const core::Segment& segment, const Endpoint& owner, base::TimePoint now);
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
-    BalancerHello hello() const;
+    BalancerHello hello(bool wantsFlows = false) const;
+    void repairClaims(base::TimePoint now);
     void sayHello(base::TimePoint now);
 
     BalancerRules rules_;
@@ -123,6 +129,8 @@
     bool registryKnown_ = false;
     HostBoard board_;
     OwnerTable owners_;
+    ClaimRepair repair_;
+    LookupWalk lookups_;
     boost::unordered_flat_map<core::FlowKey, PendingSyn, core::FlowKeyHash> pending_;
     base::TimePoint nextHello_;
     base::TimePoint nextSweep_;
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -31,7 +31,6 @@
     ServiceId service = 0; ///< where a new flow may be opened; 0 for packets of open flows
     Endpoint balancer; ///< who is told the outcome
     std::uint8_t position = 0; ///< the receiver among the candidates
-    std::uint8_t trials = 0; ///< hosts to which this packet was given on trial
     std::uint32_t priority = 0; ///< of a new flow; 0 is the most important
     std::uint32_t ageMilliseconds = 0; ///< time since the first copy of a SYN
     std::uint32_t objectiveMilliseconds = 0; ///< within which the caller wants its answer
@@ -63,6 +62,7 @@
     Endpoint balancer;
     std::uint64_t epoch = 0;
     std::uint32_t hosts = 0; ///< how many hosts it knows, by which shared budgets are divided
+    bool wantsFlows = false; ///< it has missed claims of the receiver and asks for all of them
 
     bool operator==(const BalancerHello&) const = default;
 };
@@ -77,6 +77,7 @@
 /// @brief Flows that the receiver held before it started: from a balancer or from the receiver's own checkpoint.
 struct HeldFlows {
     std::uint64_t born = 0; ///< incarnation of the host that held them; 0: not known
+    bool complete = false; ///< the host held no others when the receiver's predecessor stopped
     std::vector<FlowClaim> flows;
 
     bool operator==(const HeldFlows&) const = default;
--- a/include/celerystile/fleet/owner_table.hpp
+++ b/include/celerystile/fleet/owner_table.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "celerystile/core/routing.hpp"
 #include "celerystile/fleet/message.hpp"
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -10,6 +11,9 @@
 
 namespace celerystile::fleet {
 
+/// @brief Number of flows that a balancer knows of, by the sidecar that holds them.
+using ClaimCounts = boost::unordered_flat_map<Endpoint, std::uint32_t, core::EndpointHash>;
+
 /// @brief The table. One thread.
 ///
 /// Two hosts may claim a flow whose SYN reached both; the caller's first acknowledgement tells whose answer it took.
@@ -33,6 +37,9 @@
     /// @brief Flows that the caller has acknowledged and that this sidecar holds.
     std::vector<FlowClaim> heldBy(const Endpoint& sidecar) const;
 
+    /// @brief How many flows each sidecar holds.
+    ClaimCounts counts() const;
+
     /// @brief Forgets flows without a packet for `idle`.
     void expire(base::Duration idle, base::TimePoint now);
 
--- a/include/celerystile/fleet/placement.hpp
+++ b/include/celerystile/fleet/placement.hpp
@@ -36,6 +36,10 @@
 std::vector<const KnownHost*> sampleHosts(
     const std::vector<const KnownHost*>& hosts, const PlacementInput& input, const SampleRules& rules);
 
+/// @brief All hosts in the order in which a flow's owner is searched: the sample first, then the others.
+std::vector<const KnownHost*> searchOrder(
+    const std::vector<const KnownHost*>& hosts, const PlacementInput& input, const SampleRules& rules);
+
 /// @brief Settings of least-loaded placement.
 struct LeastLoadedRules {
     SampleRules sample; ///< of these hosts the least loaded is taken
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -80,11 +80,13 @@
     base::Duration openingLifetime = std::chrono::seconds(2); ///< callers give up a SYN after 1.4 s
     base::Duration closedLinger = std::chrono::seconds(5); ///< late packets of an ended flow are still served
     base::Duration idleTimeout = std::chrono::seconds(120); ///< twice the longest life of a flow
-    base::Duration relearnTime = std::chrono::seconds(8); ///< after the start, unknown flows are tried at the host
-    base::Duration trialMemory = std::chrono::milliseconds(2500); ///< a flow is tried once within it
+    base::Duration relearnTime = std::chrono::seconds(4); ///< after the start, unknown flows are tried at the host
+    base::Duration trialMemory = std::chrono::seconds(10); ///< a flow is tried once within it
     base::Duration balancerLifetime = std::chrono::seconds(10); ///< balancers say hello more often
     base::Duration reportInterval = std::chrono::milliseconds(200); ///< shortest time between reports of changes
     base::Duration aliveInterval = std::chrono::milliseconds(600); ///< longest time between reports
+    base::Duration tellingPace
+        = std::chrono::milliseconds(60); ///< 45 sidecars at once then use half of a link of 20 Mbit/s
     base::Duration pauseThreshold = std::chrono::milliseconds(700); ///< a gap between ticks that counts as a pause
     double controlBytesPerSecond = 4'000; ///< what reports may use of a node's 5 KB/s
 };
@@ -123,7 +125,7 @@
     /// @brief When tick() has something to do next.
     base::TimePoint nextTick(base::TimePoint now) const;
 
-    /// @brief The open flows, for a successor of this process.
+    /// @brief The open flows, for a successor of this process. Complete once announceRestart() has been called.
     HeldFlows checkpoint() const;
 
     /// @brief Changes whenever checkpoint() would.
@@ -188,7 +190,9 @@
     void noteHeld(const core::FlowKey& key);
     void sendReports(base::TimePoint now);
     base::Duration reportInterval(base::Duration shortest) const;
-    void sendAll(const Endpoint& balancer, base::TimePoint now);
+    void startTelling(const Endpoint& balancer, base::TimePoint now);
+    void tellNext(const Endpoint& balancer, std::vector<core::FlowKey>& keys, base::TimePoint now);
+    void continueTelling(base::TimePoint now);
     void announceIfChanged(base::TimePoint now);
     void expireOpening(base::TimePoint now);
     void sweep(base::TimePoint now);
@@ -200,6 +204,7 @@
     base::TimePoint start_;
     HostStatus host_;
     bool restarting_ = false;
+    bool flowsComplete_ = false; // the predecessor stopped in order and left all flows
     HostState announced_ = HostState::Gone;
     core::FlowTable table_;
     std::uint32_t awaiting_ = 0; // flows whose record says awaitingAnswer
@@ -214,6 +219,9 @@
     std::vector<HeldFlows> unsettledHeld_; // told before the host has spoken
     std::vector<core::FlowKey> heldSinceReport_;
     std::vector<FlowClaim> endedSinceReport_;
+    boost::unordered_flat_map<Endpoint, std::vector<core::FlowKey>, core::EndpointHash>
+        telling_; // flows still to be told
+    base::TimePoint nextTelling_ {};
     base::TimePoint unansweredAt_ {}; // when the host last left a SYN unanswered
     base::TimePoint lastReport_;
     base::TimePoint lastTick_;
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -20,6 +20,7 @@
         "drop_no_host",
         "drop_unsettled",
         "drop_queued_copy",
+        "claims_asked",
     };
 
     // A SYN says how many copies of it came before; callers send them at fixed times.
@@ -45,6 +46,8 @@
     , output_(output)
     , board_(rules.board)
     , owners_(rules.maxFlows)
+    , repair_(rules.repair)
+    , lookups_(rules.lookup)
     , nextHello_(start)
     , nextSweep_(start + sweepInterval)
 {
@@ -63,9 +66,9 @@
         output_.tell(sidecar, hello());
 }
 
-BalancerHello Balancer::hello() const
+BalancerHello Balancer::hello(bool wantsFlows) const
 {
-    return { rules_.self, rules_.epoch, static_cast<std::uint32_t>(board_.hosts().size()) };
+    return { rules_.self, rules_.epoch, static_cast<std::uint32_t>(board_.hosts().size()), wantsFlows };
 }
 
 void Balancer::onPacket(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
@@ -211,10 +214,14 @@
     forward.purpose = ForwardPurpose::Lookup;
     forward.balancer = rules_.self;
     forward.packet = packet;
-    for (const auto* host : sampleHosts(hosts, { segment.key.hash(), rules_.failureDomain, now }, {}))
-        forward.candidates.push_back(host->record.sidecar);
-    if (forward.candidates.empty())
+    if (hosts.empty())
         return bump(BalancerCount::DropNoHost);
+    const auto round = lookups_.next(segment.key, now);
+    const auto order = searchOrder(hosts, { segment.key.hash(), rules_.failureDomain, now }, {});
+    const auto parts = (order.size() + maxCandidates - 1) / maxCandidates;
+    for (auto at = round % parts * maxCandidates; at < order.size() && forward.candidates.size() < maxCandidates;
+         ++at)
+        forward.candidates.push_back(order[at]->record.sidecar);
     bump(BalancerCount::ForwardedLookup);
     output_.forward(forward.candidates.front(), forward);
 }
@@ -302,10 +309,20 @@
     if (now >= nextSweep_) {
         owners_.expire(routes_->idleTimeout * 2, now);
         board_.expire(now);
+        lookups_.expire(now);
+        repairClaims(now);
         nextSweep_ = now + sweepInterval;
     }
 }
 
+void Balancer::repairClaims(base::TimePoint now)
+{
+    for (const auto& sidecar : repair_.check(board_.hosts(), owners_.counts(), now)) {
+        bump(BalancerCount::ClaimsAsked);
+        output_.tell(sidecar, hello(true));
+    }
+}
+
 // The more hosts there are, the rarer each hears of this balancer: the bytes a second stay the same.
 void Balancer::sayHello(base::TimePoint now)
 {
--- a/src/celerystile/fleet/owner_table.cpp
+++ b/src/celerystile/fleet/owner_table.cpp
@@ -85,6 +85,14 @@
     return flows;
 }
 
+ClaimCounts OwnerTable::counts() const
+{
+    ClaimCounts counts;
+    for (const auto& [key, flow] : flows_)
+        ++counts[flow.first.sidecar];
+    return counts;
+}
+
 void OwnerTable::expire(base::Duration idle, base::TimePoint now)
 {
     boost::unordered::erase_if(flows_, [&](const auto& entry) { return now - entry.second.seenAt >= idle; });
--- a/src/celerystile/fleet/placement.cpp
+++ b/src/celerystile/fleet/placement.cpp
@@ -97,7 +97,7 @@
 
 } // namespace
 
-std::vector<const KnownHost*> sampleHosts(
+std::vector<const KnownHost*> searchOrder(
     const std::vector<const KnownHost*>& hosts, const PlacementInput& input, const SampleRules& rules)
 {
     std::vector<const KnownHost*> sampled;
@@ -110,9 +110,16 @@
         (taken < most ? sampled : others).push_back(entry.host);
         ++taken;
     }
-    // Where one side has too few hosts, the other fills up.
-    const auto missing = std::min(others.size(), rules.local + rules.remote - sampled.size());
-    sampled.insert(sampled.end(), others.begin(), others.begin() + static_cast<std::ptrdiff_t>(missing));
+    sampled.insert(sampled.end(), others.begin(), others.end());
+    return sampled;
+}
+
+// Where one side has too few hosts, the other fills up.
+std::vector<const KnownHost*> sampleHosts(
+    const std::vector<const KnownHost*>& hosts, const PlacementInput& input, const SampleRules& rules)
+{
+    auto sampled = searchOrder(hosts, input, rules);
+    sampled.resize(std::min(sampled.size(), rules.local + rules.remote));
     return sampled;
 }
 
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -220,6 +220,7 @@
     if (host_.dead(now) && table_.openFlows() > 0)
         resetAll("the host has fallen silent");
     announceIfChanged(now);
+    continueTelling(now);
     while (!closedQueue_.empty() && closedQueue_.front().at + rules_.closedLinger <= now) {
         const auto key = closedQueue_.front().key;
         closedQueue_.pop_front();
@@ -271,6 +272,8 @@
     auto next = now + longest;
     if (!queue_.empty())
         next = now + std::chrono::milliseconds(20);
+    if (!telling_.empty())
+        next = std::min(next, std::max(now, nextTelling_));
     if (!openingQueue_.empty())
         next = std::min(next, openingQueue_.front().at + rules_.openingPatience);
     return next;
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-    constexpr std::uint8_t maxTrials = 2; // more packets at foreign hosts would disturb the flow
-
     // Datagrams are kept small, so a long list takes several.
     template <typename Item, typename Send> void inParts(const std::vector<Item>& items, Send send)
     {
@@ -110,13 +108,13 @@
     fleetHosts_ = std::max<std::uint32_t>(1, hello.hosts);
     auto& known = balancers_[hello.balancer];
     known.heardAt = now;
-    if (known.epoch == hello.epoch)
+    if (known.epoch == hello.epoch && !hello.wantsFlows)
         return;
     const bool first = known.epoch == 0;
     known.epoch = hello.epoch;
     if (first && now - start_ < rules_.relearnTime)
         output_.tell(hello.balancer, SidecarHello { rules_.self });
-    sendAll(hello.balancer, now);
+    startTelling(hello.balancer, now);
 }
 
 void Sidecar::onHeldFlows(const HeldFlows& held, base::TimePoint now)
@@ -130,6 +128,7 @@
 void Sidecar::adoptHeld(const HeldFlows& held, base::TimePoint now)
 {
     const bool otherIncarnation = held.born != 0 && held.born < host_.born();
+    flowsComplete_ = flowsComplete_ || (held.complete && held.born == host_.born());
     for (const auto& claim : held.flows) {
         if (table_.find(claim.key) || table_.size() >= rules_.maxFlows)
             continue;
@@ -190,10 +189,10 @@
 // The host gives a packet back whose flow it does not hold, so asking it does no harm; asking many would.
 bool Sidecar::tryHost(const Forward& forward, const core::Segment& segment, base::TimePoint now)
 {
-    if (!host_.mayPredate())
-        return false; // every flow of this host has come through this process
+    if (segment.rst || flowsComplete_ || !host_.mayPredate())
+        return false; // every flow of this host is known here
     const bool relearning = now - start_ < rules_.relearnTime;
-    if (segment.rst || forward.trials >= maxTrials || !(relearning || forward.purpose == ForwardPurpose::Owned))
+    if (!relearning && forward.purpose != ForwardPurpose::Owned)
         return false;
     const auto [entry, first] = triedAt_.try_emplace(segment.key, now);
     if (!first && now - entry->second < rules_.trialMemory)
@@ -201,7 +200,6 @@
     entry->second = now;
     auto& saved = tried_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
     saved.forward.packet = saved.packet;
-    ++saved.forward.trials;
     bump(SidecarCount::Trials);
     output_.deliver(forward.packet);
     return true;
@@ -240,6 +238,7 @@
 {
     HeldFlows held;
     held.born = host_.born();
+    held.complete = restarting_;
     for (const auto& [key, record] : table_.records()) {
         if (record.state == core::FlowState::Open)
             held.flows.push_back(claimOf(key, record));
@@ -290,23 +289,44 @@
     endedSinceReport_.clear();
 }
 
-void Sidecar::sendAll(const Endpoint& balancer, base::TimePoint now)
+// All sidecars tell a new balancer their flows at the same time: each sends one datagram now and the others at a pace
+// that a balancer on a slow link can take.
+void Sidecar::startTelling(const Endpoint& balancer, base::TimePoint now)
+{
+    auto& keys = telling_[balancer];
+    keys.clear();
+    for (const auto& [key, record] : table_.records()) {
+        if (record.hostIsnKnown || record.state == core::FlowState::Open)
+            keys.push_back(key);
+    }
+    tellNext(balancer, keys, now);
+    nextTelling_ = now + rules_.tellingPace;
+}
+
+void Sidecar::tellNext(const Endpoint& balancer, std::vector<core::FlowKey>& keys, base::TimePoint now)
 {
     if (!host_.known())
-        return;
+        return keys.clear();
     FlowReport report;
     report.host = record(now);
-    std::vector<FlowClaim> held;
-    for (const auto& [key, record] : table_.records()) {
-        if (record.hostIsnKnown || record.state == core::FlowState::Open)
-            held.push_back(claimOf(key, record));
+    while (!keys.empty() && report.held.size() < maxFlowsPerDatagram) {
+        if (const auto* flow = table_.find(keys.back()))
+            report.held.push_back(claimOf(keys.back(), *flow));
+        keys.pop_back();
     }
-    if (held.empty())
-        return output_.tell(balancer, report);
-    inParts(held, [&](std::vector<FlowClaim> part) {
-        report.held = std::move(part);
-        output_.tell(balancer, report);
-    });
+    output_.tell(balancer, report);
+}
+
+void Sidecar::continueTelling(base::TimePoint now)
+{
+    if (telling_.empty() || now < nextTelling_)
+        return;
+    for (auto& [balancer, keys] : telling_) {
+        if (!keys.empty())
+            tellNext(balancer, keys, now);
+    }
+    boost::unordered::erase_if(telling_, [](const auto& entry) { return entry.second.empty(); });
+    nextTelling_ = now + rules_.tellingPace;
 }
 
 } // namespace celerystile::fleet
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -27,7 +27,6 @@
     {
         to.setPurpose(static_cast<std::uint8_t>(value.purpose));
         to.setPosition(value.position);
-        to.setTrials(value.trials);
         to.setService(value.service);
         to.setPriority(value.priority);
         to.setAgeMilliseconds(value.ageMilliseconds);
@@ -46,7 +45,6 @@
             return failure(ErrorCode::Malformed, "unknown purpose");
         value.purpose = static_cast<fleet::ForwardPurpose>(from.getPurpose());
         value.position = from.getPosition();
-        value.trials = from.getTrials();
         value.service = from.getService();
         value.priority = from.getPriority();
         value.ageMilliseconds = from.getAgeMilliseconds();
@@ -167,13 +165,13 @@
         case schema::FleetMessage::BALANCER_HELLO: {
             const auto hello = from.getBalancerHello();
             return fleet::Message { fleet::BalancerHello {
-                read(hello.getBalancer()), hello.getEpoch(), hello.getHosts() } };
+                read(hello.getBalancer()), hello.getEpoch(), hello.getHosts(), hello.getWantsFlows() } };
         }
         case schema::FleetMessage::SIDECAR_HELLO:
             return fleet::Message { fleet::SidecarHello { read(from.getSidecarHello()) } };
         case schema::FleetMessage::HELD_FLOWS: {
             const auto held = from.getHeldFlows();
-            return fleet::Message { fleet::HeldFlows { held.getBorn(), read(held.getFlows()) } };
+            return fleet::Message { fleet::HeldFlows { held.getBorn(), held.getComplete(), read(held.getFlows()) } };
         }
         case schema::FleetMessage::SYN_DECLINED:
             return fleet::Message { fleet::SynDeclined { read(from.getSynDeclined()).key } };
@@ -202,12 +200,14 @@
             write(hello.initBalancer(), value.balancer);
             hello.setEpoch(value.epoch);
             hello.setHosts(value.hosts);
+            hello.setWantsFlows(value.wantsFlows);
         }
         void operator()(const fleet::SidecarHello& value) { write(root.initSidecarHello(), value.sidecar); }
         void operator()(const fleet::HeldFlows& value)
         {
             auto held = root.initHeldFlows();
             held.setBorn(value.born);
+            held.setComplete(value.complete);
             write(held.initFlows(static_cast<unsigned>(value.flows.size())), value.flows);
         }
         void operator()(const fleet::SynQueued& value) { write(root.initSynQueued(), fleet::FlowClaim { value.key }); }
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -13,14 +13,13 @@
 struct FleetForward {
   purpose @0 :UInt8;
   position @1 :UInt8;
-  trials @2 :UInt8;
-  service @3 :UInt64;
-  balancer @4 :Address;
-  candidates @5 :List(Address);
-  packet @6 :Data;
-  priority @7 :UInt32;
-  ageMilliseconds @8 :UInt32;
-  objectiveMilliseconds @9 :UInt32;
+  service @2 :UInt64;
+  balancer @3 :Address;
+  candidates @4 :List(Address);
+  packet @5 :Data;
+  priority @6 :UInt32;
+  ageMilliseconds @7 :UInt32;
+  objectiveMilliseconds @8 :UInt32;
 }
 
 struct HostRecord {
@@ -58,11 +57,13 @@
   balancer @0 :Address;
   epoch @1 :UInt64;
   hosts @2 :UInt32;
+  wantsFlows @3 :Bool;
 }
 
 struct HeldFlows {
   born @0 :UInt64;
   flows @1 :List(FlowClaim);
+  complete @2 :Bool;
 }
 
 struct FleetSnapshot {
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -131,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db708e03ebf1fbc1, 1, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(db708e03ebf1fbc1, 2, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -282,8 +282,6 @@
 
   inline  ::uint8_t getPosition() const;
 
-  inline  ::uint8_t getTrials() const;
-
   inline  ::uint64_t getService() const;
 
   inline bool hasBalancer() const;
@@ -335,9 +333,6 @@
   inline  ::uint8_t getPosition();
   inline void setPosition( ::uint8_t value);
 
-  inline  ::uint8_t getTrials();
-  inline void setTrials( ::uint8_t value);
-
   inline  ::uint64_t getService();
   inline void setService( ::uint64_t value);
 
@@ -767,6 +762,8 @@
 
   inline  ::uint32_t getHosts() const;
 
+  inline bool getWantsFlows() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -808,6 +805,9 @@
   inline  ::uint32_t getHosts();
   inline void setHosts( ::uint32_t value);
 
+  inline bool getWantsFlows();
+  inline void setWantsFlows(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -857,6 +857,8 @@
   inline bool hasFlows() const;
   inline  ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>::Reader getFlows() const;
 
+  inline bool getComplete() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -895,6 +897,9 @@
   inline void adoptFlows(::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>> disownFlows();
 
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1239,20 +1244,6 @@
       ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint8_t FleetForward::Reader::getTrials() const {
-  return _reader.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint8_t FleetForward::Builder::getTrials() {
-  return _builder.getDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
-}
-inline void FleetForward::Builder::setTrials( ::uint8_t value) {
-  _builder.setDataField< ::uint8_t>(
-      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
-}
-
 inline  ::uint64_t FleetForward::Reader::getService() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<1>() * ::capnp::ELEMENTS);
@@ -1881,6 +1872,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool BalancerHello::Reader::getWantsFlows() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool BalancerHello::Builder::getWantsFlows() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void BalancerHello::Builder::setWantsFlows(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldFlows::Reader::getBorn() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -1929,6 +1934,20 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool HeldFlows::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+
+inline bool HeldFlows::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS);
+}
+inline void HeldFlows::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<64>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetSnapshot::Reader::hasConfiguration() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
