Requests on open flows wait at the sidecar too, in time first; SYNs wait where the wait is shortest

Ruled out: slow recovery of the processes (ready 1.2 s after the loss of power, of which it lasted 1.1). Now: requests on open flows wait in the same queue, bounded by what the host can work on (one a slot and two more); what can still be answered in time goes first, judged by the host's own answers (mean and two deviations); a SYN carries the shortest wait it has seen and settles there. Requests that stall are given up by the host's own pace, not after 3 s. What binds: retries of callers that waited through the outage can't be told from new requests.

--- a/include/celerystile/core/flow_table.hpp
+++ b/include/celerystile/core/flow_table.hpp
@@ -32,7 +32,6 @@
     bool hostFinished : 1 = false;
     bool resetSeen : 1 = false; ///< a reset came that may be forged; believed after a quiet time
     bool displaced : 1 = false; ///< the owner is not among the flow's candidates; pointers lead to it
-    bool awaitingAnswer : 1 = false; ///< the host has a request that it has not begun to answer
 
     bool operator==(const FlowRecord&) const = default;
 };
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -103,8 +103,6 @@
         std::vector<Endpoint> tried;
         std::uint8_t position = 0;
         bool queued = false; // waits at a sidecar
-        std::uint32_t priority = 0;
-        std::uint32_t objectiveMilliseconds = 0;
         base::TimePoint begunAt {};
         base::TimePoint retryAt {};
         base::TimePoint expiresAt {};
@@ -117,6 +115,7 @@
     void retry(PendingSyn& pending, base::TimePoint now);
     void refuse(const core::Segment& segment, std::string_view reason);
     bool resetIfLost(const core::Segment& segment, const Endpoint& owner, base::TimePoint now);
+    void describe(Forward& forward, const core::Segment& segment) const;
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     BalancerHello hello(bool wantsFlows = false) const;
     void repairClaims(base::TimePoint now);
--- a/include/celerystile/fleet/host_record.hpp
+++ b/include/celerystile/fleet/host_record.hpp
@@ -36,6 +36,7 @@
     std::uint32_t coldMilliseconds = 0; ///< how much longer the host is slow after its start
     std::uint32_t openFlows = 0;
     std::uint32_t busyFlows = 0; ///< flows with a request that is not answered yet
+    std::uint32_t failurePermille = 0; ///< requests of late that were reset or left unanswered, in thousandths
     std::uint32_t reportMilliseconds = 0; ///< longest time between the sidecar's reports; 0: not told
     bool restarting = false; ///< the sidecar stops and is expected back; its host goes on
 
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -4,6 +4,7 @@
 #include "celerystile/fleet/host_record.hpp"
 
 #include <boost/container/static_vector.hpp>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -25,15 +26,26 @@
     Lookup, ///< the owner is unknown: passed on until somebody claims it
 };
 
+/// @brief How long a SYN would wait for a place at one of the candidates.
+struct ShortestWait {
+    std::uint8_t position = 0; ///< among the candidates
+    std::uint32_t milliseconds = 0;
+
+    bool operator==(const ShortestWait&) const = default;
+};
+
 /// @brief A caller's packet on its way to the host's sidecar.
 struct Forward {
     ForwardPurpose purpose = ForwardPurpose::Open;
     ServiceId service = 0; ///< where a new flow may be opened; 0 for packets of open flows
     Endpoint balancer; ///< who is told the outcome
     std::uint8_t position = 0; ///< the receiver among the candidates
-    std::uint32_t priority = 0; ///< of a new flow; 0 is the most important
+    std::uint32_t priority = 0; ///< of the route; 0 is the most important
     std::uint32_t ageMilliseconds = 0; ///< time since the first copy of a SYN
     std::uint32_t objectiveMilliseconds = 0; ///< within which the caller wants its answer
+    std::uint32_t timeoutMilliseconds = 0; ///< after which the caller gives a request up; 0: not known
+    std::optional<ShortestWait> shortestWait; ///< of the saturated hosts asked so far
+    bool settled = false; ///< all have been asked: the receiver has the shortest wait and lets the SYN wait
     CandidateList candidates; ///< sidecars in the order in which they are asked
     core::Bytes packet; ///< belongs to the datagram
 };
--- a/include/celerystile/fleet/route_table.hpp
+++ b/include/celerystile/fleet/route_table.hpp
@@ -29,6 +29,7 @@
     std::vector<RouteTarget> targets;
     std::uint32_t priority = 0; ///< 0 is the most important
     std::chrono::milliseconds latencyObjective { 0 }; ///< within which callers want an answer
+    std::chrono::milliseconds timeout { 0 }; ///< after which callers give a request up; 0: not told
 
     bool operator==(const Route&) const = default;
 
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -2,10 +2,11 @@
 
 #include "celerystile/core/flow_table.hpp"
 #include "celerystile/core/routing.hpp"
+#include "celerystile/fleet/admission_queue.hpp"
 #include "celerystile/fleet/decision.hpp"
 #include "celerystile/fleet/host_status.hpp"
 #include "celerystile/fleet/message.hpp"
-#include "celerystile/fleet/syn_queue.hpp"
+#include "celerystile/fleet/request_meter.hpp"
 
 #include <array>
 #include <deque>
@@ -31,6 +32,8 @@
     SynDeclined, ///< SYNs that nobody took
     SynQueued, ///< SYNs that waited for a place at the host
     SynExpired, ///< SYNs whose caller gave up while they waited
+    RequestsHeld, ///< requests on open flows that waited for a place at the host
+    RequestsExpired, ///< requests whose caller gave up while they waited
     ClaimsDropped, ///< the caller took another host's answer
     Trials, ///< packets given to the host without knowing the flow
     PassedOn, ///< packets of unknown flows that went to the next candidate
@@ -71,11 +74,12 @@
     std::uint64_t epoch = 0; ///< start of this process, Unix milliseconds
     HostStatusRules host;
     std::size_t maxFlows = 100'000;
-    std::size_t maxQueued = 512; ///< new flows that wait for a place at the host
-    double requestsPerSlot = 2.0; ///< requests at the host, its own queue included, before new flows wait
+    RequestMeterRules meter;
+    std::size_t maxQueued = 512; ///< new flows and requests that wait for a place at the host
+    double requestsPerSlot = 1.0; ///< requests at the host, its own queue included, before others wait
     std::uint32_t extraRequests = 2; ///< added to the above, so that a host with few slots does not idle
     base::Duration synLifetime = std::chrono::milliseconds(1300); ///< callers give up a SYN after 1.4 s
-    base::Duration answerPatience = std::chrono::seconds(3); ///< a request without any packet for so long is given up
+    base::Duration requestLifetime = std::chrono::seconds(3); ///< of a waiting request whose timeout is not known
     base::Duration openingPatience = std::chrono::milliseconds(30); ///< a host's handshake takes under a millisecond
     base::Duration openingLifetime = std::chrono::seconds(2); ///< callers give up a SYN after 1.4 s
     base::Duration closedLinger = std::chrono::seconds(5); ///< late packets of an ended flow are still served
@@ -165,8 +169,13 @@
 
     void onSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void takeSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
-    void passSynOn(const Forward& forward, const core::Segment& segment, std::string_view reason);
+    void passSynOn(const Forward& forward, const core::Segment& segment, std::string_view reason, base::TimePoint now);
+    void settle(Forward forward, const core::Segment& segment, base::TimePoint now);
+    Forward withOwnWait(Forward forward) const;
+    std::uint32_t requestLimit() const;
     bool saturated() const;
+    bool holdRequest(const Forward& forward, const core::Segment& segment, base::TimePoint now);
+    void releaseHeld(const core::FlowKey& key, base::TimePoint now);
     bool queueSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void admitQueued(base::TimePoint now);
     std::string_view whyNot(const Forward& forward, base::TimePoint now) const;
@@ -184,7 +193,6 @@
     void endFlow(const core::FlowKey& key);
     void closeIfFinished(core::FlowRecord& record, const core::FlowKey& key, base::TimePoint now);
     void resetAll(std::string_view reason);
-    void setAwaiting(core::FlowRecord& record, bool awaiting);
 
     void claimTo(const Endpoint& balancer, const core::FlowKey& key, base::TimePoint now);
     void noteHeld(const core::FlowKey& key);
@@ -207,10 +215,12 @@
     bool flowsComplete_ = false; // the predecessor stopped in order and left all flows
     HostState announced_ = HostState::Gone;
     core::FlowTable table_;
-    std::uint32_t awaiting_ = 0; // flows whose record says awaitingAnswer
+    RequestMeter meter_;
     SavedForwards opening_; // SYNs the host has not answered
     SavedForwards queued_; // SYNs in queue_
-    SynQueue queue_;
+    boost::unordered_flat_map<core::FlowKey, std::vector<SavedForward>, core::FlowKeyHash>
+        held_; // requests in queue_
+    AdmissionQueue queue_;
     SavedForwards tried_; // packets on trial at the host
     std::deque<Timed> openingQueue_;
     std::deque<Timed> closedQueue_;
--- /dev/null
+++ b/src/celerystile/fleet/admission_queue.cpp
@@ -0,0 +1,54 @@
+#include "celerystile/fleet/admission_queue.hpp"
+
+#include <algorithm>
+#include <tuple>
+
+namespace celerystile::fleet {
+
+namespace {
+
+    // A host that always takes longer than the objective allows would make everything late: then half of the objective
+    // is left to it, so that what has just come still goes before what has waited.
+    auto rank(const Waiting& entry, base::Duration answerTime, base::TimePoint now)
+    {
+        const auto allowance = std::min(answerTime, (entry.objectiveAt - entry.since) / 2);
+        return std::tuple { now + allowance > entry.objectiveAt, entry.priority, entry.expiresAt, entry.key };
+    }
+
+} // namespace
+
+bool AdmissionQueue::add(const Waiting& entry)
+{
+    if (entries_.size() >= capacity_)
+        return false;
+    entries_.insert_or_assign(entry.key, entry);
+    return true;
+}
+
+std::optional<core::FlowKey> AdmissionQueue::next(base::Duration answerTime, base::TimePoint now)
+{
+    const Waiting* best = nullptr;
+    for (const auto& [key, entry] : entries_) {
+        if (!best || rank(entry, answerTime, now) < rank(*best, answerTime, now))
+            best = &entry;
+    }
+    if (!best)
+        return std::nullopt;
+    const auto key = best->key;
+    entries_.erase(key);
+    return key;
+}
+
+std::vector<core::FlowKey> AdmissionQueue::expire(base::TimePoint now)
+{
+    std::vector<core::FlowKey> expired;
+    for (const auto& [key, entry] : entries_) {
+        if (now >= entry.expiresAt)
+            expired.push_back(key);
+    }
+    for (const auto& key : expired)
+        entries_.erase(key);
+    return expired;
+}
+
+} // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/fleet/admission_queue_test.cpp
@@ -0,0 +1,127 @@
+#include "celerystile/fleet/admission_queue.hpp"
+
+#include "celerystile/base/random.hpp"
+#include "fleet_test_support.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <queue>
+
+namespace celerystile::fleet {
+
+namespace {
+
+    using namespace testing;
+
+    core::FlowKey key(int port) { return synOf(("100.64.0.1:" + std::to_string(port)).c_str()).key; }
+
+    constexpr milliseconds noTime { 0 };
+
+    struct Served {
+        int onTime = 0;
+        int late = 0;
+        int urgentOnTime = 0;
+    };
+
+    /// One host with three slots of 42 ms in a burst of 1.6 times what it can do: 3.5 s of it, then a quiet time.
+    template <typename Add, typename Next> Served serve(Add add, Next next)
+    {
+        constexpr milliseconds work { 42 };
+        constexpr milliseconds objective { 300 };
+        constexpr milliseconds patience { 2'500 };
+        constexpr int slots = 3;
+        const base::TimePoint start { std::chrono::hours(1) };
+        base::Random random(3);
+        std::map<int, Waiting> all;
+        std::multimap<base::TimePoint, int> running;
+        Served served;
+        int last = 0;
+        for (milliseconds at { 0 }; at < milliseconds(7'000); at += milliseconds(1)) {
+            const auto now = start + at;
+            const auto perSecond = at < milliseconds(3'500) ? 114U : 50U; // 71 a second are what the slots can do
+            if (random.below(1'000) < perSecond) {
+                const auto urgent = random.below(5) == 0;
+                const Waiting entry { key(++last), urgent ? 1U : 2U, now, now + objective, now + patience };
+                all.emplace(last, entry);
+                add(last, entry);
+            }
+            while (!running.empty() && running.begin()->first <= now) {
+                const auto& entry = all.at(running.begin()->second);
+                const bool onTime = now <= entry.objectiveAt;
+                served.onTime += onTime ? 1 : 0;
+                served.urgentOnTime += onTime && entry.priority == 1 ? 1 : 0;
+                served.late += !onTime && now <= entry.expiresAt ? 1 : 0;
+                running.erase(running.begin());
+            }
+            while (running.size() < slots) {
+                const auto taken = next(now);
+                if (!taken)
+                    break;
+                running.emplace(now + work, *taken);
+            }
+        }
+        return served;
+    }
+
+} // namespace
+
+TEST_CASE("within the objective first, then priority, then age; what its caller has given up is dropped")
+{
+    const base::TimePoint now { std::chrono::hours(1) };
+    AdmissionQueue queue(3);
+    CHECK(queue.add({ key(1), 1, now - milliseconds(200), now - milliseconds(1), now + milliseconds(50) }));
+    CHECK(queue.add({ key(2), 2, now - milliseconds(100), now + milliseconds(100), now + milliseconds(900) }));
+    CHECK(queue.add({ key(3), 1, now - milliseconds(100), now + milliseconds(100), now + milliseconds(950) }));
+    CHECK_FALSE(queue.add({ key(4), 0, now - milliseconds(100), now + milliseconds(100), now + milliseconds(950) }));
+    CHECK(queue.next(noTime, now) == key(3));
+    CHECK(queue.next(noTime, now) == key(2));
+    CHECK(queue.expire(now + milliseconds(60)) == std::vector { key(1) });
+    CHECK_FALSE(queue.next(noTime, now));
+}
+
+TEST_CASE("what would be answered after its objective counts as late already")
+{
+    const base::TimePoint now { std::chrono::hours(1) };
+    AdmissionQueue queue(3);
+    queue.add({ key(1), 1, now - milliseconds(170), now + milliseconds(30), now + milliseconds(500) });
+    queue.add({ key(2), 1, now - milliseconds(100), now + milliseconds(100), now + milliseconds(600) });
+    CHECK(queue.next(milliseconds(40), now) == key(2));
+    queue.add({ key(3), 1, now - milliseconds(100), now + milliseconds(100), now + milliseconds(600) });
+    queue.remove(key(3));
+    CHECK(queue.next(milliseconds(40), now) == key(1));
+    CHECK(queue.empty());
+}
+
+TEST_CASE("load: in a burst far more is answered in time than in the order of arrival")
+{
+    std::map<core::FlowKey, int> names;
+    AdmissionQueue queue(512);
+    const auto ours = serve(
+        [&](int name, const Waiting& entry) {
+            names[entry.key] = name;
+            queue.add(entry);
+        },
+        [&](base::TimePoint now) -> std::optional<int> {
+            queue.expire(now);
+            const auto taken = queue.next(milliseconds(42), now);
+            return taken ? std::optional(names.at(*taken)) : std::nullopt;
+        });
+    std::queue<int> fifo;
+    const auto naive = serve([&](int name, const Waiting&) { fifo.push(name); },
+        [&](base::TimePoint) -> std::optional<int> {
+            if (fifo.empty())
+                return std::nullopt;
+            const auto name = fifo.front();
+            fifo.pop();
+            return name;
+        });
+    CAPTURE(ours.onTime);
+    CAPTURE(naive.onTime);
+    CHECK(ours.onTime * 10 > naive.onTime * 13);
+    // What can't be served in time waits for the rest of its patience: a tenth fewer are served at all.
+    CHECK((ours.onTime + ours.late) * 10 >= (naive.onTime + naive.late) * 9);
+    CHECK(ours.urgentOnTime > naive.urgentOnTime);
+}
+
+} // namespace celerystile::fleet
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -85,9 +85,23 @@
     forward.purpose = ForwardPurpose::Owned;
     forward.balancer = rules_.self;
     forward.packet = packet;
+    describe(forward, segment);
     output_.forward(*owner, forward);
 }
 
+// Says how urgent a SYN or a request is, for a host that can't take it at once.
+void Balancer::describe(Forward& forward, const core::Segment& segment) const
+{
+    if (!segment.syn && segment.payloadBytes == 0)
+        return;
+    const auto* route = routes_->find(segment.key.service);
+    if (!route)
+        return;
+    forward.priority = route->priority;
+    forward.objectiveMilliseconds = static_cast<std::uint32_t>(route->latencyObjective.count());
+    forward.timeoutMilliseconds = static_cast<std::uint32_t>(route->timeout.count());
+}
+
 void Balancer::onSyn(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
 {
     const bool copy = segment.acknowledgement > 0;
@@ -119,8 +133,6 @@
     pending.segment = segment;
     pending.packet.assign(packet.begin(), packet.end());
     pending.service = route->select(segment.key.hash());
-    pending.priority = route->priority;
-    pending.objectiveMilliseconds = static_cast<std::uint32_t>(route->latencyObjective.count());
     pending.begunAt = now - ageOf(segment);
     pending.expiresAt = pending.begunAt + rules_.synLifetime;
     auto& stored = pending_.insert_or_assign(segment.key, std::move(pending)).first->second;
@@ -158,8 +170,7 @@
     forward.balancer = rules_.self;
     forward.candidates = pending.candidates;
     forward.position = pending.position;
-    forward.priority = pending.priority;
-    forward.objectiveMilliseconds = pending.objectiveMilliseconds;
+    describe(forward, pending.segment);
     forward.ageMilliseconds = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(now - pending.begunAt).count());
     forward.packet = pending.packet;
@@ -214,6 +225,7 @@
     forward.purpose = ForwardPurpose::Lookup;
     forward.balancer = rules_.self;
     forward.packet = packet;
+    describe(forward, segment);
     if (hosts.empty())
         return bump(BalancerCount::DropNoHost);
     const auto round = lookups_.next(segment.key, now);
--- a/src/celerystile/fleet/placement_test.cpp
+++ b/src/celerystile/fleet/placement_test.cpp
@@ -3,7 +3,6 @@
 #include "celerystile/base/random.hpp"
 #include "celerystile/fleet/owner_table.hpp"
 #include "celerystile/fleet/route_table.hpp"
-#include "celerystile/fleet/syn_queue.hpp"
 
 #include "fleet_test_support.hpp"
 
@@ -142,19 +141,4 @@
     });
 }
 
-TEST_CASE("the queue of new flows: within the objective first, then priority, then age; the expired are given up")
-{
-    const base::TimePoint now { std::chrono::hours(1) };
-    SynQueue queue(3);
-    const auto key = [](int port) { return synOf(("100.64.0.1:" + std::to_string(port)).c_str()).key; };
-    CHECK(queue.add({ key(1), 1, now - milliseconds(1), now + milliseconds(50) }));
-    CHECK(queue.add({ key(2), 2, now + milliseconds(100), now + milliseconds(900) }));
-    CHECK(queue.add({ key(3), 1, now + milliseconds(100), now + milliseconds(950) }));
-    CHECK_FALSE(queue.add({ key(4), 0, now + milliseconds(100), now + milliseconds(950) }));
-    CHECK(queue.next(now) == key(3));
-    CHECK(queue.next(now) == key(2));
-    CHECK(queue.expire(now + milliseconds(60)) == std::vector { key(1) });
-    CHECK_FALSE(queue.next(now));
-}
-
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -25,6 +25,8 @@
         "syn_declined",
         "syn_queued",
         "syn_expired",
+        "requests_held",
+        "requests_expired",
         "claims_dropped",
         "trials",
         "passed_on",
@@ -41,6 +43,7 @@
     , output_(output)
     , start_(start)
     , host_(rules.host, start)
+    , meter_(rules.meter)
     , queue_(rules.maxQueued)
     , lastReport_(start)
     , lastTick_(start)
@@ -76,7 +79,8 @@
         return;
     if (forward.purpose == ForwardPurpose::Lookup)
         claimTo(forward.balancer, segment.key, now);
-    deliver(*record, segment, forward.packet, now);
+    if (!holdRequest(forward, segment, now))
+        deliver(*record, segment, forward.packet, now);
 }
 
 // The caller's first packet after the handshake tells whose answer it took.
@@ -107,29 +111,21 @@
     if (segment.ack && !segment.rst)
         record.callerAck = segment.acknowledgement;
     if (segment.fin || segment.rst)
-        setAwaiting(record, false); // the caller has given up or has all it asked for
+        meter_.cancel(segment.key); // the caller has given up or has all it asked for
     else if (segment.payloadBytes > 0)
-        setAwaiting(record, true);
+        meter_.begin(segment.key, now);
     record.callerFinished = record.callerFinished || segment.fin;
     output_.deliver(packet);
     bump(SidecarCount::Delivered);
     closeIfFinished(record, segment.key, now);
 }
 
-void Sidecar::setAwaiting(core::FlowRecord& record, bool awaiting)
-{
-    if (record.awaitingAnswer == awaiting)
-        return;
-    record.awaitingAnswer = awaiting;
-    awaiting_ += awaiting ? 1 : -1;
-}
-
 void Sidecar::closeIfFinished(core::FlowRecord& record, const core::FlowKey& key, base::TimePoint now)
 {
     if (!record.callerFinished || !record.hostFinished || record.state == core::FlowState::Closed)
         return;
     opening_.erase(key);
-    setAwaiting(record, false);
+    meter_.cancel(key);
     table_.setState(record, core::FlowState::Closed);
     closedQueue_.push_back({ key, now });
     ++checkpointVersion_;
@@ -140,7 +136,9 @@
     auto* record = table_.find(key);
     if (!record)
         return;
-    setAwaiting(*record, false);
+    meter_.cancel(key);
+    if (held_.erase(key) > 0)
+        queue_.remove(key);
     endedSinceReport_.push_back(claimOf(key, *record));
     opening_.erase(key);
     table_.remove(key);
@@ -163,8 +161,10 @@
     if (!record)
         return;
     record->lastSeen = secondsAt(now);
+    if (segment.rst)
+        meter_.broken(segment.key, now);
     if (segment.payloadBytes > 0 || segment.fin) {
-        setAwaiting(*record, false);
+        meter_.answered(segment.key, now);
         admitQueued(now);
         record = table_.find(segment.key); // admission may have moved it
     }
@@ -192,7 +192,7 @@
         original.forward.packet = original.packet;
         endFlow(segment.key);
         opening_.erase(segment.key);
-        return passSynOn(original.forward, original.segment, "the host refused it");
+        return passSynOn(original.forward, original.segment, "the host refused it", now);
     }
     if (const auto saved = tried_.find(segment.key); saved != tried_.end()) {
         auto original = std::move(saved->second);
@@ -216,6 +216,7 @@
 {
     noticePause(now);
     expireOpening(now);
+    meter_.expire(now);
     admitQueued(now);
     if (host_.dead(now) && table_.openFlows() > 0)
         resetAll("the host has fallen silent");
@@ -249,13 +250,9 @@
 {
     const auto idle = std::chrono::duration_cast<std::chrono::seconds>(rules_.idleTimeout).count();
     std::vector<core::FlowKey> expired;
-    const auto patience = std::chrono::duration_cast<std::chrono::seconds>(rules_.answerPatience).count();
-    for (auto& [key, record] : table_.records()) {
-        const auto quiet = secondsAt(now) - record.lastSeen;
-        if (quiet >= static_cast<std::uint32_t>(idle))
+    for (const auto& [key, record] : table_.records()) {
+        if (secondsAt(now) - record.lastSeen >= static_cast<std::uint32_t>(idle))
             expired.push_back(key);
-        else if (quiet >= static_cast<std::uint32_t>(patience))
-            setAwaiting(record, false);
     }
     for (const auto& key : expired)
         endFlow(key);
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -48,7 +48,8 @@
     record.state = host_.state(now);
     record.coldMilliseconds = static_cast<std::uint32_t>(host_.coldLeft(now).count());
     record.openFlows = table_.openFlows();
-    record.busyFlows = awaiting_;
+    record.busyFlows = meter_.load();
+    record.failurePermille = meter_.failurePermille(now);
     record.restarting = restarting_;
     record.reportMilliseconds = static_cast<std::uint32_t>(
         std::chrono::duration_cast<std::chrono::milliseconds>(reportInterval(rules_.aliveInterval)).count());
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -1,5 +1,7 @@
 #include "celerystile/fleet/sidecar.hpp"
 
+#include <algorithm>
+
 // How a new flow finds its host: the sidecar that is asked takes it, or passes the SYN on at once.
 
 namespace celerystile::fleet {
@@ -29,26 +31,83 @@
         return output_.tell(forward.balancer, SynQueued { segment.key });
     const auto reason = whyNot(forward, now);
     if (!reason.empty())
-        return passSynOn(forward, segment, reason);
+        return passSynOn(forward, segment, reason, now);
     if (!saturated())
         return takeSyn(forward, segment, now);
-    // Somebody else may have a place; the last one asked lets the flow wait.
-    const bool last = forward.position + 1U >= forward.candidates.size();
-    if (!last || !queueSyn(forward, segment, now))
-        passSynOn(forward, segment, "the host is saturated");
+    if (!forward.settled || !queueSyn(forward, segment, now))
+        passSynOn(withOwnWait(forward), segment, "the host is saturated", now);
+}
+
+// Somebody else may have a place; if not, the flow waits where that takes the shortest time.
+Forward Sidecar::withOwnWait(Forward forward) const
+{
+    const auto wait = meter_.answerTime() * static_cast<double>(queue_.size() + 1) / requestLimit();
+    const auto own = static_cast<std::uint32_t>(std::chrono::duration<double, std::milli>(wait).count());
+    if (!forward.shortestWait || own < forward.shortestWait->milliseconds)
+        forward.shortestWait = ShortestWait { forward.position, own };
+    return forward;
+}
+
+std::uint32_t Sidecar::requestLimit() const
+{
+    return static_cast<std::uint32_t>(rules_.requestsPerSlot * host_.slots()) + rules_.extraRequests;
+}
+
+bool Sidecar::saturated() const { return !queue_.empty() || meter_.load() >= requestLimit(); }
+
+// A request on an open flow can go nowhere else, but it can wait here in a better order than in the host's own queue.
+// @return whether the packet waits.
+bool Sidecar::holdRequest(const Forward& forward, const core::Segment& segment, base::TimePoint now)
+{
+    constexpr std::size_t maxPackets = 16; // as many as a caller has in flight
+    const auto found = held_.find(segment.key);
+    if (segment.rst || segment.fin) {
+        if (found != held_.end()) {
+            held_.erase(found);
+            queue_.remove(segment.key);
+        }
+        return false;
+    }
+    if (segment.payloadBytes == 0)
+        return false;
+    const auto keep = [&](std::vector<SavedForward>& packets) {
+        const bool known = std::any_of(packets.begin(), packets.end(),
+            [&](const SavedForward& packet) { return packet.segment.sequence == segment.sequence; });
+        if (!known && packets.size() < maxPackets)
+            packets.push_back(save(forward, segment, now));
+    };
+    if (found != held_.end()) {
+        keep(found->second);
+        return true;
+    }
+    if (meter_.holdsPlace(segment.key) || !saturated())
+        return false;
+    const auto lifetime = forward.timeoutMilliseconds > 0 ? std::chrono::milliseconds(forward.timeoutMilliseconds)
+                                                          : rules_.requestLifetime;
+    const auto objective = std::chrono::milliseconds(forward.objectiveMilliseconds);
+    if (!queue_.add({ segment.key, forward.priority, now, now + objective, now + lifetime }))
+        return false;
+    keep(held_[segment.key]);
+    bump(SidecarCount::RequestsHeld);
+    return true;
 }
 
-bool Sidecar::saturated() const
+void Sidecar::releaseHeld(const core::FlowKey& key, base::TimePoint now)
 {
-    const auto limit = rules_.requestsPerSlot * host_.slots() + rules_.extraRequests;
-    return !queue_.empty() || awaiting_ >= limit;
+    const auto found = held_.find(key);
+    const auto packets = std::move(found->second);
+    held_.erase(found);
+    for (const auto& packet : packets) {
+        if (auto* record = table_.find(key))
+            deliver(*record, packet.segment, packet.packet, now);
+    }
 }
 
 bool Sidecar::queueSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now)
 {
     const auto begunAt = now - std::chrono::milliseconds(forward.ageMilliseconds);
     const auto objective = std::chrono::milliseconds(forward.objectiveMilliseconds);
-    if (!queue_.add({ segment.key, forward.priority, begunAt + objective, begunAt + rules_.synLifetime }))
+    if (!queue_.add({ segment.key, forward.priority, begunAt, begunAt + objective, begunAt + rules_.synLifetime }))
         return false;
     auto& saved = queued_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
     saved.forward.packet = saved.packet;
@@ -60,15 +119,17 @@
 // As many are let in as the host has finished requests.
 void Sidecar::admitQueued(base::TimePoint now)
 {
-    for (const auto& key : queue_.expire(now)) {
-        queued_.erase(key);
-        bump(SidecarCount::SynExpired);
-    }
-    const auto limit = rules_.requestsPerSlot * host_.slots() + rules_.extraRequests;
-    while (awaiting_ < limit) {
-        const auto key = queue_.next(now);
+    for (const auto& key : queue_.expire(now))
+        bump(queued_.erase(key) > 0 ? SidecarCount::SynExpired : SidecarCount::RequestsExpired);
+    boost::unordered::erase_if(held_, [&](const auto& entry) { return !queue_.contains(entry.first); });
+    while (meter_.load() < requestLimit()) {
+        const auto key = queue_.next(meter_.answerBound(), now);
         if (!key)
             return;
+        if (held_.contains(*key)) {
+            releaseHeld(*key, now);
+            continue;
+        }
         const auto found = queued_.find(*key);
         if (found == queued_.end())
             continue;
@@ -76,7 +137,7 @@
         queued_.erase(found);
         saved.forward.packet = saved.packet;
         if (const auto reason = whyNot(saved.forward, now); !reason.empty())
-            passSynOn(saved.forward, saved.segment, reason);
+            passSynOn(saved.forward, saved.segment, reason, now);
         else
             takeSyn(saved.forward, saved.segment, now);
     }
@@ -111,7 +172,8 @@
     core::FlowRecord record;
     record.callerIsn = segment.sequence;
     record.lastSeen = secondsAt(now);
-    setAwaiting(table_.add(segment.key, record), true); // callers open a flow for a request
+    table_.add(segment.key, record);
+    meter_.reserve(segment.key, now); // callers open a flow for a request
     auto& saved = opening_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
     saved.forward.packet = saved.packet;
     openingQueue_.push_back({ segment.key, now });
@@ -120,15 +182,30 @@
     output_.deliver(forward.packet);
 }
 
-void Sidecar::passSynOn(const Forward& forward, const core::Segment& segment, std::string_view reason)
+void Sidecar::passSynOn(
+    const Forward& forward, const core::Segment& segment, std::string_view reason, base::TimePoint now)
 {
     decided(DecisionKind::FlowMovedOn, segment.key, reason);
-    if (sendToNext(forward))
+    if (!forward.settled && sendToNext(forward))
         return bump(SidecarCount::SynPassedOn);
+    if (!forward.settled && forward.shortestWait)
+        return settle(forward, segment, now);
     bump(SidecarCount::SynDeclined);
     output_.tell(forward.balancer, SynDeclined { segment.key });
 }
 
+// Everybody has been asked: the SYN goes to where it waits the shortest time.
+void Sidecar::settle(Forward forward, const core::Segment& segment, base::TimePoint now)
+{
+    forward.settled = true;
+    forward.position = forward.shortestWait->position;
+    const auto& to = forward.candidates[forward.position];
+    if (to == rules_.self)
+        return onSyn(forward, segment, now);
+    output_.forward(to, forward);
+    bump(SidecarCount::SynPassedOn);
+}
+
 bool Sidecar::sendToNext(Forward forward)
 {
     while (forward.position + 1U < forward.candidates.size()) {
@@ -153,7 +230,7 @@
         if (saved == opening_.end() || !record || record->state != core::FlowState::Opening)
             continue;
         if (record->hostIsnKnown) {
-            setAwaiting(*record, false); // the caller has not come back for the host's answer
+            meter_.cancel(key); // the caller has not come back for the host's answer
         } else {
             unansweredAt_ = now;
             auto original = saved->second;
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -371,7 +371,7 @@
 {
     Fixture fixture;
     constexpr int callers = 40;
-    const auto limit = static_cast<std::size_t>(2 * 2.0 + 2);
+    const auto limit = static_cast<std::size_t>(2 * 1.0 + 2);
     std::size_t atHost = 0;
     std::size_t most = 0;
     for (int i = 1; i <= callers; ++i) {
@@ -394,6 +394,105 @@
     CHECK(fixture.output.toldOf<SynDeclined>().empty());
 }
 
+TEST_CASE("load: a SYN that finds all hosts saturated waits where the queue is shortest")
+{
+    Fixture fixture;
+    const auto fill = [&](int from, int count) {
+        for (int i = from; i < from + count; ++i)
+            fixture.machine.onForward(opening({ self }), synOf(("100.64.0.8:" + std::to_string(i)).c_str()), fixture.now);
+    };
+    fill(1, 6);
+    fixture.output.told.clear();
+    auto asked = opening({ self, other });
+    fixture.machine.onForward(asked, synOf(caller), fixture.now);
+    REQUIRE(fixture.output.forwards.size() == 1);
+    const auto passedOn = fixture.output.forwards.front().forward;
+    REQUIRE(passedOn.shortestWait);
+    CHECK(passedOn.shortestWait->position == 0);
+    SUBCASE("the others wait longer: it comes back settled and waits here")
+    {
+        auto back = opening({ self, other });
+        back.settled = true;
+        back.shortestWait = passedOn.shortestWait;
+        fixture.machine.onForward(back, synOf(caller), fixture.now);
+        CHECK(fixture.output.toldOf<SynQueued>().size() == 1);
+    }
+    SUBCASE("the last one asked sends it to the shortest")
+    {
+        auto last = opening({ other, self });
+        last.position = 1;
+        last.shortestWait = ShortestWait { 0, 1 };
+        fixture.output.forwards.clear();
+        fixture.machine.onForward(last, synOf(caller), fixture.now);
+        REQUIRE(fixture.output.forwards.size() == 1);
+        CHECK(fixture.output.forwards.front().to == other);
+        CHECK(fixture.output.forwards.front().forward.settled);
+        CHECK(fixture.output.toldOf<SynQueued>().empty());
+    }
+    SUBCASE("a settled one is declined when the host has ended meanwhile")
+    {
+        fixture.machine.onLeave("i-1", fixture.now);
+        auto back = opening({ self, other });
+        back.settled = true;
+        back.shortestWait = passedOn.shortestWait;
+        fixture.machine.onForward(back, synOf(caller), fixture.now);
+        CHECK(fixture.output.toldOf<SynDeclined>().size() == 1);
+    }
+}
+
+TEST_CASE("load: a request on an open flow waits for a place, one whose flow was opened for it does not")
+{
+    Fixture fixture;
+    const auto from = [](int i) { return "100.64.0.8:" + std::to_string(i); };
+    constexpr int flows = 10;
+    constexpr int limit = 2 * 1 + 2;
+    for (int i = 1; i <= flows; ++i) {
+        fixture.open(from(i).c_str());
+        fixture.machine.onHostPacket(dataOf(from(i).c_str(), 1, 500), packetBytes, fixture.now);
+    }
+    fixture.output.delivered.clear();
+    for (int i = 1; i <= flows; ++i) {
+        auto request = dataOf(from(i).c_str(), 1'401);
+        request.sequence = 141;
+        fixture.machine.onForward(owned(), request, fixture.now);
+        fixture.machine.onForward(owned(), request, fixture.now); // the caller's retransmission
+    }
+    CHECK(fixture.output.delivered.size() == 2 * limit);
+    CHECK(fixture.machine.count(SidecarCount::RequestsHeld) == flows - limit);
+    SUBCASE("each answer lets one in, once")
+    {
+        fixture.output.delivered.clear();
+        for (int i = 1; i <= flows; ++i)
+            fixture.machine.onHostPacket(dataOf(from(i).c_str(), 1, 500), packetBytes, fixture.now);
+        CHECK(fixture.output.delivered.size() == flows - limit);
+    }
+    SUBCASE("a caller that leaves takes its request along")
+    {
+        auto reset = dataOf(from(flows).c_str(), 1'401, 0);
+        reset.rst = true;
+        fixture.output.delivered.clear();
+        fixture.machine.onForward(owned(), reset, fixture.now);
+        CHECK(fixture.output.delivered.size() == 1); // the reset itself
+        for (int i = 1; i <= flows; ++i)
+            fixture.machine.onHostPacket(dataOf(from(i).c_str(), 1, 500), packetBytes, fixture.now);
+        CHECK(fixture.output.delivered.size() == 1 + flows - limit - 1);
+    }
+    SUBCASE("a flow that was opened for a request has its place kept")
+    {
+        fixture.machine.onHostPacket(dataOf(from(1).c_str(), 1, 500), packetBytes, fixture.now);
+        for (int i = 2; i <= flows; ++i)
+            fixture.machine.onHostPacket(dataOf(from(i).c_str(), 1, 500), packetBytes, fixture.now);
+        for (int i = 1; i < limit; ++i)
+            fixture.machine.onForward(owned(), dataOf(from(i).c_str(), 1'441), fixture.now);
+        fixture.machine.onForward(opening({ self }), synOf(caller), fixture.now);
+        fixture.machine.onForward(opening({ self }), synOf("100.64.0.9:1"), fixture.now); // waits
+        fixture.machine.onHostPacket(synAckOf(caller, 900), packetBytes, fixture.now);
+        fixture.output.delivered.clear();
+        fixture.machine.onForward(owned(), dataOf(caller, 901), fixture.now);
+        CHECK(fixture.output.delivered.size() == 1);
+    }
+}
+
 TEST_CASE("a new balancer is told all open flows, in datagrams of bounded size")
 {
     Fixture fixture;
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -31,6 +31,11 @@
         to.setPriority(value.priority);
         to.setAgeMilliseconds(value.ageMilliseconds);
         to.setObjectiveMilliseconds(value.objectiveMilliseconds);
+        to.setTimeoutMilliseconds(value.timeoutMilliseconds);
+        to.setSettled(value.settled);
+        to.setWaitKnown(value.shortestWait.has_value());
+        to.setWaitPosition(value.shortestWait.value_or(fleet::ShortestWait {}).position);
+        to.setWaitMilliseconds(value.shortestWait.value_or(fleet::ShortestWait {}).milliseconds);
         write(to.initBalancer(), value.balancer);
         auto candidates = to.initCandidates(static_cast<unsigned>(value.candidates.size()));
         for (unsigned i = 0; i < candidates.size(); ++i)
@@ -49,12 +54,18 @@
         value.priority = from.getPriority();
         value.ageMilliseconds = from.getAgeMilliseconds();
         value.objectiveMilliseconds = from.getObjectiveMilliseconds();
+        value.timeoutMilliseconds = from.getTimeoutMilliseconds();
         value.balancer = read(from.getBalancer());
         const auto candidates = from.getCandidates();
         if (candidates.size() > fleet::maxCandidates)
             return failure(ErrorCode::Malformed, "too many candidates");
         for (const auto candidate : candidates)
             value.candidates.push_back(read(candidate));
+        value.settled = from.getSettled();
+        if (from.getWaitKnown())
+            value.shortestWait = fleet::ShortestWait { from.getWaitPosition(), from.getWaitMilliseconds() };
+        if (value.shortestWait && value.shortestWait->position >= value.candidates.size())
+            return failure(ErrorCode::Malformed, "no such candidate");
         const auto packet = from.getPacket();
         value.packet = core::Bytes(packet.begin(), packet.size());
         return fleet::Message { value };
@@ -111,6 +122,7 @@
         to.setBusyFlows(value.busyFlows);
         to.setReportMilliseconds(value.reportMilliseconds);
         to.setRestarting(value.restarting);
+        to.setFailurePermille(static_cast<std::uint16_t>(value.failurePermille));
     }
 
     base::Result<fleet::HostRecord> read(schema::HostRecord::Reader from)
@@ -130,6 +142,7 @@
         value.busyFlows = from.getBusyFlows();
         value.reportMilliseconds = from.getReportMilliseconds();
         value.restarting = from.getRestarting();
+        value.failurePermille = from.getFailurePermille();
         return value;
     }
 
--- a/src/celerystile/peer/fleet_message_test.cpp
+++ b/src/celerystile/peer/fleet_message_test.cpp
@@ -34,6 +34,7 @@
         record.coldMilliseconds = 20;
         record.openFlows = 3;
         record.busyFlows = 2;
+        record.failurePermille = 250;
         return record;
     }
 
@@ -63,6 +64,9 @@
     forward.priority = 3;
     forward.ageMilliseconds = 200;
     forward.objectiveMilliseconds = 100;
+    forward.timeoutMilliseconds = 900;
+    forward.settled = true;
+    forward.shortestWait = fleet::ShortestWait { 1, 70 };
     forward.candidates = { endpoint("10.0.0.1:80"), endpoint("10.0.0.2:80") };
     forward.packet = packet;
     DatagramBuffer buffer;
@@ -75,6 +79,9 @@
     CHECK(read.priority == 3);
     CHECK(read.ageMilliseconds == 200);
     CHECK(read.objectiveMilliseconds == 100);
+    CHECK(read.timeoutMilliseconds == 900);
+    CHECK(read.settled);
+    CHECK(read.shortestWait == forward.shortestWait);
     CHECK(std::equal(read.packet.begin(), read.packet.end(), packet.begin(), packet.end()));
 }
 
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -20,6 +20,11 @@
   priority @6 :UInt32;
   ageMilliseconds @7 :UInt32;
   objectiveMilliseconds @8 :UInt32;
+  timeoutMilliseconds @9 :UInt32;
+  settled @10 :Bool;
+  waitKnown @11 :Bool;
+  waitPosition @12 :UInt8;
+  waitMilliseconds @13 :UInt32;
 }
 
 struct HostRecord {
@@ -35,6 +40,7 @@
   busyFlows @9 :UInt32;
   reportMilliseconds @10 :UInt32;
   restarting @11 :Bool;
+  failurePermille @12 :UInt16;
 }
 
 struct FlowClaim {
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -56,7 +56,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(d020704a72d14860, 3, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(d020704a72d14860, 4, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -299,6 +299,16 @@
 
   inline  ::uint32_t getObjectiveMilliseconds() const;
 
+  inline  ::uint32_t getTimeoutMilliseconds() const;
+
+  inline bool getSettled() const;
+
+  inline bool getWaitKnown() const;
+
+  inline  ::uint8_t getWaitPosition() const;
+
+  inline  ::uint32_t getWaitMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -366,6 +376,21 @@
   inline  ::uint32_t getObjectiveMilliseconds();
   inline void setObjectiveMilliseconds( ::uint32_t value);
 
+  inline  ::uint32_t getTimeoutMilliseconds();
+  inline void setTimeoutMilliseconds( ::uint32_t value);
+
+  inline bool getSettled();
+  inline void setSettled(bool value);
+
+  inline bool getWaitKnown();
+  inline void setWaitKnown(bool value);
+
+  inline  ::uint8_t getWaitPosition();
+  inline void setWaitPosition( ::uint8_t value);
+
+  inline  ::uint32_t getWaitMilliseconds();
+  inline void setWaitMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -435,6 +460,8 @@
 
   inline bool getRestarting() const;
 
+  inline  ::uint16_t getFailurePermille() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -503,6 +530,9 @@
   inline bool getRestarting();
   inline void setRestarting(bool value);
 
+  inline  ::uint16_t getFailurePermille();
+  inline void setFailurePermille( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1407,6 +1437,76 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t FleetForward::Reader::getTimeoutMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetForward::Builder::getTimeoutMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void FleetForward::Builder::setTimeoutMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetForward::Reader::getSettled() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetForward::Builder::getSettled() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS);
+}
+inline void FleetForward::Builder::setSettled(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<16>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetForward::Reader::getWaitKnown() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetForward::Builder::getWaitKnown() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS);
+}
+inline void FleetForward::Builder::setWaitKnown(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<17>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint8_t FleetForward::Reader::getWaitPosition() const {
+  return _reader.getDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint8_t FleetForward::Builder::getWaitPosition() {
+  return _builder.getDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void FleetForward::Builder::setWaitPosition( ::uint8_t value) {
+  _builder.setDataField< ::uint8_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t FleetForward::Reader::getWaitMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t FleetForward::Builder::getWaitMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS);
+}
+inline void FleetForward::Builder::setWaitMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostRecord::Reader::hasSidecar() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1600,6 +1700,20 @@
       ::capnp::bounded<296>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t HostRecord::Reader::getFailurePermille() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t HostRecord::Builder::getFailurePermille() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void HostRecord::Builder::setFailurePermille( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t FlowClaim::Reader::getCallerIp() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
