Hosts that fail more of their work than the others get no new flows

A sidecar sees resets and stalls among its host's requests without reading a byte and reports the share; balancers leave out hosts that fail three times the median, a third of a service at most; the evidence fades, so they come back by themselves. Test: of ten hosts two lose half of their work; less than a third of what the naive version loses is lost (outlier_ejection_test).

--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -3,6 +3,7 @@
 #include "celerystile/fleet/claim_repair.hpp"
 #include "celerystile/fleet/decision.hpp"
 #include "celerystile/fleet/lookup_walk.hpp"
+#include "celerystile/fleet/outlier_ejection.hpp"
 #include "celerystile/fleet/owner_table.hpp"
 #include "celerystile/fleet/placement.hpp"
 #include "celerystile/fleet/route_table.hpp"
@@ -56,6 +57,7 @@
     HostBoardRules board;
     ClaimRepairRules repair;
     LookupWalkRules lookup;
+    OutlierRules outliers;
     base::Duration synPatience = std::chrono::milliseconds(40); ///< a host's handshake takes a few milliseconds
     base::Duration synLifetime = std::chrono::milliseconds(1500); ///< callers give up a SYN after 1.4 s
     std::size_t maxPendingSyns = 4'096;
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -142,8 +142,14 @@
 // Asks the hosts that have not been asked yet; without any the caller is refused at once.
 void Balancer::place(PendingSyn& pending, std::string_view reason, base::TimePoint now)
 {
-    auto hosts = board_.usable(pending.service, now);
-    std::erase_if(hosts, [&](const KnownHost* host) { return contains(pending.tried, host->record.sidecar); });
+    const auto untried = [&](std::vector<const KnownHost*> hosts) {
+        std::erase_if(hosts, [&](const KnownHost* host) { return contains(pending.tried, host->record.sidecar); });
+        return hosts;
+    };
+    const auto usable = board_.usable(pending.service, now);
+    auto hosts = untried(withoutOutliers(usable, rules_.outliers));
+    if (hosts.empty())
+        hosts = untried(usable); // an outlier is better than none
     if (hosts.empty()) {
         bump(BalancerCount::DropNoHost);
         const auto segment = pending.segment;
