A fault soak of our own: real daemons on loopback under seeded faults

soak/ starts balancers and sidecars as processes against stand-ins of the store (its published calls over HTTP, through a proxy that delays, resets, silences and loses answers), of routers, hosts and callers, kills, pauses, stops and reloads them by signals in overlapping series, and checks while it runs: no reset and no foreign packets while a flow's host lives, packets as written, answers whole and of their own request, no request run twice, no new flow after a leave, no exit of its own, stops in time, service and registry complete after the last fault. Seeds reproduce the schedule. Datagrams between the processes are not harmed: their addresses are announced by the processes.

--- /dev/null
+++ b/fakes/fleet_store.hpp
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "celerystile/base/clock.hpp"
+#include "celerystile/base/http.hpp"
+#include "celerystile/base/random.hpp"
+
+#include <boost/json/object.hpp>
+#include <deque>
+#include <map>
+#include <string>
+
+/// @file
+/// @brief Stand-in for the store of the users' platform: its published HTTP calls, with scripted faults.
+
+namespace celerystile::fakes {
+
+/// @brief What goes wrong from now on.
+struct FleetStoreFaults {
+    unsigned status = 0; ///< not 0: every call is answered with it and nothing is done
+    std::chrono::milliseconds delay { 2 }; ///< before every answer
+    double loseAnswers = 0; ///< share of the writes that are done and answered with a failure
+
+    bool operator==(const FleetStoreFaults&) const = default;
+};
+
+/// @brief Keys, revisions, leases and watches. One thread.
+class FleetStore {
+public:
+    FleetStore(const base::Clock& clock, std::uint64_t seed)
+        : clock_(clock)
+        , random_(seed)
+    {
+    }
+
+    /// @brief Answers a call.
+    boost::asio::awaitable<base::HttpReply> handle(base::HttpRequest request);
+
+    /// @brief Writes as the operator, who is never refused.
+    void put(const std::string& key, const std::string& value);
+
+    /// @brief Ends all leases with their keys.
+    void lapse();
+
+    /// @brief Drops the history of changes.
+    void compact();
+
+    FleetStoreFaults& faults() { return faults_; }
+    std::uint64_t calls() const { return calls_; }
+
+    /// @brief Number of keys with this prefix.
+    std::size_t count(const std::string& prefix) const;
+
+private:
+    struct Item {
+        std::string value; // base64
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        std::uint64_t lease = 0;
+    };
+
+    struct Change {
+        std::uint64_t revision = 0;
+        std::string key;
+        bool deleted = false;
+        Item item;
+    };
+
+    struct Lease {
+        std::chrono::milliseconds timeToLive { 0 };
+        base::TimePoint endsAt {};
+    };
+
+    base::HttpReply answer(const base::HttpRequest& request);
+    base::HttpReply get(const std::string& key) const;
+    base::HttpReply range(const std::string& prefix, const std::string& after) const;
+    boost::asio::awaitable<base::HttpReply> watch(
+        std::string prefix, std::uint64_t after, std::chrono::milliseconds wait);
+    base::HttpReply transact(const boost::json::object& body);
+    base::HttpReply grant(const boost::json::object& body);
+    void write(const std::string& key, Item item);
+    void erase(const std::string& key);
+    void expireLeases();
+
+    const base::Clock& clock_;
+    base::Random random_;
+    FleetStoreFaults faults_;
+    std::map<std::string, Item> items_;
+    std::map<std::uint64_t, Lease> leases_;
+    std::deque<Change> history_;
+    std::uint64_t revision_ = 100;
+    std::uint64_t compactedAt_ = 0;
+    std::uint64_t lastLease_ = 0;
+    std::uint64_t calls_ = 0;
+};
+
+} // namespace celerystile::fakes
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -218,8 +218,7 @@
     RequestMeter meter_;
     SavedForwards opening_; // SYNs the host has not answered
     SavedForwards queued_; // SYNs in queue_
-    boost::unordered_flat_map<core::FlowKey, std::vector<SavedForward>, core::FlowKeyHash>
-        held_; // requests in queue_
+    boost::unordered_flat_map<core::FlowKey, std::vector<SavedForward>, core::FlowKeyHash> held_; // requests in queue_
     AdmissionQueue queue_;
     SavedForwards tried_; // packets on trial at the host
     std::deque<Timed> openingQueue_;
--- /dev/null
+++ b/soak/callers.cpp
@@ -0,0 +1,187 @@
+#include "callers.hpp"
+
+#include <algorithm>
+
+namespace celerystile::soak {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr milliseconds synCopyPauses[] { milliseconds(200), milliseconds(400), milliseconds(800) };
+    constexpr milliseconds longestResendPause { 1'600 };
+    constexpr milliseconds reopenPause { 100 };
+
+} // namespace
+
+Caller::Caller(boost::asio::io_context& context, const base::Clock& clock, CallerPlan plan, Uplink uplink, Judge& judge)
+    : context_(context)
+    , clock_(clock)
+    , plan_(std::move(plan))
+    , uplink_(std::move(uplink))
+    , judge_(judge)
+    , random_(plan_.seed)
+    , lines_(static_cast<std::size_t>(plan_.lines))
+    , lastRequest_(plan_.seed << 32)
+{
+}
+
+base::Result<bool> Caller::start()
+{
+    auto socket = base::openDatagramSocket(context_, plan_.address);
+    if (!socket)
+        return tl::make_unexpected(socket.error());
+    socket_ = std::move(*socket);
+    socket_->start([this](core::Bytes bytes, const base::Endpoint&) { onPacket(bytes); });
+    return true;
+}
+
+base::Duration Caller::randomly(milliseconds mean)
+{
+    return std::chrono::duration_cast<base::Duration>(mean * (0.2 + 1.6 * random_.unit()));
+}
+
+void Caller::send(
+    const Line& line, std::uint8_t flags, std::uint32_t sequence, std::uint32_t acknowledgement, Payload payload)
+{
+    uplink_(*socket_, line.flow,
+        write({ line.flow.caller, line.flow.service, flags, sequence, acknowledgement, std::move(payload) }));
+}
+
+void Caller::open(Line& line)
+{
+    const auto now = clock_.now();
+    line = {};
+    line.state = State::Opening;
+    line.flow = { { plan_.address.address, ++lastPort_ }, plan_.service };
+    line.first = static_cast<std::uint32_t>(random_());
+    line.sequence = line.first + 1;
+    line.closeAt = now + randomly(plan_.lineLife);
+    sendSyn(line);
+}
+
+// The packet's acknowledgement field counts the copies.
+void Caller::sendSyn(Line& line)
+{
+    send(line, flagSyn, line.first, line.copies);
+    line.nextAt = clock_.now() + synCopyPauses[line.copies];
+    ++line.copies;
+}
+
+void Caller::sendRequest(Line& line, bool first)
+{
+    const auto now = clock_.now();
+    if (first) {
+        line.state = State::Waiting;
+        line.request = { ++lastRequest_, static_cast<std::uint32_t>(200 + random_.below(5'000)) };
+        line.received = 0;
+        line.giveUpAt = now + plan_.deadline;
+        line.resendPause = milliseconds(200);
+    } else {
+        line.resendPause = std::min(line.resendPause * 2, longestResendPause);
+    }
+    send(line, flagAck, line.sequence, line.expected, writeRequest(line.request));
+    line.resendAt = now + line.resendPause;
+}
+
+void Caller::acknowledge(const Line& line, std::uint8_t flags)
+{
+    const auto sent = line.state == State::Waiting ? writeRequest(line.request).size() : 0;
+    send(line, static_cast<std::uint8_t>(flagAck | flags), line.sequence + static_cast<std::uint32_t>(sent),
+        line.expected);
+}
+
+void Caller::fail(Line& line)
+{
+    if (line.state == State::Waiting || line.state == State::Opening)
+        judge_.noteServed(false);
+    judge_.noteEnded(line.flow);
+    line.state = State::Closed;
+    line.nextAt = clock_.now() + reopenPause;
+}
+
+void Caller::onPacket(core::Bytes bytes)
+{
+    const auto packet = platform::readPacket(bytes, platform::PacketSource::Host);
+    if (!packet)
+        return judge_.violate("a caller got bytes that are no packet");
+    const auto& segment = packet->segment;
+    const bool reset = segment.rst && segment.payloadBytes == 0;
+    if (!reset && !unchanged(bytes))
+        return judge_.violate("a caller got a packet that its sender did not write so");
+    const auto found = std::find_if(lines_.begin(), lines_.end(),
+        [&](const Line& line) { return line.state != State::Closed && line.flow == segment.key; });
+    if (found == lines_.end())
+        return;
+    if (reset) {
+        if (found->state != State::Opening)
+            judge_.noteReset(segment.key);
+        return fail(*found);
+    }
+    if (segment.syn && segment.ack) {
+        if (found->state != State::Opening)
+            return;
+        found->expected = segment.sequence + 1;
+        acknowledge(*found);
+        return sendRequest(*found, true);
+    }
+    if (found->state != State::Opening && segment.payloadBytes > 0)
+        onAnswer(*found, *packet, bytes.subspan(platform::headerBytes));
+}
+
+void Caller::onAnswer(Line& line, const platform::Packet& packet, core::Bytes payload)
+{
+    const auto ahead = packet.segment.sequence - line.expected;
+    if (ahead != 0 || line.state != State::Waiting)
+        return acknowledge(line); // a copy, or one before it was lost
+    for (const auto byte : payload) {
+        if (line.received >= line.request.answerBytes || byte != answerByte(line.request.id, line.received))
+            return judge_.violate("a caller got bytes that are not of its answer");
+        ++line.received;
+    }
+    line.expected += static_cast<std::uint32_t>(payload.size());
+    acknowledge(line);
+    if (line.received < line.request.answerBytes)
+        return;
+    judge_.noteServed(true);
+    line.sequence += static_cast<std::uint32_t>(writeRequest(line.request).size());
+    line.state = State::Idle;
+    line.nextAt = clock_.now() + randomly(plan_.pause);
+}
+
+void Caller::tick()
+{
+    const auto now = clock_.now();
+    for (auto& line : lines_) {
+        switch (line.state) {
+        case State::Closed:
+            if (!stopped_ && now >= line.nextAt)
+                open(line);
+            break;
+        case State::Opening:
+            if (now >= line.nextAt && line.copies == std::size(synCopyPauses))
+                fail(line);
+            else if (now >= line.nextAt)
+                sendSyn(line);
+            break;
+        case State::Idle:
+            if (now >= line.closeAt) {
+                acknowledge(line, flagFin);
+                judge_.noteEnded(line.flow);
+                line.state = State::Closed;
+            } else if (now >= line.nextAt && !stopped_) {
+                sendRequest(line, true);
+            }
+            break;
+        case State::Waiting:
+            if (now >= line.giveUpAt)
+                fail(line);
+            else if (now >= line.resendAt)
+                sendRequest(line, false);
+            break;
+        }
+    }
+    socket_->flush();
+}
+
+} // namespace celerystile::soak
--- /dev/null
+++ b/soak/deployment.cpp
@@ -0,0 +1,291 @@
+#include "deployment.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/json.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <unistd.h>
+
+namespace celerystile::soak {
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using namespace std::chrono_literals;
+
+namespace {
+
+    constexpr std::uint16_t portPackets = 8172;
+    constexpr std::uint16_t portReady = 8167;
+    constexpr std::uint16_t portControl = 8166;
+    constexpr std::uint16_t portOutbound = 8162;
+    constexpr std::uint16_t portApp = 8165;
+    constexpr std::uint16_t portInternal = 7720;
+    constexpr std::uint16_t portStore = 8169;
+    constexpr std::uint16_t portProxy = 8170;
+    constexpr int machineStore = 1;
+    constexpr int machineBalancer = 2; // the first of them
+    constexpr int machineHost = 60;
+    constexpr int machineCaller = 200;
+    constexpr auto grace = 6s;
+    constexpr int missesOut = 2;
+    constexpr const char* desk = "desk";
+    constexpr const char* archive = "archive";
+    const auto service = *base::Endpoint::parse("198.18.0.1:8443");
+    const auto archiveService = *base::Endpoint::parse("198.18.0.2:8443");
+
+    bool isArchive(int host) { return host % 5 == 4; }
+
+} // namespace
+
+Deployment::Deployment(asio::io_context& context, const base::Clock& clock, DeploymentPlan plan, Judge& judge)
+    : context_(context)
+    , clock_(clock)
+    , plan_(plan)
+    , judge_(judge)
+    , random_(plan.seed)
+    , network_((127U << 24) | (1U + static_cast<unsigned>(::getpid()) % 62'000U) << 8)
+    , store_(clock, plan.seed)
+    , proxy_(context, at(machineStore, portProxy), at(machineStore, portStore))
+{
+    auto pattern = (std::filesystem::temp_directory_path() / "celerystile-soak-XXXXXX").string();
+    folder_ = ::mkdtemp(pattern.data());
+}
+
+Deployment::~Deployment()
+{
+    instances_.clear();
+    std::error_code ignored;
+    if (judge_.violations().empty())
+        std::filesystem::remove_all(folder_, ignored);
+}
+
+base::Endpoint Deployment::at(int machine, std::uint16_t port) const
+{
+    return { base::IpAddress::fromV4(network_ + static_cast<std::uint32_t>(machine)), port };
+}
+
+std::string Deployment::settingsOf(const Instance& instance) const
+{
+    const int machine = (instance.balancer ? machineBalancer : machineHost) + instance.index;
+    json::array seeds;
+    for (int i = 0; i < std::min(3, plan_.balancers); ++i)
+        seeds.push_back(json::string(at(machineBalancer + i, portControl).toString()));
+    json::object listen { { "datagramAddr", at(machine, portPackets).toString() },
+        { "readyAddr", at(machine, portReady).toString() } };
+    if (!instance.balancer) {
+        listen["outbound"] = at(machine, portOutbound).toString();
+        listen["control"] = at(machine, portControl).toString();
+    }
+    json::object settings { { "nodeName", instance.name }, { "zone", instance.index % 2 == 0 ? "a" : "b" },
+        { "listen", listen }, { "internalPorts", { portInternal, portInternal + 15 } }, { "seeds", seeds },
+        { "heartbeatMs", 300 }, { "bounds", { { "graceS", 6 }, { "contactMs", 4'000 } } },
+        { "platform", { { "address", at(machineStore, portProxy).toString() }, { "minTtlMs", 1'000 } } } };
+    if (!instance.balancer)
+        settings["app"] = at(machine, portApp).toString();
+    return json::serialize(settings);
+}
+
+base::Result<bool> Deployment::start()
+{
+    auto acceptor = base::listen(context_, at(machineStore, portStore));
+    if (!acceptor)
+        return tl::make_unexpected(acceptor.error());
+    storeAcceptor_ = std::make_unique<asio::ip::tcp::acceptor>(std::move(*acceptor));
+    asio::co_spawn(context_,
+        base::serveHttp(
+            *storeAcceptor_, [this](base::HttpRequest request) { return store_.handle(std::move(request)); }),
+        asio::detached);
+    if (auto opened = proxy_.start(); !opened)
+        return opened;
+    configure(0);
+    for (int i = 0; i < plan_.hosts; ++i) {
+        const auto machine = machineHost + i;
+        HostPlan host;
+        host.index = i;
+        host.service = isArchive(i) ? archive : desk;
+        host.packets = at(machine, portApp);
+        host.outbound = at(machine, portOutbound);
+        host.heartbeats = at(machine, portControl);
+        hosts_.push_back(std::make_unique<Host>(context_, clock_, host, judge_));
+        if (auto opened = hosts_.back()->start(); !opened)
+            return opened;
+    }
+    for (int i = 0; i < plan_.callers; ++i) {
+        CallerPlan caller;
+        caller.address = at(machineCaller + i, portPackets);
+        caller.service = plan_.hosts > 4 && i % 4 == 3 ? archiveService : service;
+        caller.seed = plan_.seed * 1'000 + static_cast<std::uint64_t>(i) + 1;
+        callers_.push_back(std::make_unique<Caller>(
+            context_, clock_, caller,
+            [this](base::DatagramSocket& from, const core::FlowKey& flow, core::Bytes packet) {
+                carry(from, flow, packet);
+            },
+            judge_));
+        if (auto opened = callers_.back()->start(); !opened)
+            return opened;
+    }
+    for (int i = 0; i < plan_.balancers + plan_.hosts; ++i) {
+        Instance instance;
+        instance.balancer = i < plan_.balancers;
+        instance.index = instance.balancer ? i : i - plan_.balancers;
+        instance.name = (instance.balancer ? "balancer-" : "sidecar-") + std::to_string(instance.index);
+        instances_.push_back(std::move(instance));
+    }
+    for (auto& instance : instances_)
+        launch(instance);
+    for (int i = 0; i < plan_.balancers; ++i) {
+        missedProbes_[i] = missesOut;
+        asio::co_spawn(context_, probe(i), asio::detached);
+    }
+    return true;
+}
+
+void Deployment::launch(Instance& instance)
+{
+    const auto file = folder_ + "/" + instance.name + ".json";
+    std::ofstream(file) << settingsOf(instance);
+    instance.process = std::make_unique<tests::Process>(instance.name,
+        std::vector<std::string> { std::string(CELERYSTILE_BINARY_DIR) + "/celerystiled",
+            instance.balancer ? "balancer" : "sidecar", "--settings-file", file, "--key", "a passphrase for the soak" },
+        folder_ + "/" + instance.name + ".log");
+    instance.down = instance.stopping = instance.paused = false;
+}
+
+void Deployment::configure(int extra)
+{
+    const auto route = [](const base::Endpoint& address, const char* to) {
+        return json::object { { "host", address.address.toString() },
+            { "prefix", "/" + std::to_string(address.port) + "/" }, { "service", to }, { "timeoutMs", 3'000 },
+            { "targetLatencyMs", 200 }, { "priority", 1 } };
+    };
+    json::array routes { route(service, desk), route(archiveService, archive) };
+    for (int i = 0; i < extra; ++i)
+        routes.push_back(route({ service.address, static_cast<std::uint16_t>(20'000 + i) }, desk));
+    version_ += 1 + random_.below(3);
+    store_.put("op/config",
+        json::serialize(json::object { { "version", version_ }, { "routes", routes }, { "services", json::array {} },
+            { "limits", { { "idleTimeoutMs", 15'000 } } } }));
+}
+
+// Steady hashing over the balancers in rotation; all of them when none is.
+void Deployment::carry(base::DatagramSocket& from, const core::FlowKey& flow, core::Bytes packet)
+{
+    const bool none = std::all_of(
+        missedProbes_.begin(), missedProbes_.end(), [](const auto& entry) { return entry.second >= missesOut; });
+    int chosen = 0;
+    std::uint64_t best = 0;
+    for (const auto& [balancer, misses] : missedProbes_) {
+        const auto score = base::mix(flow.hash() + static_cast<std::uint64_t>(balancer) * 7'919) | 1U;
+        if ((none || misses < missesOut) && score > best) {
+            best = score;
+            chosen = balancer;
+        }
+    }
+    if (link_.cut.contains(chosen) || random_.unit() < link_.lose)
+        return;
+    const auto to = at(machineBalancer + chosen, portPackets);
+    const auto copies = random_.unit() < link_.repeat ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+        if (link_.delay > 0ms && random_.below(10) == 0)
+            asio::co_spawn(
+                context_, deliverLater(from, to, { packet.begin(), packet.end() }, link_.delay), asio::detached);
+        else
+            from.send(to, packet);
+    }
+}
+
+asio::awaitable<void> Deployment::deliverLater(
+    base::DatagramSocket& from, base::Endpoint to, std::vector<std::uint8_t> packet, std::chrono::milliseconds delay)
+{
+    asio::steady_timer timer(context_, delay);
+    co_await timer.async_wait(base::asValues);
+    from.send(to, packet);
+    from.flush();
+}
+
+asio::awaitable<void> Deployment::probe(int balancer)
+{
+    constexpr auto interval = 500ms;
+    constexpr auto timeout = 400ms;
+    asio::steady_timer timer(context_);
+    while (true) {
+        const auto reply
+            = co_await base::httpExchange(at(machineBalancer + balancer, portReady), "/api/ready", "", timeout);
+        missedProbes_[balancer] = reply && reply->status == 200 ? 0 : missedProbes_[balancer] + 1;
+        timer.expires_after(interval);
+        co_await timer.async_wait(base::asValues);
+    }
+}
+
+void Deployment::kill(Instance& instance, std::chrono::milliseconds down)
+{
+    if (instance.down)
+        return;
+    instance.process->signal(SIGKILL);
+    instance.process->waitFor(1'000ms);
+    instance.down = true;
+    instance.startAt = clock_.now() + down;
+}
+
+void Deployment::stop(Instance& instance)
+{
+    if (instance.down || instance.stopping || instance.paused)
+        return;
+    instance.process->signal(SIGTERM);
+    instance.stopping = true;
+    instance.killAt = clock_.now() + grace;
+}
+
+void Deployment::pause(Instance& instance)
+{
+    if (instance.down || instance.stopping || instance.paused)
+        return;
+    instance.process->signal(SIGSTOP);
+    instance.paused = true;
+}
+
+void Deployment::wake(Instance& instance)
+{
+    if (instance.paused)
+        instance.process->signal(SIGCONT);
+    instance.paused = false;
+}
+
+void Deployment::tick()
+{
+    const auto now = clock_.now();
+    for (auto& instance : instances_) {
+        if (instance.down && now >= instance.startAt) {
+            launch(instance);
+            continue;
+        }
+        if (instance.down)
+            continue;
+        const auto ended = instance.process->waitFor(0ms);
+        if (ended && (!instance.stopping || *ended != 0))
+            judge_.violate(instance.name + " ended by itself with " + std::to_string(*ended));
+        if (!ended && instance.stopping && now >= instance.killAt) {
+            judge_.violate(instance.name + " did not stop in time");
+            instance.process->signal(SIGKILL);
+        }
+        if (ended) {
+            instance.down = true;
+            instance.startAt = now + 50ms;
+        }
+    }
+    for (auto& host : hosts_)
+        host->tick();
+    for (auto& caller : callers_)
+        caller->tick();
+}
+
+bool Deployment::complete() const
+{
+    const bool inRotation
+        = std::all_of(missedProbes_.begin(), missedProbes_.end(), [](const auto& entry) { return entry.second == 0; });
+    return inRotation && store_.count("celerystile/hosts/") == hosts_.size();
+}
+
+} // namespace celerystile::soak
--- /dev/null
+++ b/soak/hosts.cpp
@@ -0,0 +1,232 @@
+#include "hosts.hpp"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/json.hpp>
+
+namespace celerystile::soak {
+
+namespace asio = boost::asio;
+
+namespace {
+
+    constexpr std::chrono::milliseconds resendPause { 200 };
+    constexpr std::chrono::milliseconds longestResendPause { 1'600 };
+    constexpr int mostResends = 8;
+    constexpr std::size_t mostWaiting = 200;
+
+    std::uint64_t unixMilliseconds()
+    {
+        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
+    }
+
+} // namespace
+
+Host::Host(asio::io_context& context, const base::Clock& clock, HostPlan plan, Judge& judge)
+    : context_(context)
+    , clock_(clock)
+    , plan_(std::move(plan))
+    , judge_(judge)
+    , random_(static_cast<std::uint64_t>(plan_.index) + 1)
+{
+    begin();
+}
+
+void Host::begin()
+{
+    up_ = true;
+    draining_ = false;
+    drainAcknowledgedAt_ = {};
+    born_ = std::max(born_ + 1, unixMilliseconds());
+    sequence_ = 0;
+}
+
+base::Result<bool> Host::start()
+{
+    auto socket = base::openDatagramSocket(context_, plan_.packets);
+    if (!socket)
+        return tl::make_unexpected(socket.error());
+    socket_ = std::move(*socket);
+    socket_->start([this](core::Bytes bytes, const base::Endpoint&) { onPacket(bytes); });
+    asio::co_spawn(context_, sayHowItIs(), asio::detached);
+    return true;
+}
+
+void Host::crash(std::chrono::milliseconds down)
+{
+    up_ = false;
+    upAt_ = clock_.now() + down;
+    flows_.clear();
+    running_.clear();
+    waiting_.clear();
+    judge_.noteHostEnded(plan_.index);
+}
+
+void Host::undrain()
+{
+    // A host that has said it leaves does so; another one takes its place.
+    if (draining_)
+        crash(std::chrono::milliseconds(500));
+}
+
+asio::awaitable<void> Host::sayHowItIs()
+{
+    constexpr std::chrono::milliseconds timeout { 1'000 };
+    asio::steady_timer timer(context_);
+    while (true) {
+        if (up_) {
+            const auto born = born_;
+            const bool draining = draining_;
+            base::HttpRequest request;
+            request.method = "PUT";
+            request.target = "/api/instances/host-" + std::to_string(plan_.index);
+            request.body = boost::json::serialize(boost::json::object { { "service", plan_.service },
+                { "address", plan_.packets.toString() }, { "zone", "a" }, { "version", "v1" }, { "slots", plan_.slots },
+                { "state", draining ? "draining" : "ready" }, { "coldLeftMs", 0 }, { "sequence", ++sequence_ },
+                { "born", born } });
+            base::HttpConnection connection(plan_.heartbeats);
+            const auto reply = co_await connection.exchange(std::move(request), timeout);
+            const bool acknowledged = reply && reply->status == 200 && draining && born == born_;
+            if (acknowledged && drainAcknowledgedAt_ == base::TimePoint {})
+                drainAcknowledgedAt_ = clock_.now();
+        }
+        timer.expires_after(plan_.heartbeat);
+        co_await timer.async_wait(base::asValues);
+    }
+}
+
+void Host::onPacket(core::Bytes bytes)
+{
+    if (!up_)
+        return;
+    const auto packet = platform::readPacket(bytes, platform::PacketSource::Caller);
+    if (!packet || !unchanged(bytes))
+        return judge_.violate("host " + std::to_string(plan_.index) + " got a packet that its sender did not write so");
+    const auto& segment = packet->segment;
+    if (segment.opens())
+        return onSyn(*packet);
+    const auto found = flows_.find(segment.key);
+    const bool acknowledged = found != flows_.end()
+        && (found->second.open || segment.acknowledgement == found->second.sequence || segment.rst);
+    if (!acknowledged) {
+        judge_.noteForeign(segment.key, plan_.index);
+        return socket_->send(plan_.outbound, returned(bytes));
+    }
+    auto& flow = found->second;
+    judge_.noteArrived(segment.key, plan_.index);
+    if (segment.rst || segment.fin) {
+        if (segment.fin)
+            send(segment.key, flagAck | flagFin, flow.sequence, segment.sequence + 1);
+        flows_.erase(found);
+        return judge_.noteEnded(segment.key);
+    }
+    if (!flow.open) {
+        flow.open = true;
+        judge_.noteOpened(segment.key, plan_.index);
+    }
+    const auto taken = segment.acknowledgement - flow.sequence;
+    if (taken > 0 && taken <= flow.answer.size()) {
+        flow.answer.erase(flow.answer.begin(), flow.answer.begin() + taken);
+        flow.sequence = segment.acknowledgement;
+        flow.resent = 0;
+        flow.pause = resendPause;
+        flow.resendAt = clock_.now() + flow.pause;
+    }
+    const bool next = segment.payloadBytes > 0 && segment.sequence == flow.callerNext;
+    if (next && takeRequest(segment.key, bytes.subspan(platform::headerBytes)))
+        flow.callerNext += segment.payloadBytes;
+}
+
+void Host::onSyn(const platform::Packet& packet)
+{
+    const auto& key = packet.segment.key;
+    const auto now = clock_.now();
+    if (drainAcknowledgedAt_ != base::TimePoint {} && now - drainAcknowledgedAt_ > judge_.rules().drainBound)
+        judge_.violate("host " + std::to_string(plan_.index) + " got a new flow long after its leave was acknowledged");
+    auto found = flows_.find(key);
+    if (found == flows_.end() || found->second.callerNext != packet.segment.sequence + 1) {
+        Flow flow;
+        flow.callerNext = packet.segment.sequence + 1;
+        flow.sequence = static_cast<std::uint32_t>(random_() | 1U) + 1;
+        found = flows_.insert_or_assign(key, flow).first;
+    }
+    if (!found->second.open)
+        send(key, flagSyn | flagAck, found->second.sequence - 1, found->second.callerNext);
+}
+
+// A request is one packet. @return false when the host has no room for it.
+bool Host::takeRequest(const core::FlowKey& key, core::Bytes payload)
+{
+    const auto request = readRequest(payload);
+    if (!request || waiting_.size() >= mostWaiting)
+        return false;
+    waiting_.push_back({ key, *request, {} });
+    return true;
+}
+
+void Host::send(const core::FlowKey& key, std::uint8_t flags, std::uint32_t sequence, std::uint32_t acknowledgement,
+    Payload payload)
+{
+    socket_->send(
+        plan_.outbound, write({ key.service, key.caller, flags, sequence, acknowledgement, std::move(payload) }));
+}
+
+void Host::sendAnswer(const core::FlowKey& key, Flow& flow)
+{
+    for (std::size_t at = 0; at < flow.answer.size(); at += platform::maxPayloadBytes) {
+        const auto end = std::min(flow.answer.size(), at + platform::maxPayloadBytes);
+        send(key, flagAck, flow.sequence + static_cast<std::uint32_t>(at), flow.callerNext,
+            Payload(flow.answer.begin() + static_cast<std::ptrdiff_t>(at),
+                flow.answer.begin() + static_cast<std::ptrdiff_t>(end)));
+    }
+    flow.resendAt = clock_.now() + flow.pause;
+}
+
+void Host::tick()
+{
+    const auto now = clock_.now();
+    if (!up_ && now >= upAt_)
+        begin();
+    for (auto& job : std::exchange(running_, {})) {
+        if (now < job.doneAt) {
+            running_.push_back(job);
+            continue;
+        }
+        const auto found = flows_.find(job.flow);
+        if (found == flows_.end())
+            continue;
+        auto& flow = found->second;
+        flow.answer.resize(job.request.answerBytes);
+        for (std::uint32_t i = 0; i < job.request.answerBytes; ++i)
+            flow.answer[i] = answerByte(job.request.id, i);
+        flow.resent = 0;
+        flow.pause = resendPause;
+        sendAnswer(job.flow, flow);
+    }
+    while (!waiting_.empty() && running_.size() < plan_.slots) {
+        auto job = waiting_.front();
+        waiting_.pop_front();
+        judge_.noteRun(job.request.id, plan_.index);
+        job.doneAt = now + plan_.work;
+        running_.push_back(job);
+    }
+    for (auto at = flows_.begin(); at != flows_.end();) {
+        auto& flow = at->second;
+        const bool due = !flow.answer.empty() && now >= flow.resendAt;
+        if (due && flow.resent++ >= mostResends) {
+            judge_.noteEnded(at->first);
+            at = flows_.erase(at);
+            continue;
+        }
+        if (due) {
+            flow.pause = std::min(flow.pause * 2, longestResendPause);
+            sendAnswer(at->first, flow);
+        }
+        ++at;
+    }
+    socket_->flush();
+}
+
+} // namespace celerystile::soak
--- /dev/null
+++ b/soak/hosts.hpp
@@ -0,0 +1,91 @@
+#pragma once
+
+#include "judge.hpp"
+#include "wire.hpp"
+
+#include "celerystile/base/datagram_socket.hpp"
+#include "celerystile/base/http.hpp"
+#include "celerystile/base/random.hpp"
+
+#include <deque>
+#include <map>
+#include <memory>
+
+/// @file
+/// @brief A backend server of the soak: takes flows from its sidecar, works on requests, says how it is.
+
+namespace celerystile::soak {
+
+/// @brief Where a host is and what it does.
+struct HostPlan {
+    int index = 0;
+    std::string service;
+    base::Endpoint packets; ///< takes packets here
+    base::Endpoint outbound; ///< the sidecar takes its packets here
+    base::Endpoint heartbeats; ///< the sidecar takes its heartbeats here
+    std::chrono::milliseconds heartbeat { 300 };
+    unsigned slots = 2;
+    std::chrono::milliseconds work { 12 };
+};
+
+/// @brief The host. One thread; call tick() every few milliseconds.
+class Host {
+public:
+    Host(boost::asio::io_context& context, const base::Clock& clock, HostPlan plan, Judge& judge);
+
+    base::Result<bool> start();
+    void tick();
+
+    /// @brief Loses all its flows; starts again with another incarnation after `down`.
+    void crash(std::chrono::milliseconds down);
+
+    /// @brief Says that it leaves; accepts on, as a host does until its sidecar has acknowledged that and after.
+    void drain() { draining_ = true; }
+    void undrain();
+    bool up() const { return up_; }
+    const HostPlan& plan() const { return plan_; }
+
+private:
+    struct Flow {
+        std::uint32_t callerNext = 0;
+        std::uint32_t sequence = 0; // of the first byte not acknowledged
+        bool open = false;
+        Payload answer; // not acknowledged yet, from `sequence` on
+        base::TimePoint resendAt {};
+        std::chrono::milliseconds pause { 200 };
+        int resent = 0;
+    };
+
+    struct Job {
+        core::FlowKey flow;
+        Request request;
+        base::TimePoint doneAt {};
+    };
+
+    void onPacket(core::Bytes bytes);
+    void onSyn(const platform::Packet& packet);
+    bool takeRequest(const core::FlowKey& key, core::Bytes payload);
+    void send(const core::FlowKey& key, std::uint8_t flags, std::uint32_t sequence, std::uint32_t acknowledgement,
+        Payload payload = {});
+    void sendAnswer(const core::FlowKey& key, Flow& flow);
+    boost::asio::awaitable<void> sayHowItIs();
+    void begin();
+
+    boost::asio::io_context& context_;
+    const base::Clock& clock_;
+    HostPlan plan_;
+    Judge& judge_;
+    base::Random random_;
+    std::unique_ptr<base::DatagramSocket> socket_;
+    std::map<core::FlowKey, Flow> flows_;
+    std::vector<Job> running_;
+    std::deque<Job> waiting_;
+    bool up_ = true;
+    bool draining_ = false;
+    std::uint64_t born_ = 0;
+    std::uint64_t sequence_ = 0;
+    base::TimePoint upAt_ {};
+    base::TimePoint drainAcknowledgedAt_ {};
+};
+
+} // namespace celerystile::soak
--- /dev/null
+++ b/soak/schedule.cpp
@@ -0,0 +1,203 @@
+#include "schedule.hpp"
+
+#include <algorithm>
+#include <array>
+#include <iostream>
+
+namespace celerystile::soak {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+Schedule::Schedule(
+    Deployment& deployment, Judge& judge, const base::Clock& clock, std::uint64_t seed, ScheduleRules rules)
+    : deployment_(deployment)
+    , judge_(judge)
+    , clock_(clock)
+    , random_(seed)
+    , rules_(rules)
+    , endsAt_(clock.now() + rules.length)
+{
+}
+
+base::Duration Schedule::randomly(int fromMilliseconds, int toMilliseconds)
+{
+    return milliseconds(fromMilliseconds
+        + static_cast<int>(random_.below(static_cast<std::uint64_t>(toMilliseconds - fromMilliseconds))));
+}
+
+void Schedule::add(base::TimePoint at, std::string name, std::function<void()> action)
+{
+    steps_.push_back({ at, std::move(name), false, std::move(action) });
+}
+
+void Schedule::addPlanned(base::TimePoint at, std::string name, std::function<void()> action)
+{
+    steps_.push_back({ at, std::move(name), true, std::move(action) });
+}
+
+Instance& Schedule::any(bool balancer)
+{
+    std::vector<Instance*> fitting;
+    for (auto& instance : deployment_.instances()) {
+        if (instance.balancer == balancer)
+            fitting.push_back(&instance);
+    }
+    return *fitting[random_.below(fitting.size())];
+}
+
+void Schedule::planRound(base::TimePoint from)
+{
+    constexpr std::array faults { &Schedule::killSome, &Schedule::pauseOne, &Schedule::crashHost, &Schedule::harmStore,
+        &Schedule::refuseCalls, &Schedule::forgetHistory, &Schedule::harmLinks, &Schedule::cutBalancer };
+    constexpr std::array planned { &Schedule::restartInTurn, &Schedule::changeConfiguration, &Schedule::drainHost,
+        &Schedule::reloadSettings };
+    steps_.clear();
+    troubleEndsAt_ = from + rules_.troubled;
+    roundEndsAt_ = troubleEndsAt_ + rules_.calm;
+    for (int i = 0; i < 4; ++i) {
+        const Fault fault = faults[random_.below(faults.size())];
+        (this->*fault)(from + randomly(0, static_cast<int>(rules_.troubled.count()) / 2));
+    }
+    // Planned work goes on in the midst of trouble, and alone afterwards, when every promise has to hold.
+    (this->*planned[random_.below(planned.size())])(from + 1s);
+    add(troubleEndsAt_, "end of the trouble", [this] {
+        deployment_.link() = {};
+        deployment_.proxy().set(Harm::None);
+        deployment_.store().faults() = {};
+        for (auto& instance : deployment_.instances())
+            deployment_.wake(instance);
+    });
+    for (int i = 0; i < 2; ++i)
+        (this->*planned[random_.below(planned.size())])(
+            troubleEndsAt_ + judge_.rules().settleTime + randomly(500, 3'000));
+    std::stable_sort(steps_.begin(), steps_.end(), [](const Step& a, const Step& b) { return a.at < b.at; });
+}
+
+bool Schedule::tick()
+{
+    const auto now = clock_.now();
+    if (now >= endsAt_ && now >= roundEndsAt_)
+        return false;
+    if (now >= roundEndsAt_)
+        planRound(now);
+    if (now < troubleEndsAt_)
+        judge_.noteTrouble();
+    while (!steps_.empty() && steps_.front().at <= now) {
+        const auto step = std::move(steps_.front());
+        steps_.erase(steps_.begin());
+        std::cout << std::chrono::duration_cast<milliseconds>(now - (endsAt_ - rules_.length)).count()
+                  << " ms: " << (step.planned ? "planned: " : "") << step.name << std::endl;
+        step.action();
+    }
+    return true;
+}
+
+void Schedule::killSome(base::TimePoint at)
+{
+    // From one process to all at once.
+    const auto share = random_.below(4) == 0 ? 1.0 : random_.unit();
+    const auto down = milliseconds(100 + random_.below(1'500));
+    add(at, "processes are killed, share " + std::to_string(share), [this, share, down] {
+        for (auto& instance : deployment_.instances()) {
+            if (random_.unit() <= share)
+                deployment_.kill(instance, down);
+        }
+    });
+}
+
+void Schedule::pauseOne(base::TimePoint at)
+{
+    auto& instance = any(random_.below(2) == 0);
+    add(at, instance.name + " stands still", [this, &instance] { deployment_.pause(instance); });
+    add(at + randomly(500, 4'000), instance.name + " goes on", [this, &instance] { deployment_.wake(instance); });
+}
+
+void Schedule::crashHost(base::TimePoint at)
+{
+    auto& host = *deployment_.hosts()[random_.below(deployment_.hosts().size())];
+    const auto down = milliseconds(200 + random_.below(2'000));
+    add(at, "host " + std::to_string(host.plan().index) + " crashes", [&host, down] { host.crash(down); });
+}
+
+void Schedule::harmStore(base::TimePoint at)
+{
+    constexpr std::array harms { Harm::Delay, Harm::Reset, Harm::Silence, Harm::AnswersLost };
+    const auto harm = harms[random_.below(harms.size())];
+    const auto delay = milliseconds(50 + random_.below(600));
+    const bool lapse = random_.below(2) == 0;
+    add(at, "connections to the store are harmed, kind " + std::to_string(static_cast<int>(harm)),
+        [this, harm, delay, lapse] {
+            deployment_.proxy().set(harm, delay);
+            if (lapse)
+                deployment_.store().lapse();
+        });
+    add(at + randomly(1'000, 3'500), "they are not harmed any more", [this] { deployment_.proxy().set(Harm::None); });
+}
+
+void Schedule::refuseCalls(base::TimePoint at)
+{
+    const auto status = random_.below(2) == 0 ? 503U : 429U;
+    const auto lose = random_.below(2) == 0 ? 0.4 : 0.0;
+    add(at, "the store refuses calls or loses answers", [this, status, lose] {
+        deployment_.store().faults().status = lose > 0 ? 0 : status;
+        deployment_.store().faults().loseAnswers = lose;
+    });
+    add(at + randomly(1'000, 3'500), "the store answers", [this] { deployment_.store().faults() = {}; });
+}
+
+void Schedule::forgetHistory(base::TimePoint at)
+{
+    add(at, "the store forgets its history", [this] { deployment_.store().compact(); });
+}
+
+void Schedule::harmLinks(base::TimePoint at)
+{
+    add(at, "packets are lost, repeated and late", [this] { deployment_.link() = { 0.05, 0.03, 40ms, {} }; });
+    add(at + randomly(1'000, 4'000), "links are good", [this] { deployment_.link() = {}; });
+}
+
+void Schedule::cutBalancer(base::TimePoint at)
+{
+    auto& instance = any(true);
+    add(at, instance.name + " gets no packets", [this, &instance] { deployment_.link().cut.insert(instance.index); });
+    add(at + randomly(500, 2'500), instance.name + " gets packets", [this] { deployment_.link().cut.clear(); });
+}
+
+void Schedule::restartInTurn(base::TimePoint at)
+{
+    const bool balancers = random_.below(2) == 0;
+    for (auto& instance : deployment_.instances()) {
+        if (instance.balancer != balancers || random_.below(2) == 0)
+            continue;
+        addPlanned(at, instance.name + " is stopped", [this, &instance] { deployment_.stop(instance); });
+        at += 1'200ms;
+    }
+}
+
+void Schedule::changeConfiguration(base::TimePoint at)
+{
+    const auto extra = static_cast<int>(random_.below(300));
+    addPlanned(at, "the configuration changes", [this, extra] { deployment_.configure(extra); });
+}
+
+void Schedule::drainHost(base::TimePoint at)
+{
+    // The archive may have a single host, which then would not be replaced in order.
+    auto& host = *deployment_.hosts()[random_.below(std::min<std::size_t>(4, deployment_.hosts().size()))];
+    addPlanned(at, "host " + std::to_string(host.plan().index) + " drains", [&host] { host.drain(); });
+    addPlanned(at + 5s, "host " + std::to_string(host.plan().index) + " is replaced", [&host] { host.undrain(); });
+}
+
+void Schedule::reloadSettings(base::TimePoint at)
+{
+    for (auto& instance : deployment_.instances()) {
+        if (random_.below(2) == 0)
+            addPlanned(at, instance.name + " reads its settings again", [this, &instance] {
+                if (!instance.down && !instance.paused)
+                    deployment_.reload(instance);
+            });
+    }
+}
+
+} // namespace celerystile::soak
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -237,8 +237,7 @@
     const auto round = lookups_.next(segment.key, now);
     const auto order = searchOrder(hosts, { segment.key.hash(), rules_.failureDomain, now }, {});
     const auto parts = (order.size() + maxCandidates - 1) / maxCandidates;
-    for (auto at = round % parts * maxCandidates; at < order.size() && forward.candidates.size() < maxCandidates;
-         ++at)
+    for (auto at = round % parts * maxCandidates; at < order.size() && forward.candidates.size() < maxCandidates; ++at)
         forward.candidates.push_back(order[at]->record.sidecar);
     bump(BalancerCount::ForwardedLookup);
     output_.forward(forward.candidates.front(), forward);
--- a/src/celerystile/fleet/claim_repair_test.cpp
+++ b/src/celerystile/fleet/claim_repair_test.cpp
@@ -85,7 +85,8 @@
     const auto tellAll = [&](int sidecar) {
         for (std::uint32_t from = 0; from < flowsEach; from += maxFlowsPerDatagram) {
             const bool lost = random.below(3) == 0;
-            for (auto flow = from; flow < std::min<std::uint32_t>(flowsEach, from + maxFlowsPerDatagram) && !lost; ++flow)
+            for (auto flow = from; flow < std::min<std::uint32_t>(flowsEach, from + maxFlowsPerDatagram) && !lost;
+                 ++flow)
                 known[static_cast<std::size_t>(sidecar)].insert(flow);
         }
     };
@@ -102,7 +103,8 @@
     for (int second = 0; second < 60; ++second) {
         for (int i = 0; i < sidecars; ++i) {
             fixture.hear(name(i).c_str(), flowsEach);
-            fixture.known[endpoint(name(i).c_str())] = static_cast<std::uint32_t>(known[static_cast<std::size_t>(i)].size());
+            fixture.known[endpoint(name(i).c_str())]
+                = static_cast<std::uint32_t>(known[static_cast<std::size_t>(i)].size());
         }
         const auto asked = fixture.check();
         CHECK(asked.size() <= ClaimRepairRules {}.atOnce);
--- a/src/celerystile/fleet/outlier_ejection.cpp
+++ b/src/celerystile/fleet/outlier_ejection.cpp
@@ -15,7 +15,8 @@
 
 std::vector<const KnownHost*> withoutOutliers(std::vector<const KnownHost*> hosts, const OutlierRules& rules)
 {
-    const auto suspicious = [&](const KnownHost* host) { return host->record.failurePermille >= rules.failurePermille; };
+    const auto suspicious
+        = [&](const KnownHost* host) { return host->record.failurePermille >= rules.failurePermille; };
     if (std::none_of(hosts.begin(), hosts.end(), suspicious))
         return hosts;
     auto ranked = hosts;
@@ -29,8 +30,8 @@
             break;
         ejected.push_back(host);
     }
-    std::erase_if(hosts,
-        [&](const KnownHost* host) { return std::find(ejected.begin(), ejected.end(), host) != ejected.end(); });
+    std::erase_if(
+        hosts, [&](const KnownHost* host) { return std::find(ejected.begin(), ejected.end(), host) != ejected.end(); });
     return hosts;
 }
 
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -399,7 +399,8 @@
     Fixture fixture;
     const auto fill = [&](int from, int count) {
         for (int i = from; i < from + count; ++i)
-            fixture.machine.onForward(opening({ self }), synOf(("100.64.0.8:" + std::to_string(i)).c_str()), fixture.now);
+            fixture.machine.onForward(
+                opening({ self }), synOf(("100.64.0.8:" + std::to_string(i)).c_str()), fixture.now);
     };
     fill(1, 6);
     fixture.output.told.clear();
