A leave is known everywhere at 30 % loss: refutations are small, missed probes are asked about again

Cause of the known red case: at 30 % loss 1.5 % of the probes of live members miss all their attempts, 1.5 suspicions a second among 100 members; each refutation was a whole record, 176 bytes fourteen times to everybody, which alone is more than the pace of 2,500 B/s, so refutations came after the verdicts. Now a refutation is news of state unless the record itself has changed, and a member whose probes are mostly answered at a later attempt asks a silent one again before it suspects it.

--- a/bench/gossip_test.cpp
+++ b/bench/gossip_test.cpp
@@ -37,10 +37,14 @@
 
 TEST_CASE("a leave is known everywhere within 13 s, at 30 % loss")
 {
-    GossipNet net(100, { 1, 0.3, 0.1, 0.1 });
-    net.runFor(150s); // steady: past the whole lists that newcomers take
-    net.leave(17);
-    CHECK(net.runUntil([&] { return net.believers(17, MemberState::Leaving) == net.running(); }, everywhere));
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        GossipNet net(100, { seed, 0.3, 0.1, 0.1 });
+        net.runFor(150s); // steady: past the whole lists that newcomers take
+        CHECK(net.falselyGone() == 0);
+        net.leave(17);
+        CHECK(net.runUntil([&] { return net.believers(17, MemberState::Leaving) == net.running(); }, everywhere));
+    }
 }
 
 TEST_CASE("a crash is known everywhere within 13 s")
--- a/include/celerystile/core/gossip.hpp
+++ b/include/celerystile/core/gossip.hpp
@@ -168,9 +168,17 @@
         std::uint64_t sequence;
         base::TimePoint sentAt;
         int attempts = 1;
+        int misses = 0; // periods in a row in which the target did not answer
         bool answered = false;
     };
 
+    struct AgainNext {
+        MemberId target = 0;
+        int misses = 0;
+    };
+
+    static constexpr int maxLossiness = 6;
+
     struct Relay {
         Endpoint asker;
         std::uint64_t askerSequence;
@@ -221,6 +229,7 @@
 
     GossipRules rules_;
     Member self_;
+    bool recordChanged_ = false; // more of it than state and incarnation
     std::vector<Endpoint> entryPoints_;
     GossipOutput& output_;
     base::Random random_;
@@ -231,6 +240,8 @@
     std::size_t suspects_ = 0;
     std::optional<Probe> probe_;
     int lossiness_ = 0; // unanswered probes less answered ones, of late
+    int lateAnswers_ = 0; // probes answered only at a later attempt, less the others, of late
+    AgainNext probeAgainNext_;
     boost::unordered_flat_map<std::uint64_t, Relay> relays_;
     std::uint64_t nextSequence_ = 1;
     Generation generation_ = 0;
--- a/src/celerystile/core/gossip.cpp
+++ b/src/celerystile/core/gossip.cpp
@@ -125,6 +125,7 @@
     if (services == self_.services)
         return;
     self_.services = std::move(services);
+    recordChanged_ = true;
     refute(self_.incarnation);
 }
 
@@ -243,7 +244,9 @@
     self_.incarnation = std::max(self_.incarnation, above) + 1;
     addToDigest(self_);
     ++counts_.refutations;
-    queueNews(self_.id, true);
+    // The others have the rest of the record already, unless it has changed: news of it is a sixth of the bytes, which
+    // decides whether refutations outrun suspicions where many messages are lost.
+    queueNews(self_.id, recordChanged_);
     changed();
 }
 
@@ -374,6 +377,7 @@
         return;
     probe_->answered = true;
     lossiness_ = std::max(0, lossiness_ - 1);
+    lateAnswers_ = std::clamp(lateAnswers_ + (probe_->attempts > 1 ? 1 : -1), 0, maxLossiness);
 }
 
 void Gossip::onMessage(const GossipMessage& message, const Endpoint& from, base::TimePoint now)
--- a/src/celerystile/core/gossip_probe.cpp
+++ b/src/celerystile/core/gossip_probe.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 // Failure detection: probes, suspicion, and the difference between a failure and a cut.
 
@@ -9,7 +10,6 @@
 
 namespace {
 
-    constexpr int maxLossiness = 6;
     constexpr base::Duration relayLifetime = std::chrono::seconds(5);
 
     bool isGone(MemberState state) { return state == MemberState::Failed || state == MemberState::Unreachable; }
@@ -131,13 +131,15 @@
 
 void Gossip::probeNext(base::TimePoint now)
 {
-    const auto target = nextTarget();
+    const auto again = std::exchange(probeAgainNext_, {});
+    const auto target = again.target != 0 ? again.target : nextTarget();
     if (target == 0)
         return;
     auto& entry = entries_[target];
     auto ping = makeMessage(GossipKind::Ping);
     ping.sequence = nextSequence_++;
     probe_ = Probe { target, ping.sequence, now };
+    probe_->misses = again.misses;
     if (entry.suspected) // let the suspect hear of it and refute
         ping.states.push_back({ target, entry.member.incarnation, entry.member.state, true });
     post(entry.member.control, std::move(ping));
@@ -156,11 +158,17 @@
     if (now - probe_->sentAt < rules_.period)
         return;
     const auto target = probe_->target;
+    const auto misses = probe_->misses + 1;
     probe_.reset();
     auto& entry = entries_[target];
     lossiness_ = std::min(maxLossiness, lossiness_ + 1);
     if (entry.suspected)
         return;
+    // Where many messages are lost a missed probe says little: the same member is asked again.
+    if (misses <= lateAnswers_ / 2) {
+        probeAgainNext_ = { target, misses };
+        return;
+    }
     ++counts_.suspicions;
     apply(entry, entry.member.incarnation, entry.member.state, true, now);
 }
