Latency histograms; log lines never wait; reports come when they were promised

Cause: a sidecar tells how long it may be until its next report (0.6 s while it knows few balancers); when a hundred say hello the pace becomes 5.4 s at once, the promise already given is broken, and balancers take the host for lost and reset its callers. Now the next report comes when the last one said, and tells the new pace. Test: 'load: a hundred balancers that come at once...', fails without it. Histograms of store calls, openings, answers and waits in the metrics (buckets, sum, count) and in the dump (median, p99).

--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -162,22 +162,40 @@
 
 asio::awaitable<base::HttpReply> FleetProcess::statusReply(const std::string& target)
 {
-    auto state = co_await asio::co_spawn(
-        traffic_, [this]() -> asio::awaitable<boost::json::object> { co_return this->state(clock_.now()); },
+    boost::json::object state;
+    std::vector<std::pair<std::string, base::Histogram>> histograms;
+    co_await asio::co_spawn(
+        traffic_,
+        [&]() -> Task {
+            state = this->state(clock_.now());
+            histograms = this->histograms();
+            co_return;
+        },
         asio::use_awaitable);
+    histograms.emplace_back("store_call_ms", store_.latency());
+    addProcessCounts(state);
+    if (target == "/metrics") {
+        auto text = metricsText(state);
+        for (const auto& [name, histogram] : histograms)
+            text += histogram.text("celerystile_" + name);
+        co_return base::HttpReply { 200, std::move(text), "text/plain" };
+    }
+    for (const auto& [name, histogram] : histograms) {
+        state[name + "_median"] = histogram.quantile(0.5);
+        state[name + "_p99"] = histogram.quantile(0.99);
+    }
+    co_return base::HttpReply { 200, boost::json::serialize(state), "application/json" };
+}
+
+void FleetProcess::addProcessCounts(boost::json::object& state) const
+{
     const auto& calls = store_.calls();
-    const auto latency = store_.latency().values();
     state["store_reads"] = calls.reads;
     state["store_cheap_reads"] = calls.cheapReads;
     state["store_writes"] = calls.writes;
     state["store_renewals"] = calls.renewals;
     state["store_failures"] = calls.failures;
-    state["store_call_ms_count"] = latency.count;
-    state["store_call_ms_mean"] = latency.mean;
-    state["store_call_ms_p99"] = latency.p99;
-    if (target == "/metrics")
-        co_return base::HttpReply { 200, metricsText(state), "text/plain" };
-    co_return base::HttpReply { 200, boost::json::serialize(state), "application/json" };
+    state["log_lines_dropped"] = base::droppedLines();
 }
 
 void FleetProcess::startTicking(std::function<base::TimePoint(base::TimePoint)> tick)
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -46,6 +46,9 @@
     /// @brief Counters and state; on the traffic thread.
     virtual boost::json::object state(base::TimePoint now) const = 0;
 
+    /// @brief Histograms by name, for the metrics; on the traffic thread.
+    virtual std::vector<std::pair<std::string, base::Histogram>> histograms() const { return {}; }
+
     /// @brief Answers a call on the readiness address or the hosts' address; on the control thread.
     virtual boost::asio::awaitable<base::HttpReply> onCall(base::HttpRequest request);
 
@@ -81,6 +84,7 @@
     Task watchSettings();
     Task again(std::string name, std::function<Task()> task);
     boost::asio::awaitable<base::HttpReply> statusReply(const std::string& target);
+    void addProcessCounts(boost::json::object& state) const;
     void scheduleTick(base::TimePoint at);
 
     boost::asio::signal_set stopSignals_;
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -286,6 +286,13 @@
             return state;
         }
 
+        std::vector<std::pair<std::string, base::Histogram>> histograms() const override
+        {
+            const auto& times = machine_.times();
+            return { { "flow_opened_ms", times.opened }, { "answered_ms", times.answered },
+                { "waited_ms", times.waited } };
+        }
+
         std::string entryKey() const { return std::string(hostsPrefix) + settings_.node.packets.toString(); }
         std::string flowsKey() const { return std::string(flowsPrefix) + settings_.node.packets.toString(); }
 
--- a/include/celerystile/base/events.hpp
+++ b/include/celerystile/base/events.hpp
@@ -87,10 +87,16 @@
     std::string value;
 };
 
-/// @brief Sets up logging to standard error. Call once, before the first event.
+/// @brief Sets up logging to standard output. Call once, before the first event.
 void startLogging();
 
-/// @brief Writes one line: time, level, number, name, fields. Any thread.
+/// @brief Whether a line can be written there without waiting: a reader that has stopped must stop nobody else.
+bool writable(int descriptor);
+
+/// @brief Lines that were dropped because standard output did not take them.
+std::uint64_t droppedLines();
+
+/// @brief Writes one line: time, level, number, name, fields. Never waits; any thread.
 ///
 /// @code
 /// base::logEvent(base::Event::Ready, { { "generation", "12" } });
--- a/include/celerystile/fleet/admission_queue.hpp
+++ b/include/celerystile/fleet/admission_queue.hpp
@@ -44,7 +44,7 @@
 
     /// @brief Takes what goes next.
     /// @param answerTime how long the host takes for nearly all its answers
-    std::optional<core::FlowKey> next(base::Duration answerTime, base::TimePoint now);
+    std::optional<Waiting> next(base::Duration answerTime, base::TimePoint now);
 
     /// @brief Removes and returns what its caller has given up.
     std::vector<core::FlowKey> expire(base::TimePoint now);
--- a/include/celerystile/fleet/request_meter.hpp
+++ b/include/celerystile/fleet/request_meter.hpp
@@ -5,6 +5,7 @@
 
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <deque>
+#include <optional>
 
 /// @file
 /// @brief What a host is working on and how well it works, from its flows' packets alone.
@@ -38,7 +39,9 @@
 
     /// @brief The host has been given a request; a second packet of the same one changes nothing.
     void begin(const core::FlowKey& key, base::TimePoint now);
-    void answered(const core::FlowKey& key, base::TimePoint now);
+
+    /// @return how long the host took, when it had a request.
+    std::optional<base::Duration> answered(const core::FlowKey& key, base::TimePoint now);
 
     /// @brief The host has reset the flow.
     void broken(const core::FlowKey& key, base::TimePoint now);
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "celerystile/base/histogram.hpp"
 #include "celerystile/core/flow_table.hpp"
 #include "celerystile/core/routing.hpp"
 #include "celerystile/fleet/admission_queue.hpp"
@@ -46,6 +47,13 @@
 
 std::string_view toString(SidecarCount count);
 
+/// @brief How long things take at a sidecar.
+struct SidecarTimes {
+    base::Histogram opened; ///< from a SYN given to the host to its answer
+    base::Histogram answered; ///< from a request given to the host to its first answer
+    base::Histogram waited; ///< of SYNs and requests in the admission queue, those that were let in
+};
+
 /// @brief What the machine asks its surroundings to do. Spans are valid during the call.
 class SidecarOutput {
 public:
@@ -141,6 +149,7 @@
     HostRecord record(base::TimePoint now) const;
     const HostStatus& host() const { return host_; }
     const core::FlowTable& flows() const { return table_; }
+    const SidecarTimes& times() const { return times_; }
     std::uint64_t count(SidecarCount which) const { return counts_[static_cast<std::size_t>(which)]; }
 
 private:
@@ -216,6 +225,7 @@
     HostState announced_ = HostState::Gone;
     core::FlowTable table_;
     RequestMeter meter_;
+    SidecarTimes times_;
     SavedForwards opening_; // SYNs the host has not answered
     SavedForwards queued_; // SYNs in queue_
     boost::unordered_flat_map<core::FlowKey, std::vector<SavedForward>, core::FlowKeyHash> held_; // requests in queue_
@@ -233,6 +243,7 @@
     base::TimePoint nextTelling_ {};
     base::TimePoint unansweredAt_ {}; // when the host last left a SYN unanswered
     base::TimePoint lastReport_;
+    base::Duration promise_; // until the next report at the latest; others are told
     base::TimePoint lastTick_;
     base::TimePoint nextSweep_;
     std::uint64_t checkpointVersion_ = 0;
--- a/src/celerystile/base/events.cpp
+++ b/src/celerystile/base/events.cpp
@@ -1,8 +1,11 @@
 #include "celerystile/base/events.hpp"
 
 #include <algorithm>
+#include <atomic>
 #include <cassert>
 #include <easylogging++.h>
+#include <poll.h>
+#include <unistd.h>
 
 INITIALIZE_EASYLOGGINGPP
 
@@ -120,6 +123,8 @@
         return el::Level::Info;
     }
 
+    std::atomic<std::uint64_t> dropped = 0;
+
     std::string quoted(const std::string& value)
     {
         if (!value.empty() && value.find_first_of(" \"=\n") == std::string::npos)
@@ -161,8 +166,21 @@
     el::Loggers::reconfigureAllLoggers(configurations);
 }
 
+bool writable(int descriptor)
+{
+    pollfd asked { descriptor, POLLOUT, 0 };
+    const int answer = ::poll(&asked, 1, 0);
+    return answer != 0 || (asked.revents & POLLOUT) != 0; // an error is for the write itself to find
+}
+
+std::uint64_t droppedLines() { return dropped; }
+
 void logEvent(Event event, std::initializer_list<Field> fields)
 {
+    if (!writable(STDOUT_FILENO)) {
+        ++dropped;
+        return;
+    }
     const auto& info = infoOf(event);
     std::string line = std::string(toString(info.level)) + " " + std::to_string(static_cast<unsigned>(info.event)) + " "
         + std::string(info.name);
--- a/src/celerystile/base/events_test.cpp
+++ b/src/celerystile/base/events_test.cpp
@@ -1,9 +1,12 @@
 #include "celerystile/base/events.hpp"
 
+#include <array>
 #include <doctest/doctest.h>
+#include <fcntl.h>
 #include <fstream>
 #include <set>
 #include <sstream>
+#include <unistd.h>
 
 namespace celerystile::base {
 
@@ -35,4 +38,17 @@
     }
 }
 
+TEST_CASE("a line is not written to a pipe that nobody reads")
+{
+    std::array<int, 2> ends {};
+    REQUIRE(::pipe(ends.data()) == 0);
+    CHECK(writable(ends[1]));
+    REQUIRE(::fcntl(ends[1], F_SETFL, O_NONBLOCK) == 0);
+    const std::array<char, 4'096> bytes {};
+    while (::write(ends[1], bytes.data(), bytes.size()) > 0) { }
+    CHECK(!writable(ends[1]));
+    ::close(ends[0]);
+    ::close(ends[1]);
+}
+
 } // namespace celerystile::base
--- a/src/celerystile/fleet/admission_queue.cpp
+++ b/src/celerystile/fleet/admission_queue.cpp
@@ -25,7 +25,7 @@
     return true;
 }
 
-std::optional<core::FlowKey> AdmissionQueue::next(base::Duration answerTime, base::TimePoint now)
+std::optional<Waiting> AdmissionQueue::next(base::Duration answerTime, base::TimePoint now)
 {
     const Waiting* best = nullptr;
     for (const auto& [key, entry] : entries_) {
@@ -34,9 +34,9 @@
     }
     if (!best)
         return std::nullopt;
-    const auto key = best->key;
-    entries_.erase(key);
-    return key;
+    const auto taken = *best;
+    entries_.erase(taken.key);
+    return taken;
 }
 
 std::vector<core::FlowKey> AdmissionQueue::expire(base::TimePoint now)
--- a/src/celerystile/fleet/admission_queue_test.cpp
+++ b/src/celerystile/fleet/admission_queue_test.cpp
@@ -74,8 +74,8 @@
     CHECK(queue.add({ key(2), 2, now - milliseconds(100), now + milliseconds(100), now + milliseconds(900) }));
     CHECK(queue.add({ key(3), 1, now - milliseconds(100), now + milliseconds(100), now + milliseconds(950) }));
     CHECK_FALSE(queue.add({ key(4), 0, now - milliseconds(100), now + milliseconds(100), now + milliseconds(950) }));
-    CHECK(queue.next(noTime, now) == key(3));
-    CHECK(queue.next(noTime, now) == key(2));
+    CHECK(queue.next(noTime, now)->key == key(3));
+    CHECK(queue.next(noTime, now)->key == key(2));
     CHECK(queue.expire(now + milliseconds(60)) == std::vector { key(1) });
     CHECK_FALSE(queue.next(noTime, now));
 }
@@ -86,10 +86,10 @@
     AdmissionQueue queue(3);
     queue.add({ key(1), 1, now - milliseconds(170), now + milliseconds(30), now + milliseconds(500) });
     queue.add({ key(2), 1, now - milliseconds(100), now + milliseconds(100), now + milliseconds(600) });
-    CHECK(queue.next(milliseconds(40), now) == key(2));
+    CHECK(queue.next(milliseconds(40), now)->key == key(2));
     queue.add({ key(3), 1, now - milliseconds(100), now + milliseconds(100), now + milliseconds(600) });
     queue.remove(key(3));
-    CHECK(queue.next(milliseconds(40), now) == key(1));
+    CHECK(queue.next(milliseconds(40), now)->key == key(1));
     CHECK(queue.empty());
 }
 
@@ -105,7 +105,7 @@
         [&](base::TimePoint now) -> std::optional<int> {
             queue.expire(now);
             const auto taken = queue.next(milliseconds(42), now);
-            return taken ? std::optional(names.at(*taken)) : std::nullopt;
+            return taken ? std::optional(names.at(taken->key)) : std::nullopt;
         });
     std::queue<int> fifo;
     const auto naive = serve([&](int name, const Waiting&) { fifo.push(name); },
--- a/src/celerystile/fleet/request_meter.cpp
+++ b/src/celerystile/fleet/request_meter.cpp
@@ -20,15 +20,15 @@
     order_.push_back({ key, now });
 }
 
-void RequestMeter::answered(const core::FlowKey& key, base::TimePoint now)
+std::optional<base::Duration> RequestMeter::answered(const core::FlowKey& key, base::TimePoint now)
 {
     const auto found = outstanding_.find(key);
     if (found == outstanding_.end())
-        return;
+        return std::nullopt;
     const auto request = found->second;
     outstanding_.erase(found);
     if (!request.delivered)
-        return;
+        return std::nullopt;
     const auto took = now - request.at;
     const auto before = std::chrono::duration<double>(answerTime());
     const auto average = before + (std::chrono::duration<double>(took) - before) * rules_.answerWeight;
@@ -38,6 +38,7 @@
     answerTime_ = std::chrono::duration_cast<base::Duration>(average);
     deviation_ = std::chrono::duration_cast<base::Duration>(deviation);
     note(true, now);
+    return took;
 }
 
 void RequestMeter::broken(const core::FlowKey& key, base::TimePoint now)
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -46,6 +46,7 @@
     , meter_(rules.meter)
     , queue_(rules.maxQueued)
     , lastReport_(start)
+    , promise_(rules.aliveInterval)
     , lastTick_(start)
     , nextSweep_(start + sweepInterval)
 {
@@ -164,14 +165,18 @@
     if (segment.rst)
         meter_.broken(segment.key, now);
     if (segment.payloadBytes > 0 || segment.fin) {
-        meter_.answered(segment.key, now);
+        if (const auto took = meter_.answered(segment.key, now))
+            times_.answered.add(*took);
         admitQueued(now);
         record = table_.find(segment.key); // admission may have moved it
     }
     if (segment.syn && segment.ack && record->state == core::FlowState::Opening) {
         record->hostIsn = segment.sequence;
         record->hostIsnKnown = true;
-        if (const auto saved = opening_.find(segment.key); saved != opening_.end())
+        const auto saved = opening_.find(segment.key);
+        if (saved != opening_.end())
+            times_.opened.add(now - saved->second.at);
+        if (saved != opening_.end())
             claimTo(saved->second.forward.balancer, segment.key, now);
         noteHeld(segment.key);
     }
@@ -229,7 +234,8 @@
             endFlow(key);
     }
     const bool news = !heldSinceReport_.empty() || !endedSinceReport_.empty();
-    if (now - lastReport_ >= reportInterval(news ? rules_.reportInterval : rules_.aliveInterval))
+    // However many balancers have come since, the next report is not later than the last one said.
+    if (now - lastReport_ >= (news ? std::min(promise_, reportInterval(rules_.reportInterval)) : promise_))
         sendReports(now);
     if (now >= nextSweep_) {
         sweep(now);
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -123,14 +123,15 @@
         bump(queued_.erase(key) > 0 ? SidecarCount::SynExpired : SidecarCount::RequestsExpired);
     boost::unordered::erase_if(held_, [&](const auto& entry) { return !queue_.contains(entry.first); });
     while (meter_.load() < requestLimit()) {
-        const auto key = queue_.next(meter_.answerBound(), now);
-        if (!key)
+        const auto next = queue_.next(meter_.answerBound(), now);
+        if (!next)
             return;
-        if (held_.contains(*key)) {
-            releaseHeld(*key, now);
+        times_.waited.add(now - next->since);
+        if (held_.contains(next->key)) {
+            releaseHeld(next->key, now);
             continue;
         }
-        const auto found = queued_.find(*key);
+        const auto found = queued_.find(next->key);
         if (found == queued_.end())
             continue;
         auto saved = std::move(found->second);
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -394,6 +394,32 @@
     CHECK(fixture.output.toldOf<SynDeclined>().empty());
 }
 
+TEST_CASE("load: a hundred balancers that come at once do not delay the report that the others have been promised")
+{
+    Fixture fixture;
+    fixture.live(milliseconds(3'000));
+    fixture.output.told.clear();
+    fixture.live(milliseconds(700));
+    const auto reports = fixture.output.toldOf<FlowReport>();
+    REQUIRE(!reports.empty());
+    const milliseconds promised(reports.back().host.reportMilliseconds);
+    CHECK(promised <= milliseconds(700));
+    for (int i = 1; i <= 100; ++i)
+        fixture.machine.onHello({ endpoint(("10.9.1." + std::to_string(i) + ":7720").c_str()), 1, 300 }, fixture.now);
+    fixture.output.told.clear();
+    fixture.live(promised + milliseconds(100));
+    bool toTheFirst = false;
+    milliseconds next { 0 };
+    for (const auto& [to, message] : fixture.output.told) {
+        const auto* report = std::get_if<FlowReport>(&message);
+        toTheFirst = toTheFirst || (report && to == balancer);
+        if (report && to == balancer)
+            next = milliseconds(report->host.reportMilliseconds);
+    }
+    CHECK(toTheFirst);
+    CHECK(next > std::chrono::seconds(5)); // from now on they are rarer, and say so
+}
+
 TEST_CASE("load: a SYN that finds all hosts saturated waits where the queue is shortest")
 {
     Fixture fixture;
