Sidecars remember balancers as long as these say that they are silent

A hello now tells the longest time until the next one. Test: 'load: a balancer of many hosts...', fails without it.

--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -122,6 +122,7 @@
     BalancerHello hello(bool wantsFlows = false) const;
     void repairClaims(base::TimePoint now);
     void sayHello(base::TimePoint now);
+    base::Duration helloInterval() const;
 
     BalancerRules rules_;
     const Placement& placement_;
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -74,6 +74,7 @@
     Endpoint balancer;
     std::uint64_t epoch = 0;
     std::uint32_t hosts = 0; ///< how many hosts it knows, by which shared budgets are divided
+    std::uint32_t intervalMilliseconds = 0; ///< longest time between its hellos; 0: not told
     bool wantsFlows = false; ///< it has missed claims of the receiver and asks for all of them
 
     bool operator==(const BalancerHello&) const = default;
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -94,7 +94,8 @@
     base::Duration idleTimeout = std::chrono::seconds(120); ///< twice the longest life of a flow
     base::Duration relearnTime = std::chrono::seconds(4); ///< after the start, unknown flows are tried at the host
     base::Duration trialMemory = std::chrono::seconds(10); ///< a flow is tried once within it
-    base::Duration balancerLifetime = std::chrono::seconds(10); ///< balancers say hello more often
+    base::Duration balancerLifetime = std::chrono::seconds(10); ///< a balancer is remembered at least so long
+    double silentHellos = 3.5; ///< the same in hellos that did not come
     base::Duration reportInterval = std::chrono::milliseconds(200); ///< shortest time between reports of changes
     base::Duration aliveInterval = std::chrono::milliseconds(600); ///< longest time between reports
     base::Duration tellingPace
@@ -168,6 +169,7 @@
     struct KnownBalancer {
         std::uint64_t epoch = 0;
         base::TimePoint heardAt {};
+        base::Duration lifetime { 0 };
     };
 
     using SavedForwards = boost::unordered_flat_map<core::FlowKey, SavedForward, core::FlowKeyHash>;
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -68,7 +68,9 @@
 
 BalancerHello Balancer::hello(bool wantsFlows) const
 {
-    return { rules_.self, rules_.epoch, static_cast<std::uint32_t>(board_.hosts().size()), wantsFlows };
+    const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(helloInterval()).count();
+    return { rules_.self, rules_.epoch, static_cast<std::uint32_t>(board_.hosts().size()),
+        static_cast<std::uint32_t>(interval), wantsFlows };
 }
 
 void Balancer::onPacket(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
@@ -345,9 +347,14 @@
 {
     for (const auto& [sidecar, host] : board_.hosts())
         output_.tell(sidecar, hello());
+    nextHello_ = now + helloInterval();
+}
+
+base::Duration Balancer::helloInterval() const
+{
     const std::chrono::duration<double> paced(
         static_cast<double>(board_.hosts().size()) * helloBytes / rules_.controlBytesPerSecond);
-    nextHello_ = now + std::max(rules_.helloInterval, std::chrono::duration_cast<base::Duration>(paced));
+    return std::max(rules_.helloInterval, std::chrono::duration_cast<base::Duration>(paced));
 }
 
 base::TimePoint Balancer::nextTick() const
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -266,7 +266,7 @@
     boost::unordered::erase_if(
         tried_, [&](const auto& entry) { return now - entry.second.at >= rules_.openingLifetime; });
     boost::unordered::erase_if(
-        balancers_, [&](const auto& entry) { return now - entry.second.heardAt >= rules_.balancerLifetime; });
+        balancers_, [&](const auto& entry) { return now - entry.second.heardAt >= entry.second.lifetime; });
 }
 
 base::TimePoint Sidecar::nextTick(base::TimePoint now) const
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -109,6 +109,8 @@
     fleetHosts_ = std::max<std::uint32_t>(1, hello.hosts);
     auto& known = balancers_[hello.balancer];
     known.heardAt = now;
+    const std::chrono::duration<double, std::milli> silence(hello.intervalMilliseconds * rules_.silentHellos);
+    known.lifetime = std::max(rules_.balancerLifetime, std::chrono::duration_cast<base::Duration>(silence));
     if (known.epoch == hello.epoch && !hello.wantsFlows)
         return;
     const bool first = known.epoch == 0;
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -394,6 +394,27 @@
     CHECK(fixture.output.toldOf<SynDeclined>().empty());
 }
 
+TEST_CASE("load: a balancer of many hosts says hello rarely and is reported to all the same")
+{
+    // 200 hosts: a hello in 9.6 s. A balancer that hears nothing takes the host for lost and resets its callers.
+    Fixture fixture;
+    const auto rare = endpoint("10.9.0.2:7720");
+    for (int round = 0; round < 4; ++round) {
+        fixture.machine.onHello({ rare, 1, 200, 9'600, false }, fixture.now);
+        fixture.live(milliseconds(round == 2 ? 19'400 : 9'700)); // one hello is lost
+        fixture.output.told.clear();
+        fixture.live(milliseconds(700));
+        const bool told = std::any_of(fixture.output.told.begin(), fixture.output.told.end(),
+            [&](const auto& entry) { return entry.first == rare; });
+        CHECK(told);
+    }
+    fixture.live(milliseconds(35'000));
+    fixture.output.told.clear();
+    fixture.live(milliseconds(700));
+    CHECK(std::none_of(fixture.output.told.begin(), fixture.output.told.end(),
+        [&](const auto& entry) { return entry.first == rare; }));
+}
+
 TEST_CASE("load: a hundred balancers that come at once do not delay the report that the others have been promised")
 {
     Fixture fixture;
@@ -532,7 +553,7 @@
     const auto newcomer = endpoint("10.9.0.2:7720");
     const auto tell = [&](bool wantsFlows) {
         fixture.output.told.clear();
-        fixture.machine.onHello({ newcomer, 1, 3, wantsFlows }, fixture.now);
+        fixture.machine.onHello({ newcomer, 1, 3, 1'000, wantsFlows }, fixture.now);
         std::set<core::FlowKey> flows;
         for (int i = 0; i < 4; ++i) {
             std::size_t datagrams = 0;
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -177,8 +177,8 @@
             return read(from.getReport());
         case schema::FleetMessage::BALANCER_HELLO: {
             const auto hello = from.getBalancerHello();
-            return fleet::Message { fleet::BalancerHello {
-                read(hello.getBalancer()), hello.getEpoch(), hello.getHosts(), hello.getWantsFlows() } };
+            return fleet::Message { fleet::BalancerHello { read(hello.getBalancer()), hello.getEpoch(),
+                hello.getHosts(), hello.getIntervalMilliseconds(), hello.getWantsFlows() } };
         }
         case schema::FleetMessage::SIDECAR_HELLO:
             return fleet::Message { fleet::SidecarHello { read(from.getSidecarHello()) } };
@@ -214,6 +214,7 @@
             hello.setEpoch(value.epoch);
             hello.setHosts(value.hosts);
             hello.setWantsFlows(value.wantsFlows);
+            hello.setIntervalMilliseconds(value.intervalMilliseconds);
         }
         void operator()(const fleet::SidecarHello& value) { write(root.initSidecarHello(), value.sidecar); }
         void operator()(const fleet::HeldFlows& value)
--- a/src/celerystile/peer/fleet_message_test.cpp
+++ b/src/celerystile/peer/fleet_message_test.cpp
@@ -45,7 +45,7 @@
 TEST_CASE("messages of a fleet are read as they were written")
 {
     roundTrip(fleet::FlowReport { host(), { claim(), claim() }, { claim() } });
-    roundTrip(fleet::BalancerHello { endpoint("10.9.0.1:7720"), 4, 10, true });
+    roundTrip(fleet::BalancerHello { endpoint("10.9.0.1:7720"), 4, 10, 9'600, true });
     roundTrip(fleet::SidecarHello { endpoint("10.9.0.1:7720") });
     roundTrip(fleet::HeldFlows { 12, true, { claim() } });
     roundTrip(fleet::SynDeclined { claim().key });
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -64,6 +64,7 @@
   epoch @1 :UInt64;
   hosts @2 :UInt32;
   wantsFlows @3 :Bool;
+  intervalMilliseconds @4 :UInt32;
 }
 
 struct HeldFlows {
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -116,7 +116,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dff0407799e40763, 2, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dff0407799e40763, 3, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -794,6 +794,8 @@
 
   inline bool getWantsFlows() const;
 
+  inline  ::uint32_t getIntervalMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -838,6 +840,9 @@
   inline bool getWantsFlows();
   inline void setWantsFlows(bool value);
 
+  inline  ::uint32_t getIntervalMilliseconds();
+  inline void setIntervalMilliseconds( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2000,6 +2005,20 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t BalancerHello::Reader::getIntervalMilliseconds() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BalancerHello::Builder::getIntervalMilliseconds() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void BalancerHello::Builder::setIntervalMilliseconds( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldFlows::Reader::getBorn() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
