A balancer that forwards is reported to, hello or not; waits and ejections are logged

Each of 98 balancers greets 200 sidecars at once, some hellos are lost, and the next one comes 9.6 s later. Until then a sidecar tells such a balancer claims, but no reports; the balancer hears it, then nothing, and takes the host for lost. Test in sidecar_test, fails without the change.

--- a/apps/celerystiled/fleet_transport.cpp
+++ b/apps/celerystiled/fleet_transport.cpp
@@ -16,6 +16,9 @@
             base::Event::FlowLost,
             base::Event::FlowReset,
             base::Event::PacketUnclaimed,
+            base::Event::FlowWaits,
+            base::Event::WaitExpired,
+            base::Event::HostEjected,
         };
         return events[static_cast<std::size_t>(kind)];
     }
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -112,6 +112,8 @@
 
     void bump(BalancerCount which) { ++counts_[static_cast<std::size_t>(which)]; }
     void onSyn(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
+    void noteEjected(const PendingSyn& pending, const std::vector<const KnownHost*>& usable,
+        const std::vector<const KnownHost*>& kept, base::TimePoint now);
     void place(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void retry(PendingSyn& pending, base::TimePoint now);
@@ -133,6 +135,7 @@
     OwnerTable owners_;
     ClaimRepair repair_;
     LookupWalk lookups_;
+    boost::unordered_flat_map<Endpoint, base::TimePoint, core::EndpointHash> ejectedAt_; // told since
     boost::unordered_flat_map<core::FlowKey, PendingSyn, core::FlowKeyHash> pending_;
     base::TimePoint nextHello_;
     base::TimePoint nextSweep_;
--- a/include/celerystile/fleet/decision.hpp
+++ b/include/celerystile/fleet/decision.hpp
@@ -20,6 +20,9 @@
     FlowLost, ///< the host does not hold the flow any more
     FlowReset, ///< the caller of an open flow was reset because its host has ended
     PacketUnclaimed, ///< nobody holds the packet's flow; the caller will retransmit
+    FlowWaits, ///< a SYN or a request waits until the host has a place
+    WaitExpired, ///< its caller has given up by now; it was not run
+    HostEjected, ///< a host that would else be asked for this flow fails too much of its work
 };
 
 std::string_view toString(DecisionKind kind);
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -141,6 +141,24 @@
     place(stored, "new flow", now);
 }
 
+// Tells of each ejected host once in a while, not for every flow.
+void Balancer::noteEjected(const PendingSyn& pending, const std::vector<const KnownHost*>& usable,
+    const std::vector<const KnownHost*>& kept, base::TimePoint now)
+{
+    constexpr base::Duration tellEvery = std::chrono::seconds(10);
+    for (const auto* host : usable) {
+        if (std::find(kept.begin(), kept.end(), host) != kept.end())
+            continue;
+        const auto [entry, first] = ejectedAt_.try_emplace(host->record.sidecar, now);
+        if (!first && now - entry->second < tellEvery)
+            continue;
+        entry->second = now;
+        output_.decided(
+            { DecisionKind::HostEjected, pending.segment.key, "fails more than the others; load is per mille",
+                host->record.sidecar, routes_->version, host->record.failurePermille, now - host->heardAt });
+    }
+}
+
 // Asks the hosts that have not been asked yet; without any the caller is refused at once.
 void Balancer::place(PendingSyn& pending, std::string_view reason, base::TimePoint now)
 {
@@ -149,7 +167,10 @@
         return hosts;
     };
     const auto usable = board_.usable(pending.service, now);
-    auto hosts = untried(withoutOutliers(usable, rules_.outliers));
+    const auto kept = withoutOutliers(usable, rules_.outliers);
+    if (kept.size() < usable.size())
+        noteEjected(pending, usable, kept, now);
+    auto hosts = untried(kept);
     if (hosts.empty())
         hosts = untried(usable); // an outlier is better than none
     if (hosts.empty()) {
@@ -329,6 +350,8 @@
         owners_.expire(routes_->idleTimeout * 2, now);
         board_.expire(now);
         lookups_.expire(now);
+        boost::unordered::erase_if(
+            ejectedAt_, [&](const auto& entry) { return !board_.hosts().contains(entry.first); });
         repairClaims(now);
         nextSweep_ = now + sweepInterval;
     }
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -225,4 +225,28 @@
     CHECK(fixture.machine.board().usable(service, fixture.now).empty());
 }
 
+TEST_CASE("a host that fails far more than the others gets no new flow, and the log says so once")
+{
+    BalancerRecorder output;
+    const auto placement = makeLeastLoadedPlacement({});
+    const base::TimePoint now { std::chrono::hours(1) };
+    Balancer balancer({}, *placement, output, now);
+    balancer.setRoutes(routesTo(7));
+    std::vector<HostRecord> records;
+    for (int i = 1; i <= 4; ++i)
+        records.push_back(hostOf(("10.0.0." + std::to_string(i) + ":80").c_str()));
+    records.front().failurePermille = 500;
+    balancer.setRegistry(records, now);
+    for (const auto& record : records)
+        balancer.onReport({ record, {}, {} }, now);
+    for (int i = 1; i <= 30; ++i)
+        balancer.onPacket(synOf(("100.64.0.7:" + std::to_string(i)).c_str()), packetBytes, now);
+    REQUIRE(output.forwards.size() == 30);
+    for (const auto& sent : output.forwards)
+        CHECK(sent.to != records.front().sidecar);
+    const auto told = std::count_if(output.decisions.begin(), output.decisions.end(),
+        [](const Decision& decision) { return decision.kind == DecisionKind::HostEjected; });
+    CHECK(told == 1);
+}
+
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -69,8 +69,10 @@
 
 void Sidecar::onForward(const Forward& forward, const core::Segment& segment, base::TimePoint now)
 {
-    if (const auto found = balancers_.find(forward.balancer); found != balancers_.end())
-        found->second.heardAt = now;
+    // A balancer whose hello was lost is told claims too, and takes a silence after them for a loss.
+    auto& known = balancers_[forward.balancer];
+    known.heardAt = now;
+    known.lifetime = std::max(known.lifetime, rules_.balancerLifetime);
     if (segment.opens())
         return onSyn(forward, segment, now);
     auto* record = table_.find(segment.key);
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -89,6 +89,7 @@
         return false;
     keep(held_[segment.key]);
     bump(SidecarCount::RequestsHeld);
+    decided(DecisionKind::FlowWaits, segment.key, "a request; the host is saturated");
     return true;
 }
 
@@ -112,6 +113,7 @@
     auto& saved = queued_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
     saved.forward.packet = saved.packet;
     bump(SidecarCount::SynQueued);
+    decided(DecisionKind::FlowWaits, segment.key, "a new flow; all hosts are saturated");
     output_.tell(forward.balancer, SynQueued { segment.key });
     return true;
 }
@@ -119,8 +121,11 @@
 // As many are let in as the host has finished requests.
 void Sidecar::admitQueued(base::TimePoint now)
 {
-    for (const auto& key : queue_.expire(now))
-        bump(queued_.erase(key) > 0 ? SidecarCount::SynExpired : SidecarCount::RequestsExpired);
+    for (const auto& key : queue_.expire(now)) {
+        const bool opening = queued_.erase(key) > 0;
+        bump(opening ? SidecarCount::SynExpired : SidecarCount::RequestsExpired);
+        decided(DecisionKind::WaitExpired, key, opening ? "a new flow" : "a request");
+    }
     boost::unordered::erase_if(held_, [&](const auto& entry) { return !queue_.contains(entry.first); });
     while (meter_.load() < requestLimit()) {
         const auto next = queue_.next(meter_.answerBound(), now);
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -394,6 +394,31 @@
     CHECK(fixture.output.toldOf<SynDeclined>().empty());
 }
 
+TEST_CASE(
+    "a balancer that forwards is reported to, though its hello was lost, and told all flows once the next one comes")
+{
+    Fixture fixture;
+    fixture.open("100.64.0.9:1");
+    const auto unheard = endpoint("10.9.0.2:7720");
+    auto forward = opening();
+    forward.balancer = unheard;
+    fixture.machine.onForward(forward, synOf(caller), fixture.now);
+    fixture.machine.onHostPacket(synAckOf(caller, 900), packetBytes, fixture.now);
+    fixture.output.told.clear();
+    const auto toldTo = [&] {
+        return std::count_if(fixture.output.told.begin(), fixture.output.told.end(),
+            [&](const auto& entry) { return entry.first == unheard; });
+    };
+    fixture.live(milliseconds(700));
+    CHECK(toldTo() > 0);
+    fixture.output.told.clear();
+    fixture.machine.onHello({ unheard, 1, 3 }, fixture.now);
+    std::size_t flows = 0;
+    for (const auto& report : fixture.output.toldOf<FlowReport>())
+        flows += report.held.size();
+    CHECK(flows >= 2);
+}
+
 TEST_CASE("load: a balancer of many hosts says hello rarely and is reported to all the same")
 {
     // 200 hosts: a hello in 9.6 s. A balancer that hears nothing takes the host for lost and resets its callers.
