A registry entry does not replace what a sidecar reports

A sidecar's word now counts as long as it said; one that restarts is waited for until its successor speaks. Test: 'load: in a large fleet...', fails without it.

--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -312,6 +312,8 @@
             lasting.openFlows = 0;
             lasting.busyFlows = 0;
             lasting.restarting = false;
+            lasting.reportMilliseconds = 0;
+            lasting.failurePermille = 0;
             asio::post(control_,
                 [this, value = sealedText(fleet::FlowReport { lasting, {}, {} }, settings_.keyring)]() mutable {
                     entry_.set(std::move(value));
--- a/include/celerystile/fleet/host_board.hpp
+++ b/include/celerystile/fleet/host_board.hpp
@@ -76,6 +76,8 @@
     const Map& hosts() const { return hosts_; }
 
 private:
+    base::Duration patience(const KnownHost& host) const;
+    bool heard(const KnownHost& host, base::TimePoint now) const;
     bool silent(const KnownHost& host, base::TimePoint now) const;
     void update(KnownHost& host, const HostRecord& record, base::TimePoint now);
 
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -249,4 +249,42 @@
     CHECK(told == 1);
 }
 
+TEST_CASE("load: in a large fleet the registry's entry does not replace what a sidecar reports every few seconds")
+{
+    HostBoard board { {} };
+    base::TimePoint now { std::chrono::hours(1) };
+    std::vector<HostRecord> entries;
+    for (int i = 1; i <= 5; ++i) {
+        auto record = hostOf(("10.0.0." + std::to_string(i) + ":80").c_str());
+        entries.push_back(record);
+        record.openFlows = 190;
+        record.reportMilliseconds = 5'400; // of a fleet with a hundred balancers
+        board.noteHeard(record, now);
+    }
+    const auto sidecar = entries.front().sidecar;
+    for (int i = 0; i < 2; ++i) {
+        now += milliseconds(2'500);
+        board.setRegistered(entries, now);
+    }
+    CHECK(board.find(sidecar)->load() == 190);
+    CHECK(!board.lost(sidecar, now));
+    SUBCASE("a sidecar that restarts is not taken for lost either, however long it takes")
+    {
+        auto restarting = board.find(sidecar)->record;
+        restarting.restarting = true;
+        restarting.reportMilliseconds = 600;
+        board.noteHeard(restarting, now);
+        for (int i = 0; i < 4; ++i) {
+            now += milliseconds(2'500);
+            board.setRegistered(entries, now);
+        }
+        CHECK(!board.lost(sidecar, now));
+        auto back = entries.front();
+        back.epoch += 1;
+        entries.front() = back;
+        board.setRegistered(entries, now);
+        CHECK(!board.find(sidecar)->record.restarting);
+    }
+}
+
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/host_board.cpp
+++ b/src/celerystile/fleet/host_board.cpp
@@ -36,8 +36,9 @@
         const auto [entry, added] = hosts_.try_emplace(record.sidecar);
         auto& host = entry->second;
         host.registered = true;
-        // What the sidecar says itself is fresher than its entry, unless the entry is of a later incarnation.
-        const bool direct = !added && now - host.heardAt < rules_.heardLifetime;
+        // What the sidecar says itself is fresher than its entry, unless the entry is of a later incarnation. The entry
+        // names neither loads nor the time between reports.
+        const bool direct = !added && (heard(host, now) || host.record.restarting);
         if (added || isOlder(host.record, record) || (!direct && !isOlder(record, host.record)))
             update(host, record, now);
     }
@@ -82,7 +83,7 @@
     for (const auto& [sidecar, host] : hosts_) {
         if (host.record.service != service || host.record.state != HostState::Ready)
             continue;
-        if (!host.registered && now - host.heardAt >= rules_.heardLifetime)
+        if (!host.registered && !heard(host, now))
             continue;
         (now < host.suspectedUntil ? suspected : hosts).push_back(&host);
     }
@@ -99,13 +100,25 @@
     return hosts;
 }
 
+// How long a sidecar may be silent between two of its reports.
+base::Duration HostBoard::patience(const KnownHost& host) const
+{
+    const auto reports
+        = std::chrono::duration<double, std::milli>(host.record.reportMilliseconds * rules_.silentReports);
+    return std::max(rules_.silence, std::chrono::duration_cast<base::Duration>(reports));
+}
+
+// Whether a sidecar's own word still counts.
+bool HostBoard::heard(const KnownHost& host, base::TimePoint now) const
+{
+    return host.heardAt != base::TimePoint {} && now - host.heardAt < std::max(rules_.heardLifetime, patience(host));
+}
+
 bool HostBoard::silent(const KnownHost& host, base::TimePoint now) const
 {
     if (host.heardAt == base::TimePoint {} || host.record.restarting)
         return false;
-    const auto reports
-        = std::chrono::duration<double, std::milli>(host.record.reportMilliseconds * rules_.silentReports);
-    return now - host.heardAt >= std::max(rules_.silence, std::chrono::duration_cast<base::Duration>(reports));
+    return now - host.heardAt >= patience(host);
 }
 
 bool HostBoard::lost(const Endpoint& sidecar, base::TimePoint now) const
