--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -284,6 +284,7 @@
         entries.front() = back;
         board.setRegistered(entries, now);
         CHECK(!board.find(sidecar)->record.restarting);
+        CHECK(!board.lost(sidecar, now)); // its successor has not spoken here yet
     }
 }
 
--- a/src/celerystile/fleet/host_board.cpp
+++ b/src/celerystile/fleet/host_board.cpp
@@ -39,8 +39,12 @@
         // What the sidecar says itself is fresher than its entry, unless the entry is of a later incarnation. The entry
         // names neither loads nor the time between reports.
         const bool direct = !added && (heard(host, now) || host.record.restarting);
-        if (added || isOlder(host.record, record) || (!direct && !isOlder(record, host.record)))
+        const bool successor = !added && isOlder(host.record, record);
+        if (added || successor || (!direct && !isOlder(record, host.record)))
             update(host, record, now);
+        // A successor that has not spoken here yet can't have fallen silent.
+        if (successor)
+            host.heardAt = {};
     }
     expire(now);
 }
