--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -245,7 +245,7 @@
     base::TimePoint nextTelling_ {};
     base::TimePoint unansweredAt_ {}; // when the host last left a SYN unanswered
     base::TimePoint lastReport_;
-    base::Duration promise_; // until the next report at the latest; others are told
+    base::Duration nextReportWithin_; // until the next report at the latest; others are told
     base::TimePoint lastTick_;
     base::TimePoint nextSweep_;
     std::uint64_t checkpointVersion_ = 0;
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 
-// How packets of flows pass through a sidecar. Placement of new flows: sidecar_opening.cpp; what others are told and
-// how flows become known again: sidecar_memory.cpp.
+// How packets of flows pass through a sidecar. Placement of new flows: sidecar_opening.cpp; what waits
+// for a place: sidecar_waiting.cpp; what others are told and how flows become known again: sidecar_memory.cpp.
 
 namespace celerystile::fleet {
 
@@ -46,7 +46,7 @@
     , meter_(rules.meter)
     , queue_(rules.maxQueued)
     , lastReport_(start)
-    , promise_(rules.aliveInterval)
+    , nextReportWithin_(rules.aliveInterval)
     , lastTick_(start)
     , nextSweep_(start + sweepInterval)
 {
@@ -237,7 +237,8 @@
     }
     const bool news = !heldSinceReport_.empty() || !endedSinceReport_.empty();
     // However many balancers have come since, the next report is not later than the last one said.
-    if (now - lastReport_ >= (news ? std::min(promise_, reportInterval(rules_.reportInterval)) : promise_))
+    if (now - lastReport_
+        >= (news ? std::min(nextReportWithin_, reportInterval(rules_.reportInterval)) : nextReportWithin_))
         sendReports(now);
     if (now >= nextSweep_) {
         sweep(now);
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -52,7 +52,7 @@
     record.failurePermille = meter_.failurePermille(now);
     record.restarting = restarting_;
     record.reportMilliseconds
-        = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(promise_).count());
+        = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(nextReportWithin_).count());
     return record;
 }
 
@@ -265,7 +265,7 @@
 void Sidecar::sendReports(base::TimePoint now)
 {
     lastReport_ = now;
-    promise_ = reportInterval(rules_.aliveInterval);
+    nextReportWithin_ = reportInterval(rules_.aliveInterval);
     if (!host_.known())
         return;
     std::vector<FlowClaim> held;
--- /dev/null
+++ b/src/celerystile/fleet/sidecar_waiting.cpp
@@ -0,0 +1,121 @@
+#include "celerystile/fleet/sidecar.hpp"
+
+#include <algorithm>
+
+// What waits beside a saturated host: SYNs that no host could take at once, and requests on open flows.
+
+namespace celerystile::fleet {
+
+// Somebody else may have a place; if not, the flow waits where that takes the shortest time.
+Forward Sidecar::withOwnWait(Forward forward) const
+{
+    const auto wait = meter_.answerTime() * static_cast<double>(queue_.size() + 1) / requestLimit();
+    const auto own = static_cast<std::uint32_t>(std::chrono::duration<double, std::milli>(wait).count());
+    if (!forward.shortestWait || own < forward.shortestWait->milliseconds)
+        forward.shortestWait = ShortestWait { forward.position, own };
+    return forward;
+}
+
+std::uint32_t Sidecar::requestLimit() const
+{
+    return static_cast<std::uint32_t>(rules_.requestsPerSlot * host_.slots()) + rules_.extraRequests;
+}
+
+bool Sidecar::saturated() const { return !queue_.empty() || meter_.load() >= requestLimit(); }
+
+// A request on an open flow can go nowhere else, but it can wait here in a better order than in the host's own queue.
+// @return whether the packet waits.
+bool Sidecar::holdRequest(const Forward& forward, const core::Segment& segment, base::TimePoint now)
+{
+    constexpr std::size_t maxPackets = 16; // as many as a caller has in flight
+    const auto found = held_.find(segment.key);
+    if (segment.rst || segment.fin) {
+        // The caller has given up; one that only closes its side sends the request again.
+        if (found != held_.end()) {
+            held_.erase(found);
+            queue_.remove(segment.key);
+        }
+        return false;
+    }
+    if (segment.payloadBytes == 0)
+        return false;
+    const auto keep = [&](std::vector<SavedForward>& packets) {
+        const bool known = std::any_of(packets.begin(), packets.end(),
+            [&](const SavedForward& packet) { return packet.segment.sequence == segment.sequence; });
+        if (!known && packets.size() < maxPackets)
+            packets.push_back(save(forward, segment, now));
+    };
+    if (found != held_.end()) {
+        keep(found->second);
+        return true;
+    }
+    if (meter_.holdsPlace(segment.key) || !saturated())
+        return false;
+    const auto lifetime = forward.timeoutMilliseconds > 0 ? std::chrono::milliseconds(forward.timeoutMilliseconds)
+                                                          : rules_.requestLifetime;
+    const auto objective = std::chrono::milliseconds(forward.objectiveMilliseconds);
+    if (!queue_.add({ segment.key, forward.priority, now, now + objective, now + lifetime }))
+        return false;
+    keep(held_[segment.key]);
+    bump(SidecarCount::RequestsHeld);
+    decided(DecisionKind::FlowWaits, segment.key, "a request; the host is saturated");
+    return true;
+}
+
+void Sidecar::releaseHeld(const core::FlowKey& key, base::TimePoint now)
+{
+    const auto found = held_.find(key);
+    const auto packets = std::move(found->second);
+    held_.erase(found);
+    for (const auto& packet : packets) {
+        if (auto* record = table_.find(key))
+            deliver(*record, packet.segment, packet.packet, now);
+    }
+}
+
+bool Sidecar::queueSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now)
+{
+    const auto begunAt = now - std::chrono::milliseconds(forward.ageMilliseconds);
+    const auto objective = std::chrono::milliseconds(forward.objectiveMilliseconds);
+    if (!queue_.add({ segment.key, forward.priority, begunAt, begunAt + objective, begunAt + rules_.synLifetime }))
+        return false;
+    auto& saved = queued_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
+    saved.forward.packet = saved.packet;
+    bump(SidecarCount::SynQueued);
+    decided(DecisionKind::FlowWaits, segment.key, "a new flow; all hosts are saturated");
+    output_.tell(forward.balancer, SynQueued { segment.key });
+    return true;
+}
+
+// As many are let in as the host has finished requests.
+void Sidecar::admitQueued(base::TimePoint now)
+{
+    for (const auto& key : queue_.expire(now)) {
+        const bool opening = queued_.erase(key) > 0;
+        bump(opening ? SidecarCount::SynExpired : SidecarCount::RequestsExpired);
+        decided(DecisionKind::WaitExpired, key, opening ? "a new flow" : "a request");
+    }
+    boost::unordered::erase_if(held_, [&](const auto& entry) { return !queue_.contains(entry.first); });
+    while (meter_.load() < requestLimit()) {
+        const auto next = queue_.next(meter_.answerBound(), now);
+        if (!next)
+            return;
+        times_.waited.add(now - next->since);
+        if (held_.contains(next->key)) {
+            releaseHeld(next->key, now);
+            continue;
+        }
+        const auto found = queued_.find(next->key);
+        if (found == queued_.end())
+            continue;
+        auto saved = std::move(found->second);
+        queued_.erase(found);
+        saved.forward.packet = saved.packet;
+        if (const auto reason = whyNot(saved.forward, now); !reason.empty())
+            passSynOn(saved.forward, saved.segment, reason, now);
+        else
+            takeSyn(saved.forward, saved.segment, now);
+    }
+}
+
+} // namespace celerystile::fleet
