--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -1,6 +1,8 @@
 #include "fleet.hpp"
 
+#include <cstdlib>
 #include <doctest/doctest.h>
+#include <filesystem>
 
 // A short run of the soak; docs/OPERATIONS.md tells how longer ones are made. Seeds that ever failed: soak/seeds.txt.
 
@@ -9,11 +11,15 @@
 TEST_CASE("soak: daemons with a registry keep their promises through one round of seeded faults")
 {
     using namespace std::chrono_literals;
-    Process soak("soak", { std::string(CELERYSTILE_BINARY_DIR) + "/celerystile-soak", "--seed", "1", "--seconds", "8" },
-        "/dev/stdout");
+    auto log = (std::filesystem::temp_directory_path() / "celerystile-soak-run-XXXXXX").string();
+    REQUIRE(::mkstemp(log.data()) >= 0);
+    Process soak(
+        "soak", { std::string(CELERYSTILE_BINARY_DIR) + "/celerystile-soak", "--seed", "1", "--seconds", "8" }, log);
     const auto code = soak.waitFor(120s);
-    REQUIRE(code);
-    CHECK(*code == 0);
+    const auto output = soak.output();
+    CAPTURE(output);
+    CHECK(code == 0);
+    std::filesystem::remove(log);
 }
 
 } // namespace celerystile::tests
