--- /dev/null
+++ b/bench/explore.cpp
@@ -0,0 +1,68 @@
+#include "interleaving_world.hpp"
+
+#include <iostream>
+#include <tclap/CmdLine.h>
+
+/// @file
+/// @brief Searches schedules of events for a broken invariant; prints the first one shrunk, with the command that plays
+/// it again.
+
+namespace {
+
+using namespace celerystile::bench;
+
+void print(const PlayReport& report)
+{
+    for (const auto& line : report.broken)
+        std::cout << line << "\n";
+    std::cout << "flows opened " << report.opened << ", requests answered " << report.answered << ", open flows reset "
+              << report.resets << "\n";
+}
+
+// Shrinks towards the first rule that broke; another one may be broken by a shorter schedule.
+void printShrunk(const Schedule& schedule, std::uint64_t seed)
+{
+    const auto rule = playSchedule(schedule, seed).broken.front().substr(0, 5);
+    const auto shrunk = shrink(schedule, [&](const Schedule& shorter) {
+        const auto report = playSchedule(shorter, seed);
+        return !report.broken.empty() && report.broken.front().starts_with(rule);
+    });
+    print(playSchedule(shrunk, seed));
+    std::cout << "celerystile-explore --seed " << seed << " --replay \"" << toString(shrunk) << "\"\n";
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+try {
+    TCLAP::CmdLine line("Explores interleavings of balancers, sidecars, hosts and the store", ' ', "");
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "first seed", false, 1, "number", line);
+    TCLAP::ValueArg<std::uint64_t> count("", "count", "how many seeds", false, 1'000, "number", line);
+    TCLAP::ValueArg<std::size_t> steps("", "steps", "events in a schedule", false, 24, "number", line);
+    TCLAP::ValueArg<std::string> replay("", "replay", "play this schedule only", false, "", "text", line);
+    line.parse(argc, argv);
+    if (replay.isSet()) {
+        const auto schedule = parseSchedule(replay.getValue());
+        if (!schedule) {
+            std::cerr << "the schedule can't be read\n";
+            return 2;
+        }
+        const auto report = playSchedule(*schedule, seed.getValue());
+        print(report);
+        return report.broken.empty() ? 0 : 1;
+    }
+    std::size_t failures = 0;
+    constexpr std::size_t mostPrinted = 5;
+    for (auto at = seed.getValue(); at < seed.getValue() + count.getValue(); ++at) {
+        const auto schedule = drawSchedule(at, steps.getValue());
+        if (playSchedule(schedule, at).broken.empty())
+            continue;
+        if (++failures <= mostPrinted)
+            printShrunk(schedule, at);
+    }
+    std::cout << failures << " of " << count.getValue() << " schedules broke an invariant\n";
+    return failures == 0 ? 0 : 1;
+} catch (const TCLAP::ArgException& exception) {
+    std::cerr << exception.error() << "\n";
+    return 2;
+}
--- /dev/null
+++ b/bench/interleaving_models.cpp
@@ -0,0 +1,129 @@
+#include "interleaving_models.hpp"
+
+#include "celerystile/base/random.hpp"
+#include "celerystile/fleet/owner_table.hpp"
+
+#include <algorithm>
+#include <array>
+
+namespace celerystile::bench {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    constexpr std::array<milliseconds, 3> copiesAfter { milliseconds(200), milliseconds(600), milliseconds(1'400) };
+    constexpr milliseconds firstRetry { 200 };
+    constexpr milliseconds longestRetry { 1'600 };
+    constexpr unsigned mostTries = 8;
+
+} // namespace
+
+std::optional<HostReaction> HostModel::onPacket(const Segment& segment)
+{
+    using Kind = HostReaction::Kind;
+    const auto found = flows_.find(segment.key);
+    if (segment.opens()) {
+        const bool known = found != flows_.end() && found->second.callerSequence == segment.sequence;
+        auto& flow = known ? found->second : flows_[segment.key];
+        if (!known)
+            flow = { segment.sequence, static_cast<std::uint32_t>(base::mix(born_ ^ segment.key.hash())), false, {} };
+        Segment answer { segment.key, flow.hostSequence, segment.sequence + 1, 0, true, true, false, false };
+        return HostReaction { Kind::Answer, answer, !known, std::nullopt };
+    }
+    if (found == flows_.end())
+        return HostReaction { Kind::Return, segment, false, std::nullopt };
+    auto& flow = found->second;
+    if (!flow.open && !fleet::acknowledges(segment.acknowledgement, flow.hostSequence))
+        return HostReaction { Kind::Return, segment, false, std::nullopt };
+    flow.open = true;
+    if (segment.payloadBytes == 0)
+        return std::nullopt;
+    Segment answer { segment.key, flow.hostSequence + 1, segment.sequence + segment.payloadBytes, 100, false, true,
+        false, false };
+    const bool first = flow.ran.insert(segment.sequence).second;
+    return HostReaction { Kind::Answer, answer, false, first ? std::optional(segment.sequence) : std::nullopt };
+}
+
+fleet::HostReport HostModel::heartbeat()
+{
+    return { "i-" + std::to_string(born_), service_, address_, 2, draining_, milliseconds(0), ++sequence_, born_ };
+}
+
+CallerFlow::CallerFlow(FlowKey key, std::uint32_t sequence, TimePoint now)
+    : key_(key)
+    , synSequence_(sequence)
+    , nextSequence_(sequence + 1)
+    , begunAt_(now)
+    , nextAt_(now)
+{
+}
+
+Segment CallerFlow::packet(std::uint32_t bytes) const
+{
+    const auto sequence = pending_.value_or(nextSequence_);
+    return { key_, sequence, hostSequence_ + 1, bytes, false, true, false, false };
+}
+
+std::vector<Segment> CallerFlow::due(TimePoint now)
+{
+    if (state_ == State::Failed || now < nextAt_)
+        return {};
+    if (state_ == State::Opening) {
+        if (copies_ == copiesAfter.size()) {
+            state_ = State::Failed;
+            return {};
+        }
+        Segment syn { key_, synSequence_, copies_, 0, true, false, false, false };
+        nextAt_ = begunAt_ + copiesAfter[copies_++];
+        return { syn };
+    }
+    if (!pending_)
+        return {};
+    if (++tries_ > mostTries) {
+        state_ = State::Failed;
+        return {};
+    }
+    nextAt_ = now + std::min(longestRetry, firstRetry * (1U << std::min(tries_ - 1, 3U)));
+    return { packet(requestBytes) };
+}
+
+void CallerFlow::request(TimePoint now)
+{
+    if (state_ != State::Open || pending_)
+        return;
+    pending_ = nextSequence_;
+    nextSequence_ += requestBytes;
+    tries_ = 0;
+    nextAt_ = now;
+}
+
+std::optional<Segment> CallerFlow::onAnswer(const Segment& segment, TimePoint now)
+{
+    if (segment.syn && state_ == State::Opening) {
+        state_ = State::Open;
+        hostSequence_ = segment.sequence;
+        request(now); // callers open a flow for a request
+        return std::nullopt;
+    }
+    if (pending_ && segment.payloadBytes > 0 && segment.acknowledgement == *pending_ + requestBytes) {
+        pending_.reset();
+        return packet(0);
+    }
+    return std::nullopt;
+}
+
+std::vector<fleet::HostRecord> StoreModel::list() const
+{
+    std::vector<fleet::HostRecord> records;
+    for (const auto& [sidecar, entry] : hosts)
+        records.push_back(entry.record);
+    return records;
+}
+
+void StoreModel::expire(TimePoint now)
+{
+    std::erase_if(hosts, [&](const auto& item) { return now >= item.second.expiresAt; });
+}
+
+} // namespace celerystile::bench
--- /dev/null
+++ b/bench/interleaving_models.hpp
@@ -0,0 +1,129 @@
+#pragma once
+
+#include "celerystile/fleet/host_status.hpp"
+#include "celerystile/fleet/message.hpp"
+
+#include <map>
+#include <optional>
+#include <set>
+#include <vector>
+
+/// @file
+/// @brief What surrounds the balancers and sidecars in the explorer: hosts, callers' flows and the store.
+
+namespace celerystile::bench {
+
+using base::Endpoint;
+using base::TimePoint;
+using core::FlowKey;
+using core::Segment;
+
+/// @brief A flow as its host holds it.
+struct HostFlow {
+    std::uint32_t callerSequence = 0;
+    std::uint32_t hostSequence = 0;
+    bool open = false; ///< the caller has acknowledged this host
+    std::set<std::uint32_t> ran; ///< sequence numbers of the requests that have run
+};
+
+/// @brief What a host does with a packet.
+struct HostReaction {
+    enum class Kind {
+        Answer, ///< `segment` goes to the caller
+        Return, ///< the packet is given back: the host does not hold its flow
+    };
+
+    Kind kind = Kind::Answer;
+    Segment segment;
+    bool accepted = false; ///< a SYN that opened a flow
+    std::optional<std::uint32_t> ran; ///< sequence number of a request that ran just now
+};
+
+/// @brief One incarnation of a backend server. One thread.
+class HostModel {
+public:
+    HostModel(std::string service, Endpoint address, std::uint64_t born)
+        : service_(std::move(service))
+        , address_(address)
+        , born_(born)
+    {
+    }
+
+    std::optional<HostReaction> onPacket(const Segment& segment);
+
+    /// @brief The next heartbeat.
+    fleet::HostReport heartbeat();
+    void drain() { draining_ = true; }
+
+    bool draining() const { return draining_; }
+    const std::string& service() const { return service_; }
+    std::uint64_t born() const { return born_; }
+    const std::map<FlowKey, HostFlow>& flows() const { return flows_; }
+
+private:
+    std::string service_;
+    Endpoint address_;
+    std::uint64_t born_;
+    std::uint64_t sequence_ = 0;
+    bool draining_ = false;
+    std::map<FlowKey, HostFlow> flows_;
+};
+
+/// @brief A caller's side of one flow. One thread.
+class CallerFlow {
+public:
+    enum class State {
+        Opening,
+        Open,
+        Failed, ///< not opened in time, or reset
+    };
+
+    CallerFlow(FlowKey key, std::uint32_t sequence, TimePoint now);
+
+    /// @brief The caller's packets that are due.
+    std::vector<Segment> due(TimePoint now);
+
+    /// @brief The host's packet. @return the acknowledgement to send, if any.
+    std::optional<Segment> onAnswer(const Segment& segment, TimePoint now);
+    void onReset() { state_ = State::Failed; }
+    void request(TimePoint now);
+
+    State state() const { return state_; }
+    bool waiting() const { return pending_.has_value(); }
+    const FlowKey& key() const { return key_; }
+    std::uint32_t hostSequence() const { return hostSequence_; }
+
+private:
+    Segment packet(std::uint32_t bytes) const;
+
+    FlowKey key_;
+    State state_ = State::Opening;
+    std::uint32_t synSequence_;
+    std::uint32_t copies_ = 0;
+    std::uint32_t hostSequence_ = 0;
+    std::uint32_t nextSequence_;
+    std::optional<std::uint32_t> pending_; // sequence number of the request that is not answered yet
+    unsigned tries_ = 0;
+    TimePoint begunAt_;
+    TimePoint nextAt_;
+};
+
+/// @brief The registry and the checkpoints as the store keeps them. One thread.
+struct StoreModel {
+    struct Entry {
+        fleet::HostRecord record;
+        TimePoint expiresAt {};
+    };
+
+    bool answers = true;
+    std::map<Endpoint, Entry> hosts;
+    std::map<Endpoint, fleet::HeldFlows> flows;
+
+    std::vector<fleet::HostRecord> list() const;
+    void expire(TimePoint now);
+};
+
+/// @brief Sequence number after which a request's data ends, in these models.
+inline constexpr std::uint32_t requestBytes = 40;
+
+} // namespace celerystile::bench
