A sidecar takes nothing from the registry; a host's first heartbeat resets only what it can't hold

Cause (explorer): (1) a sidecar that read its predecessor's entry, older than the host's last restart, adopted the balancers' claims, and the first heartbeat then reset all flows although the host held them; (2) flows that a restarted host opened before its first heartbeat were reset by it. Now the entry is not read any more (one read less at a start); the host's word alone names service and incarnation, and a new incarnation resets only flows on which the host may not have spoken since its birth, by the number of its heartbeats. A flow that is left and not held is given back by the host and reset then.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -147,7 +147,9 @@
             snapshot.configuration = configurationText_;
             snapshot.hosts = co_await asio::co_spawn(
                 traffic_,
-                [this]() -> asio::awaitable<std::vector<fleet::HostRecord>> { co_return machine_.hostRecords(clock_.now()); },
+                [this]() -> asio::awaitable<std::vector<fleet::HostRecord>> {
+                    co_return machine_.hostRecords(clock_.now());
+                },
                 asio::use_awaitable);
             co_return base::HttpReply { 200, sealedText(std::move(snapshot), settings_.keyring),
                 "application/octet-stream" };
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -83,6 +83,7 @@
             if (auto opened = serve(*node.hostReports); !opened)
                 return opened;
             spawn("start", [this] { return readPredecessor(); });
+            spawn("entry", [this] { return entry_.run(); });
             onTraffic([this] {
                 machine_.askBalancers(neighbours());
                 transport_.flush();
@@ -96,53 +97,35 @@
             return true;
         }
 
-        // What the process before this one wrote last: its host's state and the flows that it held.
+        // The flows that the process before this one held.
         Task readPredecessor()
         {
             for (int i = 0; i < readTries; ++i) {
-                const auto entry = co_await store_.get(entryKey(), store::Freshness::Latest);
                 const auto flows = co_await store_.get(flowsKey(), store::Freshness::Latest);
-                if (entry && flows) {
-                    takePredecessor(*entry, *flows);
+                if (flows) {
+                    takeFlows(*flows);
                     break;
                 }
                 co_await pause(readRetry);
             }
-            spawn("entry", [this] { return entry_.run(); });
             spawn("checkpoint", [this] { return checkpoint_.run(); });
         }
 
-        void takePredecessor(const std::optional<store::Item>& entry, const std::optional<store::Item>& flows)
+        void takeFlows(const std::optional<store::Item>& flows)
         {
-            std::size_t held = 0;
-            if (flows) {
-                checkpoint_.assume(flows->revision);
-                if (const auto read = readSealed<fleet::HeldFlows>(flows->value, settings_.keyring); read) {
-                    held = read->flows.size();
-                    onTraffic([this, read = *read] {
-                        machine_.onHeldFlows(read, clock_.now());
-                        transport_.flush();
-                    });
-                } else {
-                    noteUnreadable(*flows, read.error());
-                }
-            }
-            if (entry) {
-                entry_.assume(entry->revision);
-                if (const auto read = readSealed<fleet::FlowReport>(entry->value, settings_.keyring); read) {
-                    onTraffic([this, record = read->host] {
-                        const bool used = machine_.restore(record, clock_.now());
-                        logEvent(Event::PredecessorEntry,
-                            { { "instance", std::to_string(record.instance) },
-                                { "service", std::to_string(record.service) }, { "born", std::to_string(record.born) },
-                                { "used", used ? "yes" : "no" } });
-                        transport_.flush();
-                    });
-                } else {
-                    noteUnreadable(*entry, read.error());
-                }
-            }
-            logEvent(Event::CheckpointRead, { { "entry", entry ? "yes" : "no" }, { "flows", std::to_string(held) } });
+            if (!flows)
+                return logEvent(Event::CheckpointRead, { { "flows", "0" } });
+            checkpoint_.assume(flows->revision);
+            const auto read = readSealed<fleet::HeldFlows>(flows->value, settings_.keyring);
+            if (!read)
+                return noteUnreadable(*flows, read.error());
+            logEvent(Event::CheckpointRead,
+                { { "flows", std::to_string(read->flows.size()) }, { "born", std::to_string(read->born) },
+                    { "own", read->instance == fleet::instanceId(settings_.node.name) ? "yes" : "no" } });
+            onTraffic([this, held = *read] {
+                machine_.onHeldFlows(held, clock_.now());
+                transport_.flush();
+            });
         }
 
         static void noteUnreadable(const store::Item& item, const base::Error& error)
@@ -298,7 +281,6 @@
                 { "waited_ms", times.waited } };
         }
 
-        std::string entryKey() const { return std::string(hostsPrefix) + settings_.node.packets.toString(); }
         std::string flowsKey() const { return std::string(flowsPrefix) + settings_.node.packets.toString(); }
 
         void deliver(core::Bytes packet) override { transport_.send(*settings_.node.host, packet); }
--- a/include/celerystile/base/events.hpp
+++ b/include/celerystile/base/events.hpp
@@ -63,7 +63,6 @@
     HostStateChanged = 6103,
     HostLeft = 6104,
     CheckpointRead = 6105,
-    PredecessorEntry = 6106,
     RegistryChanged = 6201,
     RegistryEntryUnreadable = 6202,
     SettingsReloaded = 6301,
--- a/include/celerystile/core/flow_table.hpp
+++ b/include/celerystile/core/flow_table.hpp
@@ -26,6 +26,7 @@
     std::uint32_t callerNext = 0; ///< sequence number after the caller's last byte seen
     std::uint32_t callerAck = 0; ///< the caller's last acknowledgement
     std::uint32_t lastSeen = 0; ///< seconds since the sidecar's start
+    std::uint32_t hostSeen = 0; ///< the same of the host's last packet
     FlowState state = FlowState::Opening;
     bool hostIsnKnown : 1 = false;
     bool callerFinished : 1 = false;
--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -53,11 +53,6 @@
     /// @brief The host says that it ends. @return whether it is the host that is known.
     bool noteLeave(const std::string& id);
 
-    /// @brief Takes the incarnation that the predecessor of this process knew, unless the host has spoken since. The
-    /// host counts as silent until it speaks: it may have ended meanwhile.
-    /// @return whether the record is used.
-    bool restore(const HostRecord& record, base::TimePoint now);
-
     /// @brief A packet of the host shows that it lives.
     void noteAlive(base::TimePoint now) { aliveAt_ = now; }
 
@@ -68,25 +63,26 @@
 
     /// @brief Whether nothing at all has come from the host for so long that it must have ended.
     bool dead(base::TimePoint now) const;
+    /// @brief Whether the host has spoken to this process.
     bool known() const { return known_; }
 
-    /// @brief Whether the host has spoken to this process; otherwise what is known was restored.
-    bool heard() const { return heard_; }
-
     /// @brief Whether the host's incarnation may be older than this process: it may hold flows that are not known here.
     bool mayPredate() const { return mayPredate_; }
+
+    /// @brief How long ago the host's present incarnation may have started at most, by the number of its heartbeats.
+    base::Duration oldestAge() const { return oldestAge(sequence_); }
     ServiceId service() const { return service_; }
     std::uint64_t born() const { return born_; }
     std::uint32_t slots() const { return slots_; }
     std::chrono::milliseconds coldLeft(base::TimePoint now) const;
 
 private:
+    base::Duration oldestAge(std::uint64_t beats) const;
     bool startedUnderUs(const HostReport& report, base::TimePoint now) const;
 
     HostStatusRules rules_;
     base::TimePoint start_;
     bool known_ = false;
-    bool heard_ = false;
     bool mayPredate_ = true;
     std::string id_;
     ServiceId service_ = 0;
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -125,11 +125,6 @@
     void onHello(const BalancerHello& hello, base::TimePoint now);
     void onHeldFlows(const HeldFlows& held, base::TimePoint now);
 
-    /// @brief What the entry at this address says. Another instance's entry is not used; one of this instance tells
-    /// which incarnation of the host the flows of before belong to, but the host takes no new flow until it has spoken.
-    /// @return whether the entry is used.
-    bool restore(const HostRecord& record, base::TimePoint now);
-
     /// @brief The process stops and is expected back; balancers do not take its silence for a loss.
     void announceRestart(base::TimePoint now);
 
@@ -206,7 +201,7 @@
     static FlowClaim claimOf(const core::FlowKey& key, const core::FlowRecord& record);
     void endFlow(const core::FlowKey& key);
     void closeIfFinished(core::FlowRecord& record, const core::FlowKey& key, base::TimePoint now);
-    void resetAll(std::string_view reason);
+    void resetUnheardSince(base::TimePoint since, std::string_view reason, base::TimePoint now);
 
     void claimTo(const Endpoint& balancer, const core::FlowKey& key, base::TimePoint now);
     void noteHeld(const core::FlowKey& key);
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -7,11 +7,14 @@
 bool HostStatus::startedUnderUs(const HostReport& report, base::TimePoint now) const
 {
     constexpr std::uint64_t first = 1;
+    return known_ || report.sequence <= first || now - start_ >= oldestAge(report.sequence);
+}
+
+base::Duration HostStatus::oldestAge(std::uint64_t beats) const
+{
     constexpr double jitter = 1.25; // the beats are only about regular
-    if (heard_ || report.sequence <= first)
-        return true;
-    const auto age = std::chrono::duration<double>(rules_.heartbeat) * jitter * static_cast<double>(report.sequence);
-    return now - start_ >= std::chrono::duration_cast<base::Duration>(age);
+    const auto age = std::chrono::duration<double>(rules_.heartbeat) * jitter * static_cast<double>(beats);
+    return std::chrono::duration_cast<base::Duration>(age);
 }
 
 HeartbeatOutcome HostStatus::note(const HostReport& report, base::TimePoint now)
@@ -28,7 +31,6 @@
     if (!sameIncarnation)
         mayPredate_ = !startedUnderUs(report, now);
     known_ = true;
-    heard_ = true;
     id_ = report.id;
     service_ = service;
     born_ = report.born;
@@ -52,24 +54,9 @@
     return true;
 }
 
-bool HostStatus::restore(const HostRecord& record, base::TimePoint now)
-{
-    if (known_ || record.state == HostState::Gone)
-        return false;
-    known_ = true;
-    service_ = record.service;
-    born_ = record.born;
-    slots_ = record.slots;
-    told_ = record.state == HostState::Draining ? HostState::Draining : HostState::Ready;
-    coldUntil_ = now + std::chrono::milliseconds(record.coldMilliseconds);
-    heardAt_ = now;
-    return true;
-}
-
 HostState HostStatus::state(base::TimePoint now) const
 {
-    const bool restored = known_ && !heard_;
-    if (told_ != HostState::Gone && (restored || now - heardAt_ >= rules_.silentAfter))
+    if (told_ != HostState::Gone && now - heardAt_ >= rules_.silentAfter)
         return HostState::Silent;
     return told_;
 }
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -164,6 +164,7 @@
     if (!record)
         return;
     record->lastSeen = secondsAt(now);
+    record->hostSeen = record->lastSeen;
     if (segment.rst)
         meter_.broken(segment.key, now);
     if (segment.payloadBytes > 0 || segment.fin) {
@@ -226,7 +227,7 @@
     meter_.expire(now);
     admitQueued(now);
     if (host_.dead(now) && table_.openFlows() > 0)
-        resetAll("the host has fallen silent");
+        resetUnheardSince(now, "the host has fallen silent", now);
     announceIfChanged(now);
     continueTelling(now);
     while (!closedQueue_.empty() && closedQueue_.front().at + rules_.closedLinger <= now) {
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -65,9 +65,9 @@
 HeartbeatOutcome Sidecar::onHeartbeat(const HostReport& report, base::TimePoint now)
 {
     const bool restarted = host_.known() && host_.born() != 0 && report.born > host_.born();
-    if (restarted)
-        resetAll("the host has started anew");
     const auto outcome = host_.note(report, now);
+    if (restarted)
+        resetUnheardSince(now - host_.oldestAge(), "the host has started anew", now);
     for (const auto& held : std::exchange(unsettledHeld_, {}))
         adoptHeld(held, now);
     if (outcome == HeartbeatOutcome::FirstOfIncarnation || outcome == HeartbeatOutcome::Changed) {
@@ -93,19 +93,6 @@
     sendReports(now);
 }
 
-bool Sidecar::restore(const HostRecord& previous, base::TimePoint now)
-{
-    if (previous.instance != rules_.instance)
-        return false;
-    if (!host_.restore(previous, now))
-        return false;
-    announced_ = host_.state(now); // the registry is told when the host has spoken
-    for (const auto& held : std::exchange(unsettledHeld_, {}))
-        adoptHeld(held, now);
-    sendReports(now);
-    return true;
-}
-
 void Sidecar::askBalancers(const std::vector<Endpoint>& balancers)
 {
     for (const auto& balancer : balancers)
@@ -236,10 +223,16 @@
     decided(DecisionKind::PacketUnclaimed, segment.key, "no sidecar holds the flow");
 }
 
-void Sidecar::resetAll(std::string_view reason)
+// A host may speak on new flows before its first heartbeat. What it may have said in its present incarnation is no sign
+// of an earlier one; if it does not hold such a flow, it gives the flow's next packet back.
+void Sidecar::resetUnheardSince(base::TimePoint since, std::string_view reason, base::TimePoint now)
 {
+    const auto recent = static_cast<std::uint32_t>(
+        std::chrono::ceil<std::chrono::seconds>(std::max(now - since, base::Duration { 0 })).count());
     std::vector<core::FlowKey> keys;
     for (const auto& [key, record] : table_.records()) {
+        if (record.hostSeen + recent >= secondsAt(now))
+            continue;
         keys.push_back(key);
         if (record.state == core::FlowState::Open)
             resetCaller(claimOf(key, record), reason);
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -39,7 +39,7 @@
 
 std::string_view Sidecar::whyNot(const Forward& forward, base::TimePoint now) const
 {
-    if (!host_.heard())
+    if (!host_.known())
         return "the host has not spoken yet";
     // The balancer's view may be older than the host: another service may have taken its address.
     if (forward.service != host_.service())
