A thin registry is no knowledge: SYNs wait for hosts that may be missing, readiness follows hosts, sidecars ask again

store/list_completeness judges when a missing key is an absence (entries had 2.5 s of an answering store to return); lists before are partial: they take no host away, a SYN without a host is held and offered again every 50 ms, and a balancer is ready only with a host. Once complete, refusal is at once. Sidecars repeat their question to the contacts of their settings until a balancer is heard of; balancers add their neighbours' hosts while their own list is partial.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -40,8 +40,8 @@
                       storeAnswers_ = answers;
                       storeHealth(answers, detail);
                   })
-            , registry_(
-                  store_, control_, std::string(hostsPrefix), {}, [this](const auto& items) { onRegistry(items); })
+            , registry_(store_, clock_, control_, std::string(hostsPrefix), {},
+                  [this](const auto& items, bool complete) { onRegistry(items, complete); })
         {
         }
 
@@ -74,6 +74,7 @@
                 machine_.tick(now);
                 transport_.flush();
                 noteCut(machine_.board().cutOff(now));
+                noteReady(now);
                 return std::max(machine_.nextTick(), now + shortestTick);
             });
             return true;
@@ -115,7 +116,7 @@
         Task followNeighbour(base::Endpoint neighbour)
         {
             while (true) {
-                if (!storeAnswers_ || !ready_)
+                if (!storeAnswers_ || !hostsComplete_ || !ready_)
                     co_await askNeighbour(neighbour);
                 co_await pause(neighbourInterval);
             }
@@ -135,8 +136,10 @@
                 co_return;
             }
             applyConfiguration(snapshot->configuration, neighbour.toString());
-            if (!registryRead_)
-                applyHosts(snapshot->hosts);
+            onTraffic([this, records = snapshot->hosts] {
+                machine_.addHosts(records, clock_.now());
+                transport_.flush();
+            });
         }
 
         asio::awaitable<base::HttpReply> onCall(base::HttpRequest request) override
@@ -183,11 +186,10 @@
                     { "source", source } });
             onTraffic([this, routes = std::make_shared<const fleet::RouteTable>(std::move(*table))] {
                 machine_.setRoutes(routes);
-                noteReady();
             });
         }
 
-        void onRegistry(const std::vector<store::Item>& items)
+        void onRegistry(const std::vector<store::Item>& items, bool complete)
         {
             std::vector<fleet::HostRecord> records;
             for (const auto& item : items) {
@@ -198,17 +200,17 @@
                     logEvent(
                         Event::RegistryEntryUnreadable, { { "key", item.key }, { "detail", report.error().detail } });
             }
-            logEvent(Event::RegistryChanged, { { "hosts", std::to_string(records.size()) } });
-            registryRead_ = true;
-            applyHosts(std::move(records));
+            logEvent(Event::RegistryChanged,
+                { { "hosts", std::to_string(records.size()) }, { "complete", complete ? "yes" : "no" } });
+            hostsComplete_ = complete;
+            applyHosts(std::move(records), complete ? fleet::ListExtent::Complete : fleet::ListExtent::Partial);
         }
 
-        void applyHosts(std::vector<fleet::HostRecord> records)
+        void applyHosts(std::vector<fleet::HostRecord> records, fleet::ListExtent extent)
         {
-            onTraffic([this, records = std::move(records)] {
-                machine_.setRegistry(records, clock_.now());
+            onTraffic([this, records = std::move(records), extent] {
+                machine_.setRegistry(records, extent, clock_.now());
                 transport_.flush();
-                noteReady();
             });
         }
 
@@ -220,11 +222,12 @@
             cutOff_ = cutOff;
         }
 
-        void noteReady()
+        void noteReady(base::TimePoint now)
         {
-            if (!ready_ && machine_.ready())
+            const bool ready = machine_.ready(now);
+            if (ready && !ready_)
                 logEvent(Event::Ready, { { "hosts", std::to_string(machine_.board().hosts().size()) } });
-            ready_ = machine_.ready();
+            ready_ = ready;
         }
 
         boost::json::object state(base::TimePoint now) const override
@@ -266,7 +269,7 @@
         // Of the control thread.
         std::uint64_t version_ = 0;
         std::string configurationText_;
-        bool registryRead_ = false;
+        bool hostsComplete_ = false;
         bool storeAnswers_ = true;
 
         std::uint64_t malformed_ = 0;
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -85,7 +85,7 @@
             spawn("start", [this] { return readPredecessor(); });
             spawn("entry", [this] { return entry_.run(); });
             onTraffic([this] {
-                machine_.askBalancers(neighbours());
+                machine_.askBalancers(neighbours(), clock_.now());
                 transport_.flush();
             });
             startTicking([this](base::TimePoint now) {
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -3,6 +3,7 @@
 #include "celerystile/base/random.hpp"
 #include "celerystile/fleet/balancer.hpp"
 #include "celerystile/fleet/sidecar.hpp"
+#include "celerystile/store/list_completeness.hpp"
 #include "interleaving_models.hpp"
 
 #include <cstring>
@@ -196,7 +197,7 @@
             std::string_view lastReason; // why it decided what it decided last
             std::uint64_t generation = 0;
             std::unique_ptr<fleet::Balancer> process;
-            bool listed = false;
+            store::ListCompleteness completeness { store::ListCompletenessRules {} };
             TimePoint nextList {};
             TimePoint nextNeighbour {};
         };
@@ -528,7 +529,7 @@
                 std::vector<Endpoint> fronts;
                 for (const auto& front : balancers_)
                     fronts.push_back(front->address);
-                slot.process->askBalancers(fronts);
+                slot.process->askBalancers(fronts, now_);
             });
         }
 
@@ -544,7 +545,7 @@
                 rules.epoch = unixNow();
                 front.process = std::make_unique<fleet::Balancer>(rules, *placement_, front, now_);
                 front.process->setRoutes(allRoutes());
-                front.listed = false;
+                front.completeness.noteFailed();
                 front.nextList = now_ + milliseconds(4 + random_.below(8));
                 front.nextNeighbour = now_;
             });
@@ -585,16 +586,20 @@
 
         void list(Front& front)
         {
+            if (!store_.answers)
+                front.completeness.noteFailed();
             if (store_.answers && now_ >= front.nextList) {
                 front.nextList = now_ + listInterval;
-                front.listed = true;
-                front.process->setRegistry(store_.list(), now_);
+                front.completeness.noteAnswered(now_);
+                const auto extent
+                    = front.completeness.complete() ? fleet::ListExtent::Complete : fleet::ListExtent::Partial;
+                front.process->setRegistry(store_.list(), extent, now_);
             }
-            if ((!front.listed || !store_.answers) && now_ >= front.nextNeighbour) {
+            if ((!front.completeness.complete() || !store_.answers) && now_ >= front.nextNeighbour) {
                 front.nextNeighbour = now_ + 600ms;
                 const auto& other = *balancers_[1 - front.index];
-                if (!front.listed && other.process && running(other))
-                    front.process->setRegistry(other.process->hostRecords(now_), now_);
+                if (other.process && running(other))
+                    front.process->addHosts(other.process->hostRecords(now_), now_);
             }
         }
 
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -27,7 +27,8 @@
     FlowsReset, ///< callers of open flows reset because their host is lost
     DropNoRoute, ///< packets of open flows for an address that has no route
     DropNoHost, ///< packets for a service without a known host
-    DropUnsettled, ///< SYNs before the first list of hosts
+    DropUnsettled, ///< SYNs before a configuration is known, or too many at once
+    SynHeld, ///< SYNs without a host, while others may be missing from the list
     DropQueuedCopy, ///< copies of SYNs that wait at a sidecar
     ClaimsAsked, ///< sidecars asked to tell all their flows again
     Count_,
@@ -59,6 +60,7 @@
     LookupWalkRules lookup;
     OutlierRules outliers;
     base::Duration synPatience = std::chrono::milliseconds(40); ///< a host's handshake takes a few milliseconds
+    base::Duration hostWait = std::chrono::milliseconds(50); ///< between tries to place a SYN while hosts are missing
     base::Duration synLifetime = std::chrono::milliseconds(1500); ///< callers give up a SYN after 1.4 s
     std::size_t maxPendingSyns = 4'096;
     std::size_t maxFlows = 400'000; ///< owners remembered; 64 bytes each
@@ -72,7 +74,11 @@
     Balancer(BalancerRules rules, const Placement& placement, BalancerOutput& output, base::TimePoint start);
 
     void setRoutes(RouteTablePtr routes) { routes_ = std::move(routes); }
-    void setRegistry(const std::vector<HostRecord>& records, base::TimePoint now);
+    /// @brief The registry's entries.
+    void setRegistry(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
+
+    /// @brief Hosts that another balancer knows.
+    void addHosts(const std::vector<HostRecord>& records, base::TimePoint now);
 
     void onPacket(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     void onReport(const FlowReport& report, base::TimePoint now);
@@ -88,8 +94,8 @@
     /// @brief When tick() has something to do next.
     base::TimePoint nextTick() const;
 
-    /// @brief Whether packets can be decided: a configuration and a list of hosts are there.
-    bool ready() const { return routes_->version > 0 && registryKnown_; }
+    /// @brief Whether a new flow would be placed, or refused for a reason that is known.
+    bool ready(base::TimePoint now) const;
 
     const HostBoard& board() const { return board_; }
     const OwnerTable& owners() const { return owners_; }
@@ -115,6 +121,8 @@
     void noteEjected(const PendingSyn& pending, const std::vector<const KnownHost*>& usable,
         const std::vector<const KnownHost*>& kept, base::TimePoint now);
     void place(PendingSyn& pending, std::string_view reason, base::TimePoint now);
+    void takeHosts(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
+    bool holdForHosts(PendingSyn& pending, base::TimePoint now);
     void sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void retry(PendingSyn& pending, base::TimePoint now);
     void refuse(const core::Segment& segment, std::string_view reason);
@@ -131,7 +139,7 @@
     const Placement& placement_;
     BalancerOutput& output_;
     RouteTablePtr routes_ = std::make_shared<const RouteTable>();
-    bool registryKnown_ = false;
+    bool hostsComplete_ = false; // a host that is not on the board is absent
     HostBoard board_;
     OwnerTable owners_;
     ClaimRepair repair_;
--- a/include/celerystile/fleet/host_board.hpp
+++ b/include/celerystile/fleet/host_board.hpp
@@ -11,6 +11,12 @@
 
 namespace celerystile::fleet {
 
+/// @brief Whether a host that a list does not name is known to be absent.
+enum class ListExtent {
+    Complete,
+    Partial, ///< others may be missing, after an outage of the store or a common restart
+};
+
 /// @brief Settings of the board.
 struct HostBoardRules {
     base::Duration heardLifetime
@@ -44,8 +50,9 @@
     {
     }
 
-    /// @brief The registry's entries in full; hosts that are no longer there keep only what is heard of them directly.
-    void setRegistered(const std::vector<HostRecord>& records, base::TimePoint now);
+    /// @brief The registry's entries. Hosts that are missing from a complete list keep only what is heard of them
+    /// directly; a partial list takes nothing away.
+    void setRegistered(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
 
     /// @brief A sidecar's own word; an older epoch or incarnation than the known one changes nothing.
     void noteHeard(const HostRecord& record, base::TimePoint now);
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -97,6 +97,8 @@
     base::Duration trialMemory = std::chrono::seconds(10); ///< a flow is tried once within it
     base::Duration balancerLifetime = std::chrono::seconds(10); ///< a balancer is remembered at least so long
     double silentHellos = 3.5; ///< the same in hellos that did not come
+    base::Duration shortestAsk = std::chrono::milliseconds(150); ///< until balancers are asked again; doubles
+    base::Duration longestAsk = std::chrono::seconds(2);
     base::Duration reportInterval = std::chrono::milliseconds(200); ///< shortest time between reports of changes
     base::Duration aliveInterval = std::chrono::milliseconds(600); ///< longest time between reports
     base::Duration tellingPace
@@ -128,8 +130,8 @@
     /// @brief The process stops and is expected back; balancers do not take its silence for a loss.
     void announceRestart(base::TimePoint now);
 
-    /// @brief Asks balancers which flows were held here.
-    void askBalancers(const std::vector<Endpoint>& balancers);
+    /// @brief Asks these balancers which flows were held here, and again until one has been heard of.
+    void askBalancers(const std::vector<Endpoint>& balancers, base::TimePoint now);
 
     void tick(base::TimePoint now);
 
@@ -205,6 +207,7 @@
 
     void claimTo(const Endpoint& balancer, const core::FlowKey& key, base::TimePoint now);
     void noteHeld(const core::FlowKey& key);
+    void askAgain(base::TimePoint now);
     void sendReports(base::TimePoint now);
     base::Duration reportInterval(base::Duration shortest) const;
     void startTelling(const Endpoint& balancer, base::TimePoint now);
@@ -220,6 +223,9 @@
     SidecarOutput& output_;
     base::TimePoint start_;
     HostStatus host_;
+    std::vector<Endpoint> contacts_; // balancers to ask while none is known
+    base::Duration nextAskAfter_ { 0 };
+    base::TimePoint nextAsk_ {};
     bool restarting_ = false;
     bool flowsComplete_ = false; // the predecessor stopped in order and left all flows
     HostState announced_ = HostState::Gone;
--- a/include/celerystile/store/prefix_poll.hpp
+++ b/include/celerystile/store/prefix_poll.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celerystile/store/key_value.hpp"
+#include "celerystile/store/list_completeness.hpp"
 
 #include <boost/asio/steady_timer.hpp>
 #include <functional>
@@ -13,31 +14,38 @@
 /// @brief Settings of a poll.
 struct PrefixPollRules {
     std::chrono::milliseconds every { 2'500 };
-    std::chrono::milliseconds retryDelay { 250 }; ///< until the first answer
+    std::chrono::milliseconds retryDelay { 250 }; ///< while the store does not answer
+    ListCompletenessRules completeness;
 };
 
 /// @brief Polls a prefix. Runs on one io_context.
 ///
-/// The first read is up to date, later ones may be seconds old; one that is older than the last is passed over.
+/// Reads are up to date until a list is complete, then they may be seconds old; one that is older than the last is
+/// passed over.
 class PrefixPoll {
 public:
-    using Handler = std::function<void(const std::vector<Item>&)>;
+    /// @brief Told of changed items, and when the list has become complete.
+    using Handler = std::function<void(const std::vector<Item>&, bool complete)>;
 
-    PrefixPoll(KeyValueStore& store, boost::asio::io_context& context, std::string prefix, PrefixPollRules rules,
-        Handler handler);
+    PrefixPoll(KeyValueStore& store, const base::Clock& clock, boost::asio::io_context& context, std::string prefix,
+        PrefixPollRules rules, Handler handler);
 
     /// @brief Runs until stop().
     boost::asio::awaitable<void> run();
     void stop();
 
 private:
+    base::Duration untilNext(base::TimePoint now) const;
+
     KeyValueStore& store_;
+    const base::Clock& clock_;
     boost::asio::steady_timer timer_;
     std::string prefix_;
     PrefixPollRules rules_;
     Handler handler_;
     Revision revision_ = 0;
     std::vector<Item> items_;
+    ListCompleteness completeness_;
     bool stopped_ = false;
 };
 
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -19,6 +19,7 @@
         "drop_no_route",
         "drop_no_host",
         "drop_unsettled",
+        "syn_held",
         "drop_queued_copy",
         "claims_asked",
     };
@@ -53,15 +54,34 @@
 {
 }
 
-void Balancer::setRegistry(const std::vector<HostRecord>& records, base::TimePoint now)
+bool Balancer::ready(base::TimePoint now) const
+{
+    if (routes_->version == 0)
+        return false;
+    return hostsComplete_ || std::any_of(board_.hosts().begin(), board_.hosts().end(), [&](const auto& entry) {
+        return entry.second.record.state == HostState::Ready && board_.current(entry.second, now);
+    });
+}
+
+void Balancer::setRegistry(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now)
+{
+    hostsComplete_ = extent == ListExtent::Complete;
+    takeHosts(records, extent, now);
+}
+
+void Balancer::addHosts(const std::vector<HostRecord>& records, base::TimePoint now)
+{
+    takeHosts(records, ListExtent::Partial, now);
+}
+
+void Balancer::takeHosts(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now)
 {
-    registryKnown_ = true;
     std::vector<Endpoint> newcomers;
     for (const auto& record : records) {
         if (!board_.find(record.sidecar))
             newcomers.push_back(record.sidecar);
     }
-    board_.setRegistered(records, now);
+    board_.setRegistered(records, extent, now);
     for (const auto& sidecar : newcomers)
         output_.tell(sidecar, hello());
 }
@@ -133,7 +153,7 @@
     const auto* route = routes_->find(segment.key.service);
     if (!route)
         return refuse(segment, "no route");
-    if (!registryKnown_ || pending_.size() >= rules_.maxPendingSyns)
+    if (pending_.size() >= rules_.maxPendingSyns)
         return bump(BalancerCount::DropUnsettled);
     PendingSyn pending;
     pending.segment = segment;
@@ -177,6 +197,8 @@
     auto hosts = untried(kept);
     if (hosts.empty())
         hosts = untried(usable); // an outlier is better than none
+    if (hosts.empty() && holdForHosts(pending, now))
+        return;
     if (hosts.empty()) {
         bump(BalancerCount::DropNoHost);
         const auto segment = pending.segment;
@@ -188,6 +210,18 @@
     sendSyn(pending, reason, now);
 }
 
+// Nobody takes the SYN now, but hosts may be missing from the list: it is placed as soon as one is there.
+bool Balancer::holdForHosts(PendingSyn& pending, base::TimePoint now)
+{
+    if (hostsComplete_)
+        return false;
+    bump(BalancerCount::SynHeld);
+    pending.candidates.clear();
+    pending.tried.clear();
+    pending.retryAt = std::min(now + rules_.hostWait, pending.expiresAt);
+    return true;
+}
+
 void Balancer::sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now)
 {
     const auto& to = pending.candidates[pending.position];
@@ -212,6 +246,8 @@
 
 void Balancer::retry(PendingSyn& pending, base::TimePoint now)
 {
+    if (pending.candidates.empty())
+        return place(pending, "hosts were missing", now);
     bump(BalancerCount::SynRetried);
     const auto& silent = pending.candidates[pending.position];
     board_.noteUnanswered(silent, now);
@@ -351,7 +387,7 @@
             continue;
         }
         const bool more = pending.position + 1U < pending.candidates.size();
-        if (more)
+        if (more || pending.candidates.empty())
             retry(pending, now);
         else
             pending.retryAt = pending.expiresAt; // the caller's next copy goes on
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -16,7 +16,8 @@
         Fixture()
         {
             machine.setRoutes(routesTo(service));
-            machine.setRegistry({ hostOf("10.0.0.1:80"), hostOf("10.0.0.2:80"), hostOf("10.0.0.3:80") }, now);
+            machine.setRegistry(
+                { hostOf("10.0.0.1:80"), hostOf("10.0.0.2:80"), hostOf("10.0.0.3:80") }, ListExtent::Complete, now);
             output.told.clear();
         }
 
@@ -122,7 +123,7 @@
     std::vector<HostRecord> many;
     for (int i = 1; i <= 9; ++i)
         many.push_back(hostOf(("10.0.1." + std::to_string(i) + ":80").c_str()));
-    fixture.machine.setRegistry(many, fixture.now + std::chrono::seconds(4));
+    fixture.machine.setRegistry(many, ListExtent::Complete, fixture.now + std::chrono::seconds(4));
     fixture.packet(synOf(caller));
     fixture.machine.onDeclined({ synOf(caller).key }, fixture.now);
     REQUIRE(fixture.output.forwards.size() == 2);
@@ -260,11 +261,67 @@
     CHECK(fixture.output.forwards.back().forward.purpose == ForwardPurpose::Lookup);
 }
 
+TEST_CASE("thin registry: a missing host is no absence until the list is complete")
+{
+    BalancerRecorder output;
+    auto now = base::TimePoint { std::chrono::hours(1) };
+    const auto placement = makeLeastLoadedPlacement({});
+    Balancer balancer(Fixture::rules(), *placement, output, now);
+    balancer.setRoutes(routesTo(service));
+    balancer.setRegistry({}, ListExtent::Partial, now);
+    CHECK(!balancer.ready(now));
+    balancer.onPacket(synOf(caller), packetBytes, now);
+    CHECK(output.resets.empty());
+    const auto pass = [&](milliseconds time) {
+        now += time;
+        balancer.tick(now);
+    };
+    SUBCASE("a sidecar reports: the waiting SYN goes there")
+    {
+        balancer.onReport({ hostOf("10.0.0.1:80"), {}, {} }, now);
+        CHECK(balancer.ready(now));
+        pass(milliseconds(60));
+        CHECK(output.forwards.size() == 1);
+    }
+    SUBCASE("a neighbour knows hosts")
+    {
+        balancer.addHosts({ hostOf("10.0.0.1:80") }, now);
+        pass(milliseconds(60));
+        CHECK(output.forwards.size() == 1);
+    }
+    SUBCASE("hosts that have just started decline: the SYN is offered again")
+    {
+        balancer.addHosts({ hostOf("10.0.0.1:80") }, now);
+        pass(milliseconds(60));
+        balancer.onDeclined({ synOf(caller).key }, now);
+        CHECK(output.resets.empty());
+        pass(milliseconds(60));
+        CHECK(output.forwards.size() == 2);
+    }
+    SUBCASE("the list is complete and names none: the SYN is refused at once")
+    {
+        balancer.setRegistry({}, ListExtent::Complete, now);
+        CHECK(balancer.ready(now));
+        pass(milliseconds(60));
+        CHECK(output.resets.size() == 1);
+        balancer.onPacket(synOf("100.64.0.9:1"), packetBytes, now);
+        CHECK(output.resets.size() == 2);
+    }
+    SUBCASE("a host of a complete list outlives a thin one")
+    {
+        balancer.setRegistry({ hostOf("10.0.0.1:80") }, ListExtent::Complete, now);
+        balancer.setRegistry({}, ListExtent::Partial, now);
+        CHECK(balancer.board().usable(service, now).size() == 1);
+        balancer.setRegistry({}, ListExtent::Complete, now);
+        CHECK(balancer.board().usable(service, now).empty());
+    }
+}
+
 TEST_CASE("a snapshot for a neighbour names no host that is neither registered nor heard of")
 {
     Fixture fixture;
     fixture.machine.onReport({ hostOf("10.0.0.1:80"), {}, {} }, fixture.now);
-    fixture.machine.setRegistry({ hostOf("10.0.0.2:80") }, fixture.now);
+    fixture.machine.setRegistry({ hostOf("10.0.0.2:80") }, ListExtent::Complete, fixture.now);
     CHECK(fixture.machine.hostRecords(fixture.now).size() == 2);
     fixture.pass(milliseconds(4'000));
     REQUIRE(fixture.machine.hostRecords(fixture.now).size() == 1);
@@ -275,7 +332,7 @@
 {
     Fixture fixture;
     fixture.machine.onReport({ hostOf("10.0.0.1:80"), {}, {} }, fixture.now);
-    fixture.machine.setRegistry({}, fixture.now);
+    fixture.machine.setRegistry({}, ListExtent::Complete, fixture.now);
     CHECK(fixture.machine.board().usable(service, fixture.now).size() == 1);
     fixture.pass(milliseconds(3'100));
     CHECK(fixture.machine.board().usable(service, fixture.now).empty());
@@ -292,7 +349,7 @@
     for (int i = 1; i <= 4; ++i)
         records.push_back(hostOf(("10.0.0." + std::to_string(i) + ":80").c_str()));
     records.front().failurePermille = 500;
-    balancer.setRegistry(records, now);
+    balancer.setRegistry(records, ListExtent::Complete, now);
     for (const auto& record : records)
         balancer.onReport({ record, {}, {} }, now);
     for (int i = 1; i <= 30; ++i)
@@ -320,7 +377,7 @@
     const auto sidecar = entries.front().sidecar;
     for (int i = 0; i < 2; ++i) {
         now += milliseconds(2'500);
-        board.setRegistered(entries, now);
+        board.setRegistered(entries, ListExtent::Complete, now);
     }
     CHECK(board.find(sidecar)->load() == 190);
     CHECK(!board.lost(sidecar, now));
@@ -332,13 +389,13 @@
         board.noteHeard(restarting, now);
         for (int i = 0; i < 4; ++i) {
             now += milliseconds(2'500);
-            board.setRegistered(entries, now);
+            board.setRegistered(entries, ListExtent::Complete, now);
         }
         CHECK(!board.lost(sidecar, now));
         auto back = entries.front();
         back.epoch += 1;
         entries.front() = back;
-        board.setRegistered(entries, now);
+        board.setRegistered(entries, ListExtent::Complete, now);
         CHECK(!board.find(sidecar)->record.restarting);
         CHECK(!board.lost(sidecar, now)); // its successor has not spoken here yet
     }
--- a/src/celerystile/fleet/host_board.cpp
+++ b/src/celerystile/fleet/host_board.cpp
@@ -37,10 +37,10 @@
     host.coldUntil = now + std::chrono::milliseconds(record.coldMilliseconds);
 }
 
-void HostBoard::setRegistered(const std::vector<HostRecord>& records, base::TimePoint now)
+void HostBoard::setRegistered(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now)
 {
     for (auto& [sidecar, host] : hosts_)
-        host.registered = false;
+        host.registered = host.registered && extent == ListExtent::Partial;
     for (const auto& record : records) {
         const auto [entry, added] = hosts_.try_emplace(record.sidecar);
         auto& host = entry->second;
--- a/src/celerystile/fleet/placement_test.cpp
+++ b/src/celerystile/fleet/placement_test.cpp
@@ -33,7 +33,7 @@
             records.push_back(hostOf(("10.0.0." + std::to_string(i + 1) + ":80").c_str()));
             records.back().failureDomain = static_cast<std::uint64_t>(i % 3);
         }
-        board.setRegistered(records, now);
+        board.setRegistered(records, ListExtent::Complete, now);
         std::vector<Endpoint> open;
         std::map<Endpoint, int> counts;
         double worst = 0;
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -229,6 +229,7 @@
     if (host_.dead(now) && table_.openFlows() > 0)
         resetUnheardSince(now, "the host has fallen silent", now);
     announceIfChanged(now);
+    askAgain(now);
     continueTelling(now);
     while (!closedQueue_.empty() && closedQueue_.front().at + rules_.closedLinger <= now) {
         const auto key = closedQueue_.front().key;
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -93,10 +93,23 @@
     sendReports(now);
 }
 
-void Sidecar::askBalancers(const std::vector<Endpoint>& balancers)
+void Sidecar::askBalancers(const std::vector<Endpoint>& balancers, base::TimePoint now)
 {
-    for (const auto& balancer : balancers)
+    contacts_ = balancers;
+    nextAskAfter_ = rules_.shortestAsk;
+    nextAsk_ = now;
+    askAgain(now);
+}
+
+// All may have started at the same moment: a question that came too early is asked again.
+void Sidecar::askAgain(base::TimePoint now)
+{
+    if (!balancers_.empty() || now < nextAsk_)
+        return;
+    for (const auto& balancer : contacts_)
         output_.tell(balancer, SidecarHello { rules_.self });
+    nextAsk_ = now + nextAskAfter_;
+    nextAskAfter_ = std::min(nextAskAfter_ * 2, rules_.longestAsk);
 }
 
 void Sidecar::onHello(const BalancerHello& hello, base::TimePoint now)
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -263,6 +263,25 @@
     CHECK(fixture.output.delivered.size() == 1);
 }
 
+TEST_CASE("a sidecar asks balancers again until it has heard of one")
+{
+    SidecarRecorder output;
+    auto now = base::TimePoint { std::chrono::hours(1) };
+    Sidecar machine(Fixture::rules(), output, now);
+    const auto asked = [&] { return output.toldOf<SidecarHello>().size(); };
+    machine.askBalancers({ balancer, endpoint("10.9.0.2:7720") }, now);
+    CHECK(asked() == 2);
+    for (int i = 0; i < 100; ++i)
+        machine.tick(now += milliseconds(100));
+    CHECK(asked() >= 10); // ten seconds: after 150, 450, 1,050 ms and then every two seconds
+    CHECK(asked() <= 20);
+    machine.onHello({ balancer, 5, 3 }, now);
+    const auto before = asked();
+    for (int i = 0; i < 50; ++i)
+        machine.tick(now += milliseconds(100));
+    CHECK(asked() == before);
+}
+
 TEST_CASE("flows that a host opened before its first heartbeat are not reset by it")
 {
     Fixture fixture(40);
--- /dev/null
+++ b/src/celerystile/store/list_completeness_test.cpp
@@ -0,0 +1,33 @@
+#include "celerystile/store/list_completeness.hpp"
+
+#include <doctest/doctest.h>
+
+namespace celerystile::store {
+
+using std::chrono::milliseconds;
+
+TEST_CASE("a list proves an absence once the store has answered for the time in which entries return")
+{
+    const base::TimePoint start { std::chrono::hours(1) };
+    ListCompleteness list({ milliseconds(2'500) });
+    CHECK(!list.complete());
+    CHECK(!list.completeFrom());
+    list.noteAnswered(start);
+    CHECK(!list.complete());
+    CHECK((list.completeFrom() == start + milliseconds(2'500)));
+    list.noteAnswered(start + milliseconds(2'499));
+    CHECK(!list.complete());
+    list.noteAnswered(start + milliseconds(2'500));
+    CHECK(list.complete());
+    SUBCASE("an outage takes the proof away until the entries had time to return")
+    {
+        list.noteFailed();
+        CHECK(!list.complete());
+        list.noteAnswered(start + milliseconds(9'000));
+        CHECK(!list.complete());
+        list.noteAnswered(start + milliseconds(11'500));
+        CHECK(list.complete());
+    }
+}
+
+} // namespace celerystile::store
--- a/src/celerystile/store/upkeep_test.cpp
+++ b/src/celerystile/store/upkeep_test.cpp
@@ -213,9 +213,11 @@
     PrefixPollRules rules;
     rules.every = milliseconds(5);
     rules.retryDelay = milliseconds(5);
+    rules.completeness.returnTime = milliseconds(0);
+    const base::SteadyClock clock;
     std::vector<std::size_t> sizes;
-    PrefixPoll poll(
-        store, context, "hosts/", rules, [&](const std::vector<Item>& items) { sizes.push_back(items.size()); });
+    PrefixPoll poll(store, clock, context, "hosts/", rules,
+        [&](const std::vector<Item>& items, bool) { sizes.push_back(items.size()); });
     boost::asio::co_spawn(context, poll.run(), boost::asio::detached);
     store.put("hosts/a", "1");
     context.run_for(milliseconds(60));
@@ -230,4 +232,30 @@
     context.run_for(milliseconds(30));
 }
 
+TEST_CASE("a list is complete once entries had time to return, at the start and after an outage")
+{
+    boost::asio::io_context context;
+    fakes::MemoryStore store;
+    PrefixPollRules rules;
+    rules.every = milliseconds(5);
+    rules.retryDelay = milliseconds(5);
+    rules.completeness.returnTime = milliseconds(40);
+    const base::SteadyClock clock;
+    std::vector<std::pair<std::size_t, bool>> told;
+    PrefixPoll poll(store, clock, context, "hosts/", rules,
+        [&](const std::vector<Item>& items, bool complete) { told.emplace_back(items.size(), complete); });
+    store.put("hosts/a", "1");
+    boost::asio::co_spawn(context, poll.run(), boost::asio::detached);
+    context.run_for(milliseconds(90));
+    CHECK(told == std::vector<std::pair<std::size_t, bool>> { { 1, false }, { 1, true } });
+    store.down = true;
+    context.run_for(milliseconds(30));
+    store.revoke("hosts/a");
+    store.down = false;
+    context.run_for(milliseconds(90));
+    CHECK(told == std::vector<std::pair<std::size_t, bool>> { { 1, false }, { 1, true }, { 0, false }, { 0, true } });
+    poll.stop();
+    context.run_for(milliseconds(30));
+}
+
 } // namespace celerystile::store
