Certified absence: callers of flows that no host holds are reset; a planned stop hands over what was just accepted

The explorer found what made the proof wrong, each mended with a test: a planned stop called flows complete that its process had never learnt; a complete checkpoint was believed by the successor of a process that came in between and was killed (now: no heartbeat in between); flows opened but not acknowledged were missing from a last checkpoint, and new ones were accepted after it (a planned stop under load cut off what was just accepted).

Also: readiness is told when it changes, not at the next tick (up to a second late since the change before).

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -103,15 +103,24 @@
         {
             const auto now = clock_.now();
             if (const auto* report = std::get_if<fleet::FlowReport>(&message))
-                machine_.onReport(*report, now);
+                onReport(*report, now);
             else if (const auto* hello = std::get_if<fleet::SidecarHello>(&message))
                 machine_.onSidecarHello(*hello);
             else if (const auto* declined = std::get_if<fleet::SynDeclined>(&message))
                 machine_.onDeclined(*declined, now);
+            else if (const auto* reply = std::get_if<fleet::AbsenceReply>(&message))
+                machine_.onAbsenceReply(*reply, now);
             else if (const auto* queued = std::get_if<fleet::SynQueued>(&message))
                 machine_.onQueued(*queued);
         }
 
+        void onReport(const fleet::FlowReport& report, base::TimePoint now)
+        {
+            machine_.onReport(report, now);
+            if (!ready_)
+                noteReady(now); // it may be the first host
+        }
+
         // The store may be away or turn this instance down; others may have its answers.
         Task followNeighbour(base::Endpoint neighbour)
         {
@@ -186,6 +195,7 @@
                     { "source", source } });
             onTraffic([this, routes = std::make_shared<const fleet::RouteTable>(std::move(*table))] {
                 machine_.setRoutes(routes);
+                noteReady(clock_.now());
             });
         }
 
@@ -211,6 +221,7 @@
             onTraffic([this, records = std::move(records), extent] {
                 machine_.setRegistry(records, extent, clock_.now());
                 transport_.flush();
+                noteReady(clock_.now());
             });
         }
 
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -196,6 +196,8 @@
                 machine_.onHello(*hello, now);
             } else if (const auto* held = std::get_if<fleet::HeldFlows>(&message)) {
                 machine_.onHeldFlows(*held, now);
+            } else if (const auto* query = std::get_if<fleet::AbsenceQuery>(&message)) {
+                machine_.onAbsenceQuery(*query);
             }
         }
 
--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -33,6 +33,9 @@
 
 /// @brief Settings of the status.
 struct HostStatusRules {
+    std::uint64_t epoch = 0; ///< start of this process, Unix milliseconds
+    std::chrono::milliseconds commonStart { 300 }; ///< a host may be up so much sooner after both have lost power
+    std::uint64_t mostBeats = 6; ///< that a host sends until a process which starts with it hears one
     base::Duration heartbeat = std::chrono::milliseconds(770); ///< between two heartbeats, about
     base::Duration silentAfter = std::chrono::milliseconds(1800); ///< a little over two heartbeats
     base::Duration deadAfter = std::chrono::milliseconds(2600); ///< three heartbeats and a margin
@@ -69,6 +72,16 @@
     /// @brief Whether the host's incarnation may be older than this process: it may hold flows that are not known here.
     bool mayPredate() const { return mayPredate_; }
 
+    /// @brief Whether the host's incarnation has started under this process or together with it: no predecessor can
+    /// have opened flows there.
+    bool startedHere() const { return startedHere_; }
+
+    /// @brief Number of the host's last heartbeat.
+    std::uint64_t sequence() const { return sequence_; }
+
+    /// @brief Number of the first heartbeat of the present incarnation that this process has heard.
+    std::uint64_t firstSequence() const { return firstSequence_; }
+
     /// @brief How long ago the host's present incarnation may have started at most, by the number of its heartbeats.
     base::Duration oldestAge() const { return oldestAge(sequence_); }
     ServiceId service() const { return service_; }
@@ -84,10 +97,12 @@
     base::TimePoint start_;
     bool known_ = false;
     bool mayPredate_ = true;
+    bool startedHere_ = false;
     std::string id_;
     ServiceId service_ = 0;
     std::uint64_t born_ = 0;
     std::uint64_t sequence_ = 0;
+    std::uint64_t firstSequence_ = 0;
     std::uint32_t slots_ = 1;
     HostState told_ = HostState::Ready;
     base::TimePoint coldUntil_ {};
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -92,6 +92,7 @@
     InstanceId instance = 0; ///< where the host that held them runs
     std::uint64_t born = 0; ///< incarnation of the host that held them; 0: not known
     bool complete = false; ///< the host held no others when the receiver's predecessor stopped
+    std::uint64_t sequence = 0; ///< of the host's last heartbeat before that
     std::vector<FlowClaim> flows;
 
     bool operator==(const HeldFlows&) const = default;
@@ -119,10 +120,28 @@
     bool operator==(const SynQueued&) const = default;
 };
 
-using Message
-    = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot, SynQueued>;
-
 /// @brief Most flows named in one datagram, which then stays below 1,500 bytes.
 inline constexpr std::size_t maxFlowsPerDatagram = 48;
 
+/// @brief Asks a sidecar which of these flows its host holds.
+struct AbsenceQuery {
+    Endpoint balancer;
+    std::uint32_t id = 0; ///< of the question, for its balancer
+    std::vector<core::FlowKey> flows; ///< at most maxFlowsPerDatagram
+
+    bool operator==(const AbsenceQuery&) const = default;
+};
+
+struct AbsenceReply {
+    Endpoint sidecar;
+    std::uint32_t id = 0;
+    bool certain = false; ///< the host holds no flow that its sidecar does not know
+    std::uint64_t held = 0; ///< a bit for each flow of the question, the lowest for the first
+
+    bool operator==(const AbsenceReply&) const = default;
+};
+
+using Message = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot,
+    SynQueued, AbsenceQuery, AbsenceReply>;
+
 } // namespace celerystile::fleet
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -126,8 +126,10 @@
 
     void onHello(const BalancerHello& hello, base::TimePoint now);
     void onHeldFlows(const HeldFlows& held, base::TimePoint now);
+    void onAbsenceQuery(const AbsenceQuery& query);
 
-    /// @brief The process stops and is expected back; balancers do not take its silence for a loss.
+    /// @brief The process stops and is expected back: it takes no new flow, and balancers do not take its silence for a
+    /// loss.
     void announceRestart(base::TimePoint now);
 
     /// @brief Asks these balancers which flows were held here, and again until one has been heard of.
@@ -189,6 +191,7 @@
     void releaseHeld(const core::FlowKey& key, base::TimePoint now);
     bool queueSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void admitQueued(base::TimePoint now);
+    void passQueuedOn(base::TimePoint now);
     std::string_view whyNot(const Forward& forward, base::TimePoint now) const;
     void onUnknown(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     bool tryHost(const Forward& forward, const core::Segment& segment, base::TimePoint now);
@@ -198,6 +201,7 @@
         core::FlowRecord& record, const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void deliver(core::FlowRecord& record, const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     void adopt(const core::Segment& segment, base::TimePoint now);
+    bool flowsKnown() const;
     void adoptHeld(const HeldFlows& held, base::TimePoint now);
     void resetCaller(const FlowClaim& claim, std::string_view reason);
     static FlowClaim claimOf(const core::FlowKey& key, const core::FlowRecord& record);
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -28,8 +28,12 @@
     const auto told = report.draining ? HostState::Draining : HostState::Ready;
     const bool wasSilent = state(now) == HostState::Silent;
     const bool changed = wasSilent || service != service_ || told != told_ || report.slots != slots_;
-    if (!sameIncarnation)
+    if (!sameIncarnation) {
         mayPredate_ = !startedUnderUs(report, now);
+        const auto tolerance = static_cast<std::uint64_t>(rules_.commonStart.count());
+        startedHere_ = known_ || (report.sequence <= rules_.mostBeats && report.born + tolerance >= rules_.epoch);
+        firstSequence_ = report.sequence;
+    }
     known_ = true;
     id_ = report.id;
     service_ = service;
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -34,6 +34,12 @@
         "drop_table_full",
     };
 
+    HostStatusRules withEpoch(HostStatusRules rules, std::uint64_t epoch)
+    {
+        rules.epoch = epoch;
+        return rules;
+    }
+
 } // namespace
 
 std::string_view toString(SidecarCount count) { return countNames[static_cast<std::size_t>(count)]; }
@@ -42,7 +48,7 @@
     : rules_(rules)
     , output_(output)
     , start_(start)
-    , host_(rules.host, start)
+    , host_(withEpoch(rules.host, rules.epoch), start)
     , meter_(rules.meter)
     , queue_(rules.maxQueued)
     , lastReport_(start)
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -33,6 +33,7 @@
 void Sidecar::announceRestart(base::TimePoint now)
 {
     restarting_ = true;
+    passQueuedOn(now);
     sendReports(now);
 }
 
@@ -52,6 +53,7 @@
     record.busyFlows = meter_.load();
     record.failurePermille = meter_.failurePermille(now);
     record.restarting = restarting_;
+    record.flowsKnown = flowsKnown();
     record.reportMilliseconds
         = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(nextReportWithin_).count());
     return record;
@@ -136,13 +138,28 @@
         unsettledHeld_.push_back(held);
 }
 
+// Whether the host started under this process, or the predecessor handed over all flows.
+bool Sidecar::flowsKnown() const { return host_.known() && (flowsComplete_ || host_.startedHere()); }
+
+void Sidecar::onAbsenceQuery(const AbsenceQuery& query)
+{
+    AbsenceReply reply { rules_.self, query.id, flowsKnown(), 0 };
+    for (std::size_t i = 0; i < query.flows.size() && i < maxFlowsPerDatagram; ++i) {
+        if (table_.find(query.flows[i]))
+            reply.held |= std::uint64_t { 1 } << i;
+    }
+    output_.tell(query.balancer, reply);
+}
+
 void Sidecar::adoptHeld(const HeldFlows& held, base::TimePoint now)
 {
     const bool otherIncarnation = held.born != 0 && held.born < host_.born();
     const bool otherInstance = held.instance != rules_.instance;
     if (otherInstance && !otherIncarnation)
         return; // nothing is known of their host
-    flowsComplete_ = flowsComplete_ || (held.complete && held.born == host_.born());
+    // A process between this one and the one that stopped in order would have heard a heartbeat before any flow.
+    const bool nothingBetween = host_.firstSequence() <= held.sequence + 1;
+    flowsComplete_ = flowsComplete_ || (held.complete && held.born == host_.born() && nothingBetween);
     for (const auto& claim : held.flows) {
         if (table_.find(claim.key) || table_.size() >= rules_.maxFlows)
             continue;
@@ -151,7 +168,7 @@
             continue;
         }
         core::FlowRecord record;
-        record.state = core::FlowState::Open;
+        record.state = claim.proven ? core::FlowState::Open : core::FlowState::Opening;
         record.hostIsn = claim.hostSequence;
         record.hostIsnKnown = claim.hostSequence != 0;
         record.callerAck = claim.callerAck;
@@ -259,9 +276,11 @@
     HeldFlows held;
     held.instance = rules_.instance;
     held.born = host_.born();
-    held.complete = restarting_;
+    held.complete = restarting_ && flowsKnown();
+    held.sequence = host_.sequence();
     for (const auto& [key, record] : table_.records()) {
-        if (record.state == core::FlowState::Open)
+        const bool opening = record.state == core::FlowState::Opening;
+        if (record.state == core::FlowState::Open || (restarting_ && opening))
             held.flows.push_back(claimOf(key, record));
     }
     return held;
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -41,6 +41,8 @@
 {
     if (!host_.known())
         return "the host has not spoken yet";
+    if (restarting_)
+        return "the sidecar is about to restart"; // its successor would not know the flow
     // The balancer's view may be older than the host: another service may have taken its address.
     if (forward.service != host_.service())
         return "the host serves something else";
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -252,7 +252,7 @@
 TEST_CASE("after a start the host takes no new flow until it has spoken")
 {
     Fixture fixture(0);
-    fixture.machine.onHeldFlows({ 0, 1'000, true, { { synOf("100.64.0.8:1").key, 900, 901, true } } }, fixture.now);
+    fixture.machine.onHeldFlows({ 0, 1'000, true, 0, { { synOf("100.64.0.8:1").key, 900, 901, true } } }, fixture.now);
     fixture.machine.onForward(opening(), synOf(caller), fixture.now);
     CHECK(fixture.output.delivered.empty());
     REQUIRE(fixture.output.forwards.size() == 1);
@@ -301,7 +301,7 @@
     Fixture fixture(0);
     SUBCASE("flows whose host has ended: their callers are reset once the newcomer's host has spoken")
     {
-        HeldFlows held { earlier, 500, true, { { synOf(caller).key, 900, 4'901, true } } };
+        HeldFlows held { earlier, 500, true, 0, { { synOf(caller).key, 900, 4'901, true } } };
         fixture.machine.onHeldFlows(held, fixture.now);
         CHECK(fixture.output.resets.empty());
         fixture.machine.onHeartbeat(report(1, 1'000), fixture.now);
@@ -310,7 +310,7 @@
     }
     SUBCASE("flows of a host of which nothing is known")
     {
-        HeldFlows held { earlier, 0, false, { { synOf(caller).key, 900, 4'901, true } } };
+        HeldFlows held { earlier, 0, false, 0, { { synOf(caller).key, 900, 4'901, true } } };
         fixture.machine.onHeartbeat(report(40, 1'000), fixture.now);
         fixture.machine.onHeldFlows(held, fixture.now);
         CHECK(fixture.output.resets.empty());
@@ -351,12 +351,67 @@
     }
 }
 
+TEST_CASE("a sidecar is certain of its host's flows only if no predecessor can have opened any")
+{
+    constexpr std::uint64_t epoch = 3; // of the fixture's process
+    const auto certain = [](Fixture& fixture) {
+        fixture.output.told.clear();
+        fixture.machine.onAbsenceQuery({ balancer, 9, { synOf(caller).key, synOf("100.64.0.8:1").key } });
+        const auto replies = fixture.output.toldOf<AbsenceReply>();
+        REQUIRE(replies.size() == 1);
+        CHECK(replies.front().id == 9);
+        return replies.front().certain;
+    };
+    SUBCASE("the host has not spoken")
+    {
+        Fixture fixture(0);
+        CHECK(!certain(fixture));
+    }
+    SUBCASE("both started together")
+    {
+        Fixture fixture(0);
+        fixture.machine.onHeartbeat(report(3, epoch), fixture.now);
+        CHECK(certain(fixture));
+    }
+    SUBCASE("the host may be older than the process")
+    {
+        auto rules = Fixture::rules();
+        rules.epoch = 10'000;
+        SidecarRecorder output;
+        const auto now = base::TimePoint { std::chrono::hours(1) };
+        Sidecar machine(rules, output, now);
+        machine.onHeartbeat(report(1, 9'500), now);
+        CHECK(!machine.record(now).flowsKnown);
+        machine.onHeartbeat(report(1, 12'000), now); // starts again
+        CHECK(machine.record(now).flowsKnown);
+    }
+    SUBCASE("flows that it knows are named")
+    {
+        Fixture fixture;
+        fixture.open();
+        fixture.output.told.clear();
+        fixture.machine.onAbsenceQuery({ balancer, 9, { synOf("100.64.0.8:1").key, synOf(caller).key } });
+        CHECK(fixture.output.toldOf<AbsenceReply>().front().held == 2);
+    }
+}
+
 TEST_CASE("a predecessor that stopped in order leaves all flows: nothing is given on trial")
 {
     Fixture fixture(0);
     HeldFlows held;
     held.born = 1'000;
+    held.sequence = 39;
     held.flows = { { synOf("100.64.0.8:1").key, 900, 4'901, true } };
+    SUBCASE("another process may have been there in between, which was killed")
+    {
+        held.complete = true;
+        held.sequence = 38;
+        fixture.machine.onHeldFlows(held, fixture.now);
+        fixture.machine.onHeartbeat(report(40), fixture.now);
+        fixture.machine.onForward(lookup(), dataOf(caller, 500), fixture.now);
+        CHECK(fixture.output.delivered.size() == 1);
+        CHECK(!fixture.machine.record(fixture.now).flowsKnown);
+    }
     SUBCASE("in order")
     {
         held.complete = true;
@@ -386,6 +441,40 @@
     }
 }
 
+TEST_CASE("load: a planned stop keeps the flows that were just accepted and takes no more")
+{
+    Fixture fixture;
+    fixture.open("100.64.0.8:1"); // occupies the host together with the next ones
+    for (int port = 2; port <= 4; ++port) {
+        const auto from = "100.64.0.8:" + std::to_string(port);
+        fixture.machine.onForward(opening(), synOf(from.c_str()), fixture.now);
+    }
+    fixture.machine.onHostPacket(synAckOf("100.64.0.8:2", 700), packetBytes, fixture.now);
+    auto last = opening();
+    last.settled = true;
+    last.position = 0;
+    fixture.machine.onForward(last, synOf(caller), fixture.now);
+    REQUIRE(fixture.output.toldOf<SynQueued>().size() == 1);
+    fixture.output.forwards.clear();
+    fixture.machine.announceRestart(fixture.now);
+    CHECK(fixture.output.forwards.size() == 1); // the one that waited
+    const auto delivered = fixture.output.delivered.size();
+    fixture.machine.onForward(opening(), synOf("100.64.0.9:1"), fixture.now);
+    CHECK(fixture.output.forwards.size() == 2);
+    CHECK(fixture.output.delivered.size() == delivered);
+
+    const auto checkpoint = fixture.machine.checkpoint();
+    CHECK(checkpoint.complete);
+    CHECK(checkpoint.flows.size() == 4);
+    Fixture successor(0);
+    successor.machine.onHeldFlows(checkpoint, successor.now);
+    successor.machine.onHeartbeat(report(2), successor.now);
+    CHECK(successor.machine.record(successor.now).flowsKnown);
+    successor.output.delivered.clear();
+    successor.machine.onForward(lookup(), dataOf("100.64.0.8:2", 701), successor.now);
+    CHECK(successor.output.delivered.size() == 1);
+}
+
 TEST_CASE("after a start an unknown packet is tried at the host once")
 {
     Fixture fixture(40);
--- a/src/celerystile/fleet/sidecar_waiting.cpp
+++ b/src/celerystile/fleet/sidecar_waiting.cpp
@@ -1,6 +1,7 @@
 #include "celerystile/fleet/sidecar.hpp"
 
 #include <algorithm>
+#include <utility>
 
 // What waits beside a saturated host: SYNs that no host could take at once, and requests on open flows.
 
@@ -118,4 +119,16 @@
     }
 }
 
+// New flows that wait here would be forgotten when the process ends; another host may take them.
+void Sidecar::passQueuedOn(base::TimePoint now)
+{
+    for (auto& [key, saved] : std::exchange(queued_, {})) {
+        queue_.remove(key);
+        saved.forward.packet = saved.packet;
+        saved.forward.settled = false;
+        saved.forward.shortestWait.reset();
+        passSynOn(saved.forward, saved.segment, "the sidecar is about to restart", now);
+    }
+}
+
 } // namespace celerystile::fleet
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -122,6 +122,7 @@
         to.setOpenFlows(value.openFlows);
         to.setBusyFlows(value.busyFlows);
         to.setReportMilliseconds(value.reportMilliseconds);
+        to.setFlowsKnown(value.flowsKnown);
         to.setRestarting(value.restarting);
         to.setFailurePermille(static_cast<std::uint16_t>(value.failurePermille));
     }
@@ -143,6 +144,7 @@
         value.openFlows = from.getOpenFlows();
         value.busyFlows = from.getBusyFlows();
         value.reportMilliseconds = from.getReportMilliseconds();
+        value.flowsKnown = from.getFlowsKnown();
         value.restarting = from.getRestarting();
         value.failurePermille = from.getFailurePermille();
         return value;
@@ -170,6 +172,16 @@
         return fleet::Message { std::move(value) };
     }
 
+    base::Result<fleet::Message> read(schema::AbsenceQuery::Reader from)
+    {
+        fleet::AbsenceQuery value { read(from.getBalancer()), from.getId(), {} };
+        if (from.getFlows().size() > fleet::maxFlowsPerDatagram)
+            return failure(ErrorCode::Malformed, "too many flows in a question");
+        for (const auto flow : from.getFlows())
+            value.flows.push_back(read(flow).key);
+        return fleet::Message { std::move(value) };
+    }
+
     base::Result<fleet::Message> readMessage(schema::FleetMessage::Reader from)
     {
         switch (from.which()) {
@@ -187,7 +199,7 @@
         case schema::FleetMessage::HELD_FLOWS: {
             const auto held = from.getHeldFlows();
             return fleet::Message { fleet::HeldFlows {
-                held.getInstance(), held.getBorn(), held.getComplete(), read(held.getFlows()) } };
+                held.getInstance(), held.getBorn(), held.getComplete(), held.getSequence(), read(held.getFlows()) } };
         }
         case schema::FleetMessage::SYN_DECLINED:
             return fleet::Message { fleet::SynDeclined { read(from.getSynDeclined()).key } };
@@ -195,6 +207,13 @@
             return fleet::Message { fleet::SynQueued { read(from.getSynQueued()).key } };
         case schema::FleetMessage::SNAPSHOT:
             return read(from.getSnapshot());
+        case schema::FleetMessage::ABSENCE_QUERY:
+            return read(from.getAbsenceQuery());
+        case schema::FleetMessage::ABSENCE_REPLY: {
+            const auto reply = from.getAbsenceReply();
+            return fleet::Message { fleet::AbsenceReply {
+                read(reply.getSidecar()), reply.getId(), reply.getCertain(), reply.getHeld() } };
+        }
         }
         return failure(ErrorCode::Malformed, "unknown message");
     }
@@ -226,8 +245,26 @@
             held.setInstance(value.instance);
             held.setBorn(value.born);
             held.setComplete(value.complete);
+            held.setSequence(value.sequence);
             write(held.initFlows(static_cast<unsigned>(value.flows.size())), value.flows);
         }
+        void operator()(const fleet::AbsenceQuery& value)
+        {
+            auto query = root.initAbsenceQuery();
+            write(query.initBalancer(), value.balancer);
+            query.setId(value.id);
+            auto flows = query.initFlows(static_cast<unsigned>(value.flows.size()));
+            for (unsigned i = 0; i < flows.size(); ++i)
+                write(flows[i], fleet::FlowClaim { value.flows[i] });
+        }
+        void operator()(const fleet::AbsenceReply& value)
+        {
+            auto reply = root.initAbsenceReply();
+            write(reply.initSidecar(), value.sidecar);
+            reply.setId(value.id);
+            reply.setHeld(value.held);
+            reply.setCertain(value.certain);
+        }
         void operator()(const fleet::SynQueued& value) { write(root.initSynQueued(), fleet::FlowClaim { value.key }); }
         void operator()(const fleet::FleetSnapshot& value)
         {
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -42,6 +42,7 @@
   restarting @11 :Bool;
   failurePermille @12 :UInt16;
   instance @13 :UInt32;
+  flowsKnown @14 :Bool;
 }
 
 struct FlowClaim {
@@ -73,6 +74,20 @@
   flows @1 :List(FlowClaim);
   complete @2 :Bool;
   instance @3 :UInt32;
+  sequence @4 :UInt64;
+}
+
+struct AbsenceQuery {
+  balancer @0 :Address;
+  id @1 :UInt32;
+  flows @2 :List(FlowClaim);
+}
+
+struct AbsenceReply {
+  sidecar @0 :Address;
+  id @1 :UInt32;
+  held @2 :UInt64;
+  certain @3 :Bool;
 }
 
 struct FleetSnapshot {
@@ -90,5 +105,7 @@
     synDeclined @5 :FlowClaim;
     snapshot @6 :FleetSnapshot;
     synQueued @7 :FlowClaim;
+    absenceQuery @8 :AbsenceQuery;
+    absenceReply @9 :AbsenceReply;
   }
 }
