Timers follow what comes between ticks; a balancer says hello again to hosts that have not reported

Hosts that were not up when a balancer said hello heard of it again after 6.5 s at 136 hosts; loads and certificates came so late. Now a packet brings the tick forward, and a hello is repeated after 150, 450, ... ms to those that are missing.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -97,6 +97,7 @@
                 return;
             }
             machine_.onPacket(packet->segment, bytes, clock_.now());
+            wake();
         }
 
         void onMessage(const fleet::Message& message)
@@ -112,8 +113,11 @@
                 machine_.onAbsenceReply(*reply, now);
             else if (const auto* queued = std::get_if<fleet::SynQueued>(&message))
                 machine_.onQueued(*queued);
+            wake();
         }
 
+        void wake() { tickBy(std::max(machine_.wakeAt(), clock_.now() + shortestTick)); }
+
         void onReport(const fleet::FlowReport& report, base::TimePoint now)
         {
             machine_.onReport(report, now);
@@ -148,6 +152,7 @@
             onTraffic([this, records = snapshot->hosts] {
                 machine_.addHosts(records, clock_.now());
                 transport_.flush();
+                wake();
             });
         }
 
@@ -196,6 +201,7 @@
             onTraffic([this, routes = std::make_shared<const fleet::RouteTable>(std::move(*table))] {
                 machine_.setRoutes(routes);
                 noteReady(clock_.now());
+                wake();
             });
         }
 
@@ -222,6 +228,7 @@
                 machine_.setRegistry(records, extent, clock_.now());
                 transport_.flush();
                 noteReady(clock_.now());
+                wake();
             });
         }
 
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -204,8 +204,15 @@
     scheduleTick(clock_.now());
 }
 
+void FleetProcess::tickBy(base::TimePoint at)
+{
+    if (tick_ && at < nextTick_)
+        scheduleTick(at);
+}
+
 void FleetProcess::scheduleTick(base::TimePoint at)
 {
+    nextTick_ = at;
     tickTimer_.expires_at(at);
     tickTimer_.async_wait([this](boost::system::error_code error) {
         if (!error)
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -67,6 +67,9 @@
     /// @brief Calls `tick` on the traffic thread and again at the time that it returns.
     void startTicking(std::function<base::TimePoint(base::TimePoint)> tick);
 
+    /// @brief Brings the next tick forward to `at`, if it is later; on the traffic thread.
+    void tickBy(base::TimePoint at);
+
     /// @brief Where neighbours take messages and answer calls: all processes use the same port.
     std::vector<base::Endpoint> neighbours() const;
 
@@ -90,6 +93,7 @@
     boost::asio::signal_set stopSignals_;
     boost::asio::signal_set reloadSignals_;
     boost::asio::steady_timer tickTimer_;
+    base::TimePoint nextTick_ = base::TimePoint::max();
     std::function<base::TimePoint(base::TimePoint)> tick_;
     std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> acceptors_;
 };
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -199,6 +199,7 @@
             } else if (const auto* query = std::get_if<fleet::AbsenceQuery>(&message)) {
                 machine_.onAbsenceQuery(*query);
             }
+            tickBy(machine_.nextTick(now));
         }
 
         void onHostPacket(core::Bytes bytes)
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -71,6 +71,8 @@
     std::size_t maxPendingSyns = 4'096;
     std::size_t maxFlows = 400'000; ///< owners remembered; 64 bytes each
     base::Duration helloInterval = std::chrono::seconds(1); ///< how often sidecars hear of this balancer at most
+    base::Duration shortestAsk
+        = std::chrono::milliseconds(150); ///< until a host that has not reported yet hears of it again; doubles
     double controlBytesPerSecond = 2'500; ///< half of a node's 5 KB/s; the other half is what others send
 };
 
@@ -101,6 +103,9 @@
     /// @brief When tick() has something to do next.
     base::TimePoint nextTick() const;
 
+    /// @brief When what has come since the last tick() needs one. Cheap: to be asked after every packet.
+    base::TimePoint wakeAt() const { return wakeAt_; }
+
     /// @brief Whether a new flow would be placed, or refused for a reason that is known.
     bool ready(base::TimePoint now) const;
 
@@ -130,6 +135,7 @@
     void place(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void takeHosts(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
     bool holdForHosts(PendingSyn& pending, base::TimePoint now);
+    void wakeBy(base::TimePoint at) { wakeAt_ = std::min(wakeAt_, at); }
     void sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void retry(PendingSyn& pending, base::TimePoint now);
     void refuse(const core::Segment& segment, std::string_view reason);
@@ -142,6 +148,7 @@
     void askForAbsence(base::TimePoint now);
     void repairClaims(base::TimePoint now);
     void sayHello(base::TimePoint now);
+    void askUnheard(base::TimePoint now);
     base::Duration helloInterval() const;
 
     BalancerRules rules_;
@@ -156,7 +163,10 @@
     AbsenceInquiry absence_;
     boost::unordered_flat_map<Endpoint, base::TimePoint, core::EndpointHash> ejectedAt_; // told since
     boost::unordered_flat_map<core::FlowKey, PendingSyn, core::FlowKeyHash> pending_;
+    base::TimePoint wakeAt_ = base::TimePoint::max();
     base::TimePoint nextHello_;
+    base::TimePoint nextAsk_ = base::TimePoint::max(); // of hosts that have not reported yet
+    base::Duration askPause_ { 0 };
     base::TimePoint nextSweep_;
     std::array<std::uint64_t, balancerCounts> counts_ {};
 };
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -87,6 +87,11 @@
     board_.setRegistered(records, extent, now);
     for (const auto& sidecar : newcomers)
         output_.tell(sidecar, hello());
+    if (!newcomers.empty()) {
+        askPause_ = rules_.shortestAsk;
+        nextAsk_ = now + askPause_;
+        wakeBy(nextAsk_);
+    }
 }
 
 BalancerHello Balancer::hello(bool wantsFlows) const
@@ -222,6 +227,7 @@
     pending.candidates.clear();
     pending.tried.clear();
     pending.retryAt = std::min(now + rules_.hostWait, pending.expiresAt);
+    wakeBy(pending.retryAt);
     return true;
 }
 
@@ -234,6 +240,7 @@
     board_.notePlaced(to);
     bump(BalancerCount::FlowsPlaced);
     pending.retryAt = now + rules_.synPatience;
+    wakeBy(pending.retryAt);
     Forward forward;
     forward.purpose = ForwardPurpose::Open;
     forward.service = pending.service;
@@ -311,6 +318,8 @@
         forward.candidates.push_back(order[at]->record.sidecar);
     if (segment.ack && !segment.rst)
         absence_.note(segment, now);
+    if (const auto due = absence_.nextDue())
+        wakeBy(*due);
     bump(BalancerCount::ForwardedLookup);
     output_.forward(forward.candidates.front(), forward);
 }
@@ -377,6 +386,7 @@
 
 void Balancer::tick(base::TimePoint now)
 {
+    wakeAt_ = base::TimePoint::max();
     std::vector<core::FlowKey> due;
     for (const auto& [key, pending] : pending_) {
         if (now >= pending.retryAt)
@@ -398,6 +408,7 @@
             pending.retryAt = pending.expiresAt; // the caller's next copy goes on
     }
     askForAbsence(now);
+    askUnheard(now);
     if (now >= nextHello_)
         sayHello(now);
     if (now >= nextSweep_) {
@@ -472,6 +483,22 @@
     nextHello_ = now + helloInterval();
 }
 
+// All may have started at the same moment: a hello that came too early is said again, to those alone that are missing.
+void Balancer::askUnheard(base::TimePoint now)
+{
+    if (now < nextAsk_)
+        return;
+    bool missing = false;
+    for (const auto& [sidecar, host] : board_.hosts()) {
+        if (host.heardAt != base::TimePoint {} || !board_.current(host, now))
+            continue;
+        output_.tell(sidecar, hello());
+        missing = true;
+    }
+    askPause_ = std::min(askPause_ * 2, helloInterval());
+    nextAsk_ = missing ? now + askPause_ : base::TimePoint::max();
+}
+
 base::Duration Balancer::helloInterval() const
 {
     const std::chrono::duration<double> paced(
@@ -481,7 +508,7 @@
 
 base::TimePoint Balancer::nextTick() const
 {
-    auto next = std::min(nextHello_, nextSweep_);
+    auto next = std::min({ nextHello_, nextSweep_, nextAsk_ });
     if (const auto due = absence_.nextDue())
         next = std::min(next, *due);
     for (const auto& [key, pending] : pending_)
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -71,6 +71,7 @@
     CHECK(fixture.output.forwards.size() == 1);
     fixture.pass(milliseconds(25));
     REQUIRE(fixture.output.forwards.size() == 2);
+    CHECK((fixture.machine.wakeAt() <= fixture.now + milliseconds(40))); // whatever the last tick had planned
     const auto silent = fixture.output.forwards[0].to;
     CHECK(fixture.output.forwards[1].to != silent);
 
@@ -261,6 +262,34 @@
     CHECK(fixture.output.forwards.back().forward.purpose == ForwardPurpose::Lookup);
 }
 
+TEST_CASE("load: hosts of a large list that were not up when a balancer said hello hear of it again soon")
+{
+    BalancerRecorder output;
+    auto now = base::TimePoint { std::chrono::hours(1) };
+    const auto placement = makeLeastLoadedPlacement({});
+    Balancer balancer(Fixture::rules(), *placement, output, now);
+    std::vector<HostRecord> many;
+    for (int i = 1; i <= 136; ++i)
+        many.push_back(hostOf(("10.0.1." + std::to_string(i) + ":80").c_str()));
+    balancer.setRegistry(many, ListExtent::Partial, now);
+    balancer.tick(now); // the first hello to all
+    for (std::size_t i = 0; i < many.size(); ++i) {
+        if (i % 2 == 0)
+            balancer.onReport({ many[i], {}, {} }, now);
+    }
+    output.told.clear();
+    for (int i = 0; i < 6; ++i)
+        balancer.tick(now += milliseconds(100));
+    const auto hellos = output.toldOf<BalancerHello>().size();
+    CHECK(hellos == 2 * 68); // after 150 and 450 ms, to those that have not reported
+    for (const auto& record : many)
+        balancer.onReport({ record, {}, {} }, now);
+    output.told.clear();
+    for (int i = 0; i < 40; ++i)
+        balancer.tick(now += milliseconds(100));
+    CHECK(output.toldOf<BalancerHello>().empty());
+}
+
 TEST_CASE("thin registry: a missing host is no absence until the list is complete")
 {
     BalancerRecorder output;
