One circuit breaker for all calls of a process to the store: fewer calls while it is away, not more

store/circuit_breaker: after a failure one probe at a time, after 0.1 s and doubling to 1 s, half of it drawn; other calls fail at once and are counted as held back.

--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -42,7 +42,7 @@
 FleetProcess::FleetProcess(const FleetSettings& settings)
     : settings_(settings)
     , epoch_(unixMilliseconds())
-    , store_(settings.node.store, clock_, storeTimeout)
+    , store_(settings.node.store, clock_, storeTimeout, core::hashName(settings.node.name) ^ epoch_)
     , stopSignals_(control_, SIGTERM, SIGINT)
     , reloadSignals_(control_, SIGHUP)
     , tickTimer_(traffic_)
@@ -194,6 +194,7 @@
     state["store_cheap_reads"] = calls.cheapReads;
     state["store_writes"] = calls.writes;
     state["store_renewals"] = calls.renewals;
+    state["store_calls_held_back"] = calls.heldBack;
     state["store_failures"] = calls.failures;
     state["log_lines_dropped"] = base::droppedLines();
 }
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -26,7 +26,6 @@
     constexpr std::chrono::milliseconds checkpointRenewal { 20'000 };
     constexpr std::chrono::milliseconds finishTime { 400 }; // for the last write before the process ends
     constexpr std::chrono::milliseconds readRetry { 200 };
-    constexpr int readTries = 10;
 
     store::LeasedEntryRules checkpointRules()
     {
@@ -100,7 +99,8 @@
         // The flows that the process before this one held.
         Task readPredecessor()
         {
-            for (int i = 0; i < readTries; ++i) {
+            const auto giveUpAt = clock_.now() + settings_.node.settleTime; // flows are found in other ways by then
+            while (clock_.now() < giveUpAt) {
                 const auto flows = co_await store_.get(flowsKey(), store::Freshness::Latest);
                 if (flows) {
                     takeFlows(*flows);
--- /dev/null
+++ b/src/celerystile/store/circuit_breaker_test.cpp
@@ -0,0 +1,99 @@
+#include "celerystile/store/circuit_breaker.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <map>
+#include <vector>
+
+namespace celerystile::store {
+
+namespace {
+
+    using std::chrono::milliseconds;
+
+    const base::TimePoint start { std::chrono::hours(1) };
+
+    // A process with several users of the store, each of which tries again at its own pace.
+    struct Process {
+        CircuitBreaker breaker;
+        std::vector<base::TimePoint> nextTry;
+        base::TimePoint backAt {};
+    };
+
+    struct Outage {
+        std::map<long, std::size_t> callsPerSecond;
+        std::size_t calls = 0;
+        base::Duration lastBack { 0 }; // after the return
+    };
+
+    // The whole fleet while the store refuses every call for `away`.
+    Outage playOutage(std::size_t processes, std::size_t users, milliseconds away)
+    {
+        constexpr milliseconds localRetry { 300 };
+        std::vector<Process> fleet;
+        base::Random random(5);
+        for (std::size_t i = 0; i < processes; ++i) {
+            Process process { CircuitBreaker({}, i + 1), {}, {} };
+            for (std::size_t user = 0; user < users; ++user)
+                process.nextTry.push_back(start + milliseconds(random.below(1'000)));
+            fleet.push_back(std::move(process));
+        }
+        Outage outage;
+        const auto end = start + away;
+        for (auto now = start; now < end + milliseconds(4'000); now += milliseconds(1)) {
+            for (auto& process : fleet) {
+                for (auto& next : process.nextTry) {
+                    if (now < next || process.backAt != base::TimePoint {})
+                        continue;
+                    next = now + localRetry;
+                    if (!process.breaker.allow(now))
+                        continue;
+                    ++outage.calls;
+                    ++outage.callsPerSecond[(now - start) / std::chrono::seconds(1)];
+                    if (now < end) {
+                        process.breaker.noteFailed(now);
+                    } else {
+                        process.breaker.noteAnswered();
+                        process.backAt = now;
+                        outage.lastBack = std::max(outage.lastBack, now - end);
+                    }
+                }
+            }
+        }
+        return outage;
+    }
+
+} // namespace
+
+TEST_CASE("after a failure one probe at a time, less and less often, until the store answers")
+{
+    CircuitBreaker breaker({ milliseconds(100), milliseconds(1'000) }, 3);
+    CHECK(breaker.allow(start));
+    CHECK(breaker.allow(start)); // several calls at once while all is well
+    breaker.noteFailed(start);
+    CHECK(breaker.open());
+    breaker.noteFailed(start); // the other one
+    CHECK(!breaker.allow(start + milliseconds(49)));
+    CHECK(breaker.allow(start + milliseconds(100)));
+    CHECK(!breaker.allow(start + milliseconds(100))); // the probe is under way
+    breaker.noteFailed(start + milliseconds(100));
+    CHECK(!breaker.allow(start + milliseconds(199)));
+    CHECK(breaker.allow(start + milliseconds(300)));
+    breaker.noteAnswered();
+    CHECK(!breaker.open());
+    CHECK(breaker.allow(start + milliseconds(300)));
+}
+
+TEST_CASE("load: a fleet calls less while the store is away, and all are back within two seconds")
+{
+    const auto outage = playOutage(195, 4, milliseconds(9'000));
+    // Four users a process that each retry every 300 ms would make 23,400 calls.
+    CHECK(outage.calls < 195 * (9 * 2 + 6));
+    CHECK(outage.lastBack < std::chrono::seconds(2));
+    for (const auto& [second, calls] : outage.callsPerSecond) {
+        if (second > 0)
+            CHECK(calls <= 195 * 2);
+    }
+}
+
+} // namespace celerystile::store
