--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -1,4 +1,5 @@
 #include "celerystile/fleet/balancer.hpp"
+#include "celerystile/fleet/configuration_copies.hpp"
 #include "celerystile/store/prefix_poll.hpp"
 #include "celerystile/store/prefix_watch.hpp"
 #include "fleet_process.hpp"
@@ -21,9 +22,9 @@
 
     constexpr std::chrono::milliseconds leaveTime { 3'000 }; // routers drop a process after two missed checks a second
     constexpr std::chrono::milliseconds leaveMargin { 1'000 }; // before the platform kills
-    constexpr std::string_view snapshotPath = "/snapshot";
-    constexpr std::chrono::milliseconds neighbourTimeout { 400 };
     constexpr std::chrono::milliseconds neighbourInterval { 600 }; // while the store does not answer
+    constexpr std::chrono::milliseconds copyInterval { 200 }; // while no configuration is known
+    constexpr std::size_t copiesAsked = 2; // at once: one may be on its way out
     constexpr base::Duration shortestTick = std::chrono::milliseconds(5);
 
     class FleetBalancer final : public FleetProcess, private fleet::BalancerOutput {
@@ -68,6 +69,7 @@
             spawn("configuration", [this] { return configuration_.run(); });
             spawn("configuration recheck", [this] { return configuration_.recheck(); });
             spawn("registry", [this] { return registry_.run(); });
+            spawn("configuration copies", [this] { return findConfiguration(); });
             for (const auto& neighbour : neighbours())
                 spawn("neighbour " + neighbour.toString(), [this, neighbour] { return followNeighbour(neighbour); });
             startTicking([this](base::TimePoint now) {
@@ -109,8 +111,6 @@
                 machine_.onSidecarHello(*hello);
             else if (const auto* declined = std::get_if<fleet::SynDeclined>(&message))
                 machine_.onDeclined(*declined, now);
-            else if (const auto* reply = std::get_if<fleet::AbsenceReply>(&message))
-                machine_.onAbsenceReply(*reply, now);
             else if (const auto* queued = std::get_if<fleet::SynQueued>(&message))
                 machine_.onQueued(*queued);
             wake();
@@ -135,19 +135,31 @@
             }
         }
 
+        // When all balancers start anew while the store is away, some sidecars still have the configuration.
+        Task findConfiguration()
+        {
+            while (version_ == 0) {
+                const auto holders = co_await asio::co_spawn(
+                    traffic_,
+                    [this]() -> asio::awaitable<std::vector<base::Endpoint>> {
+                        co_return fleet::newestCopies(machine_.board().hosts(), copiesAsked);
+                    },
+                    asio::use_awaitable);
+                for (const auto& holder : holders) {
+                    const base::Endpoint status { holder.address, settings_.node.status.port };
+                    const auto snapshot = co_await fetchSnapshot(status);
+                    if (snapshot)
+                        applyConfiguration(snapshot->configuration, status.toString());
+                }
+                co_await pause(copyInterval);
+            }
+        }
+
         Task askNeighbour(base::Endpoint neighbour)
         {
-            base::HttpConnection connection(neighbour);
-            base::HttpRequest request;
-            request.target = snapshotPath;
-            const auto reply = co_await connection.exchange(std::move(request), neighbourTimeout);
-            if (!reply || reply->status != 200)
-                co_return;
-            const auto snapshot = readSealed<fleet::FleetSnapshot>(reply->body, settings_.keyring);
-            if (!snapshot) {
-                logEvent(Event::MessageRejected, { { "detail", snapshot.error().detail } });
+            const auto snapshot = co_await fetchSnapshot(neighbour);
+            if (!snapshot)
                 co_return;
-            }
             applyConfiguration(snapshot->configuration, neighbour.toString());
             onTraffic([this, records = snapshot->hosts] {
                 machine_.addHosts(records, clock_.now());
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -1,5 +1,7 @@
 #include "fleet_process.hpp"
 
+#include "fleet_transport.hpp"
+
 #include "platform/host_api.hpp"
 
 #include <boost/asio/detached.hpp>
@@ -137,6 +139,23 @@
     }
 }
 
+asio::awaitable<std::optional<fleet::FleetSnapshot>> FleetProcess::fetchSnapshot(base::Endpoint from)
+{
+    constexpr std::chrono::milliseconds timeout { 400 };
+    base::HttpConnection connection(from);
+    base::HttpRequest request;
+    request.target = snapshotPath;
+    const auto reply = co_await connection.exchange(std::move(request), timeout);
+    if (!reply || reply->status != 200)
+        co_return std::nullopt;
+    auto snapshot = readSealed<fleet::FleetSnapshot>(reply->body, settings_.keyring);
+    if (!snapshot) {
+        logEvent(Event::MessageRejected, { { "from", from.toString() }, { "detail", snapshot.error().detail } });
+        co_return std::nullopt;
+    }
+    co_return std::move(*snapshot);
+}
+
 base::Result<bool> FleetProcess::serve(const base::Endpoint& local)
 {
     auto acceptor = base::listen(control_, local);
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -3,6 +3,7 @@
 #include "celerystile/base/clock.hpp"
 #include "celerystile/base/events.hpp"
 #include "celerystile/base/http.hpp"
+#include "celerystile/fleet/message.hpp"
 #include "fleet_options.hpp"
 #include "platform/store_client.hpp"
 
@@ -22,6 +23,9 @@
 inline constexpr std::string_view hostsPrefix = "celerystile/hosts/";
 inline constexpr std::string_view flowsPrefix = "celerystile/flows/";
 
+/// @brief Where each process answers with a FleetSnapshot.
+inline constexpr std::string_view snapshotPath = "/snapshot";
+
 /// @brief A process: the main thread carries traffic, a second one the control state.
 class FleetProcess {
 public:
@@ -61,6 +65,9 @@
     /// @brief Runs `action` on the traffic thread.
     template <typename Action> void onTraffic(Action action) { boost::asio::post(traffic_, std::move(action)); }
 
+    /// @brief Asks another process for what it knows; none, with a log line where the answer can't be read.
+    boost::asio::awaitable<std::optional<fleet::FleetSnapshot>> fetchSnapshot(base::Endpoint from);
+
     /// @brief Serves onCall() at this address.
     base::Result<bool> serve(const base::Endpoint& local);
 
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -1,9 +1,11 @@
 #include "celerystile/fleet/sidecar.hpp"
 
+#include "celerystile/fleet/configuration_copies.hpp"
 #include "celerystile/store/leased_entry.hpp"
 #include "fleet_process.hpp"
 #include "fleet_transport.hpp"
 #include "platform/host_api.hpp"
+#include "platform/operator_config.hpp"
 #include "platform/packet.hpp"
 
 #include <boost/asio/detached.hpp>
@@ -45,6 +47,7 @@
             , entry_(store_, clock_, control_, std::string(hostsPrefix) + settings.node.packets.toString(), {})
             , checkpoint_(store_, clock_, control_, std::string(flowsPrefix) + settings.node.packets.toString(),
                   checkpointRules())
+            , keeper_({}, fleet::instanceId(settings.node.name))
         {
         }
 
@@ -194,14 +197,38 @@
                     ++malformed_;
             } else if (const auto* hello = std::get_if<fleet::BalancerHello>(&message)) {
                 machine_.onHello(*hello, now);
+                if (keeper_.wants(*hello, machine_.fleetHosts()))
+                    asio::post(control_, [this, from = hello->balancer] {
+                        spawn("configuration copy", [this, from] { return fetchConfiguration(from); });
+                    });
             } else if (const auto* held = std::get_if<fleet::HeldFlows>(&message)) {
                 machine_.onHeldFlows(*held, now);
-            } else if (const auto* query = std::get_if<fleet::AbsenceQuery>(&message)) {
-                machine_.onAbsenceQuery(*query);
             }
             tickBy(machine_.nextTick(now));
         }
 
+        Task fetchConfiguration(base::Endpoint from)
+        {
+            const auto snapshot = co_await fetchSnapshot(from);
+            const auto table = snapshot
+                ? platform::parseConfiguration(snapshot->configuration)
+                : base::Result<fleet::RouteTable>(base::failure(base::ErrorCode::Unavailable, "no answer"));
+            if (!table) {
+                logEvent(Event::ConfigurationUnreadable,
+                    { { "source", from.toString() }, { "detail", table.error().detail } });
+                onTraffic([this] { keeper_.noteFailed(); });
+                co_return;
+            }
+            if (table->version > configurationVersion_) {
+                configurationVersion_ = table->version;
+                configurationText_ = snapshot->configuration;
+            }
+            onTraffic([this, version = table->version] {
+                keeper_.noteFetched(version);
+                machine_.noteConfiguration(keeper_.version());
+            });
+        }
+
         void onHostPacket(core::Bytes bytes)
         {
             const auto packet = platform::readPacket(bytes, platform::PacketSource::Host);
@@ -219,6 +246,10 @@
 
         asio::awaitable<base::HttpReply> onCall(base::HttpRequest request) override
         {
+            if (request.target == snapshotPath)
+                co_return base::HttpReply { 200,
+                    sealedText(fleet::FleetSnapshot { configurationText_, {} }, settings_.keyring),
+                    "application/octet-stream" };
             const bool aboutHost = request.method == "PUT" || request.method == "DELETE";
             if (!aboutHost)
                 co_return co_await FleetProcess::onCall(std::move(request));
@@ -315,6 +346,9 @@
         fleet::Sidecar machine_;
         store::LeasedEntry entry_;
         store::LeasedEntry checkpoint_;
+        fleet::ConfigurationKeeper keeper_; // of the traffic thread
+        std::uint64_t configurationVersion_ = 0; // with the text, of the control thread
+        std::string configurationText_;
         DecisionLog log_;
         std::uint64_t checkpointed_ = 0;
         base::TimePoint checkpointedAt_ {};
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -296,8 +296,6 @@
                             at.process->onHello(*hello, now_);
                         else if (const auto* held = std::get_if<fleet::HeldFlows>(&message))
                             at.process->onHeldFlows(*held, now_);
-                        else if (const auto* query = std::get_if<fleet::AbsenceQuery>(&message))
-                            at.process->onAbsenceQuery(*query);
                     });
                 });
             } else if (const auto front = frontAt(to)) {
@@ -317,8 +315,6 @@
                 at.process->onDeclined(*declined, now_);
             else if (const auto* queued = std::get_if<fleet::SynQueued>(&message))
                 at.process->onQueued(*queued);
-            else if (const auto* reply = std::get_if<fleet::AbsenceReply>(&message))
-                at.process->onAbsenceReply(*reply, now_);
         }
 
         // A frozen machine reads what has come once it runs again.
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -1,6 +1,5 @@
 #pragma once
 
-#include "celerystile/fleet/absence_inquiry.hpp"
 #include "celerystile/fleet/claim_repair.hpp"
 #include "celerystile/fleet/decision.hpp"
 #include "celerystile/fleet/lookup_walk.hpp"
@@ -31,8 +30,6 @@
     DropUnsettled, ///< SYNs before a configuration is known, or too many at once
     SynHeld, ///< SYNs without a host, while others may be missing from the list
     DropQueuedCopy, ///< copies of SYNs that wait at a sidecar
-    AbsenceAsked, ///< questions to all hosts about flows that nobody seems to hold
-    AbsenceCertified, ///< callers reset because no host holds their flow
     ClaimsAsked, ///< sidecars asked to tell all their flows again
     Count_,
 };
@@ -61,9 +58,6 @@
     HostBoardRules board;
     ClaimRepairRules repair;
     LookupWalkRules lookup;
-    AbsenceInquiryRules absence;
-    base::Duration commonRestart = std::chrono::seconds(10); ///< hosts that are not older than this process by more
-                                                             ///< lost power with it
     OutlierRules outliers;
     base::Duration synPatience = std::chrono::milliseconds(40); ///< a host's handshake takes a few milliseconds
     base::Duration hostWait = std::chrono::milliseconds(50); ///< between tries to place a SYN while hosts are missing
@@ -93,7 +87,6 @@
     void onSidecarHello(const SidecarHello& from);
     void onDeclined(const SynDeclined& declined, base::TimePoint now);
     void onQueued(const SynQueued& queued);
-    void onAbsenceReply(const AbsenceReply& reply, base::TimePoint now);
 
     /// @brief All hosts that are registered or heard of, for another balancer.
     std::vector<HostRecord> hostRecords(base::TimePoint now) const;
@@ -144,8 +137,6 @@
     void describe(Forward& forward, const core::Segment& segment) const;
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     BalancerHello hello(bool wantsFlows = false) const;
-    std::vector<Endpoint> hostsForCertificate(base::TimePoint now) const;
-    void askForAbsence(base::TimePoint now);
     void repairClaims(base::TimePoint now);
     void sayHello(base::TimePoint now);
     void askUnheard(base::TimePoint now);
@@ -160,7 +151,6 @@
     OwnerTable owners_;
     ClaimRepair repair_;
     LookupWalk lookups_;
-    AbsenceInquiry absence_;
     boost::unordered_flat_map<Endpoint, base::TimePoint, core::EndpointHash> ejectedAt_; // told since
     boost::unordered_flat_map<core::FlowKey, PendingSyn, core::FlowKeyHash> pending_;
     base::TimePoint wakeAt_ = base::TimePoint::max();
--- a/include/celerystile/fleet/host_record.hpp
+++ b/include/celerystile/fleet/host_record.hpp
@@ -45,7 +45,7 @@
     std::uint32_t busyFlows = 0; ///< flows with a request that is not answered yet
     std::uint32_t failurePermille = 0; ///< requests of late that were reset or left unanswered, in thousandths
     std::uint32_t reportMilliseconds = 0; ///< longest time between the sidecar's reports; 0: not told
-    bool flowsKnown = false; ///< the host holds no flow that its sidecar does not know
+    std::uint64_t configurationVersion = 0; ///< of the copy that the sidecar keeps; 0: none
     bool restarting = false; ///< the sidecar stops and is expected back; its host goes on
 
     bool operator==(const HostRecord&) const = default;
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -76,6 +76,7 @@
     std::uint32_t hosts = 0; ///< how many hosts it knows, by which shared budgets are divided
     std::uint32_t intervalMilliseconds = 0; ///< longest time between its hellos; 0: not told
     bool wantsFlows = false; ///< it has missed claims of the receiver and asks for all of them
+    std::uint64_t configurationVersion = 0; ///< in force; 0: none yet
 
     bool operator==(const BalancerHello&) const = default;
 };
@@ -123,25 +124,7 @@
 /// @brief Most flows named in one datagram, which then stays below 1,500 bytes.
 inline constexpr std::size_t maxFlowsPerDatagram = 48;
 
-/// @brief Asks a sidecar which of these flows its host holds.
-struct AbsenceQuery {
-    Endpoint balancer;
-    std::uint32_t id = 0; ///< of the question, for its balancer
-    std::vector<core::FlowKey> flows; ///< at most maxFlowsPerDatagram
-
-    bool operator==(const AbsenceQuery&) const = default;
-};
-
-struct AbsenceReply {
-    Endpoint sidecar;
-    std::uint32_t id = 0;
-    bool certain = false; ///< the host holds no flow that its sidecar does not know
-    std::uint64_t held = 0; ///< a bit for each flow of the question, the lowest for the first
-
-    bool operator==(const AbsenceReply&) const = default;
-};
-
-using Message = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot,
-    SynQueued, AbsenceQuery, AbsenceReply>;
+using Message
+    = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot, SynQueued>;
 
 } // namespace celerystile::fleet
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -126,7 +126,6 @@
 
     void onHello(const BalancerHello& hello, base::TimePoint now);
     void onHeldFlows(const HeldFlows& held, base::TimePoint now);
-    void onAbsenceQuery(const AbsenceQuery& query);
 
     /// @brief The process stops and is expected back: it takes no new flow, and balancers do not take its silence for a
     /// loss.
@@ -135,6 +134,9 @@
     /// @brief Asks these balancers which flows were held here, and again until one has been heard of.
     void askBalancers(const std::vector<Endpoint>& balancers, base::TimePoint now);
 
+    /// @brief This sidecar keeps a copy of that version of the configuration.
+    void noteConfiguration(std::uint64_t version) { configurationVersion_ = version; }
+
     void tick(base::TimePoint now);
 
     /// @brief When tick() has something to do next.
@@ -256,6 +258,7 @@
     base::Duration nextReportWithin_; // until the next report at the latest; others are told
     base::TimePoint lastTick_;
     base::TimePoint nextSweep_;
+    std::uint64_t configurationVersion_ = 0;
     std::uint64_t checkpointVersion_ = 0;
     std::uint32_t fleetHosts_ = 1;
     std::array<std::uint64_t, sidecarCounts> counts_ {};
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -21,8 +21,6 @@
         "drop_unsettled",
         "syn_held",
         "drop_queued_copy",
-        "absence_asked",
-        "absence_certified",
         "claims_asked",
     };
 
@@ -51,7 +49,6 @@
     , owners_(rules.maxFlows)
     , repair_(rules.repair)
     , lookups_(rules.lookup)
-    , absence_(rules.absence)
     , nextHello_(start)
     , nextSweep_(start + sweepInterval)
 {
@@ -98,7 +95,7 @@
 {
     const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(helloInterval()).count();
     return { rules_.self, rules_.epoch, static_cast<std::uint32_t>(board_.hosts().size()),
-        static_cast<std::uint32_t>(interval), wantsFlows };
+        static_cast<std::uint32_t>(interval), wantsFlows, routes_->version };
 }
 
 void Balancer::onPacket(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
@@ -316,10 +313,6 @@
     const auto parts = (order.size() + maxCandidates - 1) / maxCandidates;
     for (auto at = round % parts * maxCandidates; at < order.size() && forward.candidates.size() < maxCandidates; ++at)
         forward.candidates.push_back(order[at]->record.sidecar);
-    if (segment.ack && !segment.rst)
-        absence_.note(segment, now);
-    if (const auto due = absence_.nextDue())
-        wakeBy(*due);
     bump(BalancerCount::ForwardedLookup);
     output_.forward(forward.candidates.front(), forward);
 }
@@ -407,12 +400,10 @@
         else
             pending.retryAt = pending.expiresAt; // the caller's next copy goes on
     }
-    askForAbsence(now);
     askUnheard(now);
     if (now >= nextHello_)
         sayHello(now);
     if (now >= nextSweep_) {
-        absence_.expire(now);
         owners_.expire(routes_->idleTimeout * 2, now);
         board_.expire(now);
         lookups_.expire(now);
@@ -423,50 +414,6 @@
     }
 }
 
-// The hosts whose answers together prove that nobody holds a flow; none if there is no such proof now. A list that may
-// be incomplete will do when all its hosts have started with this process: then all others have lost their flows too.
-std::vector<Endpoint> Balancer::hostsForCertificate(base::TimePoint now) const
-{
-    const auto commonRestart = std::chrono::duration_cast<std::chrono::milliseconds>(rules_.commonRestart).count();
-    std::vector<Endpoint> hosts;
-    for (const auto& [sidecar, host] : board_.hosts()) {
-        if (!board_.current(host, now) || host.record.state == HostState::Gone)
-            continue;
-        const bool young = host.record.born + static_cast<std::uint64_t>(commonRestart) >= rules_.epoch;
-        if (!host.record.flowsKnown || (!hostsComplete_ && !young))
-            return {};
-        hosts.push_back(sidecar);
-    }
-    if (hosts.size() > absence_.maxHosts())
-        hosts.clear();
-    return hosts;
-}
-
-void Balancer::askForAbsence(base::TimePoint now)
-{
-    if (!absence_.due(now))
-        return;
-    const auto hosts = hostsForCertificate(now);
-    if (hosts.empty())
-        return absence_.discard();
-    const auto query = absence_.ask(rules_.self, hosts, now);
-    bump(BalancerCount::AbsenceAsked);
-    for (const auto& sidecar : hosts)
-        output_.tell(sidecar, query);
-}
-
-void Balancer::onAbsenceReply(const AbsenceReply& reply, base::TimePoint now)
-{
-    for (const auto& segment : absence_.onReply(reply)) {
-        if (owners_.resolve(segment, now))
-            continue;
-        bump(BalancerCount::AbsenceCertified);
-        output_.decided({ DecisionKind::FlowReset, segment.key, "no host holds it", std::nullopt, routes_->version,
-            static_cast<std::uint32_t>(board_.hosts().size()), {} });
-        output_.reset(segment);
-    }
-}
-
 void Balancer::repairClaims(base::TimePoint now)
 {
     for (const auto& sidecar : repair_.check(board_.hosts(), owners_.counts(), now)) {
@@ -509,8 +456,6 @@
 base::TimePoint Balancer::nextTick() const
 {
     auto next = std::min({ nextHello_, nextSweep_, nextAsk_ });
-    if (const auto due = absence_.nextDue())
-        next = std::min(next, *due);
     for (const auto& [key, pending] : pending_)
         next = std::min(next, pending.retryAt);
     return next;
--- a/src/celerystile/fleet/sidecar_memory.cpp
+++ b/src/celerystile/fleet/sidecar_memory.cpp
@@ -53,7 +53,7 @@
     record.busyFlows = meter_.load();
     record.failurePermille = meter_.failurePermille(now);
     record.restarting = restarting_;
-    record.flowsKnown = flowsKnown();
+    record.configurationVersion = configurationVersion_;
     record.reportMilliseconds
         = static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::milliseconds>(nextReportWithin_).count());
     return record;
@@ -141,16 +141,6 @@
 // Whether the host started under this process, or the predecessor handed over all flows.
 bool Sidecar::flowsKnown() const { return host_.known() && (flowsComplete_ || host_.startedHere()); }
 
-void Sidecar::onAbsenceQuery(const AbsenceQuery& query)
-{
-    AbsenceReply reply { rules_.self, query.id, flowsKnown(), 0 };
-    for (std::size_t i = 0; i < query.flows.size() && i < maxFlowsPerDatagram; ++i) {
-        if (table_.find(query.flows[i]))
-            reply.held |= std::uint64_t { 1 } << i;
-    }
-    output_.tell(query.balancer, reply);
-}
-
 void Sidecar::adoptHeld(const HeldFlows& held, base::TimePoint now)
 {
     const bool otherIncarnation = held.born != 0 && held.born < host_.born();
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -351,47 +351,31 @@
     }
 }
 
-TEST_CASE("a sidecar is certain of its host's flows only if no predecessor can have opened any")
+TEST_CASE("a last checkpoint is complete only if no predecessor can have opened flows that were never learnt")
 {
-    constexpr std::uint64_t epoch = 3; // of the fixture's process
-    const auto certain = [](Fixture& fixture) {
-        fixture.output.told.clear();
-        fixture.machine.onAbsenceQuery({ balancer, 9, { synOf(caller).key, synOf("100.64.0.8:1").key } });
-        const auto replies = fixture.output.toldOf<AbsenceReply>();
-        REQUIRE(replies.size() == 1);
-        CHECK(replies.front().id == 9);
-        return replies.front().certain;
-    };
-    SUBCASE("the host has not spoken")
+    const auto now = base::TimePoint { std::chrono::hours(1) };
+    auto rules = Fixture::rules();
+    rules.epoch = 10'000;
+    SidecarRecorder output;
+    Sidecar machine(rules, output, now);
+    SUBCASE("the host may be older than the process")
     {
-        Fixture fixture(0);
-        CHECK(!certain(fixture));
+        machine.onHeartbeat(report(1, 9'500), now);
+        machine.announceRestart(now);
+        CHECK(!machine.checkpoint().complete);
     }
     SUBCASE("both started together")
     {
-        Fixture fixture(0);
-        fixture.machine.onHeartbeat(report(3, epoch), fixture.now);
-        CHECK(certain(fixture));
+        machine.onHeartbeat(report(3, 9'800), now);
+        machine.announceRestart(now);
+        CHECK(machine.checkpoint().complete);
     }
-    SUBCASE("the host may be older than the process")
+    SUBCASE("the host has started anew since")
     {
-        auto rules = Fixture::rules();
-        rules.epoch = 10'000;
-        SidecarRecorder output;
-        const auto now = base::TimePoint { std::chrono::hours(1) };
-        Sidecar machine(rules, output, now);
         machine.onHeartbeat(report(1, 9'500), now);
-        CHECK(!machine.record(now).flowsKnown);
-        machine.onHeartbeat(report(1, 12'000), now); // starts again
-        CHECK(machine.record(now).flowsKnown);
-    }
-    SUBCASE("flows that it knows are named")
-    {
-        Fixture fixture;
-        fixture.open();
-        fixture.output.told.clear();
-        fixture.machine.onAbsenceQuery({ balancer, 9, { synOf("100.64.0.8:1").key, synOf(caller).key } });
-        CHECK(fixture.output.toldOf<AbsenceReply>().front().held == 2);
+        machine.onHeartbeat(report(1, 12'000), now);
+        machine.announceRestart(now);
+        CHECK(machine.checkpoint().complete);
     }
 }
 
@@ -410,7 +394,6 @@
         fixture.machine.onHeartbeat(report(40), fixture.now);
         fixture.machine.onForward(lookup(), dataOf(caller, 500), fixture.now);
         CHECK(fixture.output.delivered.size() == 1);
-        CHECK(!fixture.machine.record(fixture.now).flowsKnown);
     }
     SUBCASE("in order")
     {
@@ -469,7 +452,8 @@
     Fixture successor(0);
     successor.machine.onHeldFlows(checkpoint, successor.now);
     successor.machine.onHeartbeat(report(2), successor.now);
-    CHECK(successor.machine.record(successor.now).flowsKnown);
+    successor.machine.announceRestart(successor.now);
+    CHECK(successor.machine.checkpoint().complete);
     successor.output.delivered.clear();
     successor.machine.onForward(lookup(), dataOf("100.64.0.8:2", 701), successor.now);
     CHECK(successor.output.delivered.size() == 1);
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -122,7 +122,7 @@
         to.setOpenFlows(value.openFlows);
         to.setBusyFlows(value.busyFlows);
         to.setReportMilliseconds(value.reportMilliseconds);
-        to.setFlowsKnown(value.flowsKnown);
+        to.setConfigurationVersion(value.configurationVersion);
         to.setRestarting(value.restarting);
         to.setFailurePermille(static_cast<std::uint16_t>(value.failurePermille));
     }
@@ -144,7 +144,7 @@
         value.openFlows = from.getOpenFlows();
         value.busyFlows = from.getBusyFlows();
         value.reportMilliseconds = from.getReportMilliseconds();
-        value.flowsKnown = from.getFlowsKnown();
+        value.configurationVersion = from.getConfigurationVersion();
         value.restarting = from.getRestarting();
         value.failurePermille = from.getFailurePermille();
         return value;
@@ -172,16 +172,6 @@
         return fleet::Message { std::move(value) };
     }
 
-    base::Result<fleet::Message> read(schema::AbsenceQuery::Reader from)
-    {
-        fleet::AbsenceQuery value { read(from.getBalancer()), from.getId(), {} };
-        if (from.getFlows().size() > fleet::maxFlowsPerDatagram)
-            return failure(ErrorCode::Malformed, "too many flows in a question");
-        for (const auto flow : from.getFlows())
-            value.flows.push_back(read(flow).key);
-        return fleet::Message { std::move(value) };
-    }
-
     base::Result<fleet::Message> readMessage(schema::FleetMessage::Reader from)
     {
         switch (from.which()) {
@@ -192,7 +182,8 @@
         case schema::FleetMessage::BALANCER_HELLO: {
             const auto hello = from.getBalancerHello();
             return fleet::Message { fleet::BalancerHello { read(hello.getBalancer()), hello.getEpoch(),
-                hello.getHosts(), hello.getIntervalMilliseconds(), hello.getWantsFlows() } };
+                hello.getHosts(), hello.getIntervalMilliseconds(), hello.getWantsFlows(),
+                hello.getConfigurationVersion() } };
         }
         case schema::FleetMessage::SIDECAR_HELLO:
             return fleet::Message { fleet::SidecarHello { read(from.getSidecarHello()) } };
@@ -207,13 +198,6 @@
             return fleet::Message { fleet::SynQueued { read(from.getSynQueued()).key } };
         case schema::FleetMessage::SNAPSHOT:
             return read(from.getSnapshot());
-        case schema::FleetMessage::ABSENCE_QUERY:
-            return read(from.getAbsenceQuery());
-        case schema::FleetMessage::ABSENCE_REPLY: {
-            const auto reply = from.getAbsenceReply();
-            return fleet::Message { fleet::AbsenceReply {
-                read(reply.getSidecar()), reply.getId(), reply.getCertain(), reply.getHeld() } };
-        }
         }
         return failure(ErrorCode::Malformed, "unknown message");
     }
@@ -235,6 +219,7 @@
             write(hello.initBalancer(), value.balancer);
             hello.setEpoch(value.epoch);
             hello.setHosts(value.hosts);
+            hello.setConfigurationVersion(value.configurationVersion);
             hello.setWantsFlows(value.wantsFlows);
             hello.setIntervalMilliseconds(value.intervalMilliseconds);
         }
@@ -248,23 +233,6 @@
             held.setSequence(value.sequence);
             write(held.initFlows(static_cast<unsigned>(value.flows.size())), value.flows);
         }
-        void operator()(const fleet::AbsenceQuery& value)
-        {
-            auto query = root.initAbsenceQuery();
-            write(query.initBalancer(), value.balancer);
-            query.setId(value.id);
-            auto flows = query.initFlows(static_cast<unsigned>(value.flows.size()));
-            for (unsigned i = 0; i < flows.size(); ++i)
-                write(flows[i], fleet::FlowClaim { value.flows[i] });
-        }
-        void operator()(const fleet::AbsenceReply& value)
-        {
-            auto reply = root.initAbsenceReply();
-            write(reply.initSidecar(), value.sidecar);
-            reply.setId(value.id);
-            reply.setHeld(value.held);
-            reply.setCertain(value.certain);
-        }
         void operator()(const fleet::SynQueued& value) { write(root.initSynQueued(), fleet::FlowClaim { value.key }); }
         void operator()(const fleet::FleetSnapshot& value)
         {
--- a/src/celerystile/peer/fleet_message_test.cpp
+++ b/src/celerystile/peer/fleet_message_test.cpp
@@ -36,7 +36,7 @@
         record.openFlows = 3;
         record.busyFlows = 2;
         record.failurePermille = 250;
-        record.flowsKnown = true;
+        record.configurationVersion = 9;
         return record;
     }
 
@@ -47,13 +47,11 @@
 TEST_CASE("messages of a fleet are read as they were written")
 {
     roundTrip(fleet::FlowReport { host(), { claim(), claim() }, { claim() } });
-    roundTrip(fleet::BalancerHello { endpoint("10.9.0.1:7720"), 4, 10, 9'600, true });
+    roundTrip(fleet::BalancerHello { endpoint("10.9.0.1:7720"), 4, 10, 9'600, true, 7 });
     roundTrip(fleet::SidecarHello { endpoint("10.9.0.1:7720") });
     roundTrip(fleet::HeldFlows { 7, 12, true, 9, { claim() } });
     roundTrip(fleet::SynDeclined { claim().key });
     roundTrip(fleet::SynQueued { claim().key });
-    roundTrip(fleet::AbsenceQuery { endpoint("10.9.0.1:7720"), 4, { claim().key } });
-    roundTrip(fleet::AbsenceReply { endpoint("10.0.0.1:80"), 4, true, 5 });
     roundTrip(fleet::FleetSnapshot { "text", { host() } });
 }
 
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -42,7 +42,7 @@
   restarting @11 :Bool;
   failurePermille @12 :UInt16;
   instance @13 :UInt32;
-  flowsKnown @14 :Bool;
+  configurationVersion @14 :UInt64;
 }
 
 struct FlowClaim {
@@ -67,6 +67,7 @@
   hosts @2 :UInt32;
   wantsFlows @3 :Bool;
   intervalMilliseconds @4 :UInt32;
+  configurationVersion @5 :UInt64;
 }
 
 struct HeldFlows {
@@ -77,19 +78,6 @@
   sequence @4 :UInt64;
 }
 
-struct AbsenceQuery {
-  balancer @0 :Address;
-  id @1 :UInt32;
-  flows @2 :List(FlowClaim);
-}
-
-struct AbsenceReply {
-  sidecar @0 :Address;
-  id @1 :UInt32;
-  held @2 :UInt64;
-  certain @3 :Bool;
-}
-
 struct FleetSnapshot {
   configuration @0 :Data;
   hosts @1 :List(HostRecord);
@@ -105,7 +93,5 @@
     synDeclined @5 :FlowClaim;
     snapshot @6 :FleetSnapshot;
     synQueued @7 :FlowClaim;
-    absenceQuery @8 :AbsenceQuery;
-    absenceReply @9 :AbsenceReply;
   }
 }
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -23,8 +23,6 @@
 CAPNP_DECLARE_SCHEMA(ded8aa68a8056ded);
 CAPNP_DECLARE_SCHEMA(dff0407799e40763);
 CAPNP_DECLARE_SCHEMA(db708e03ebf1fbc1);
-CAPNP_DECLARE_SCHEMA(88c190feaa940721);
-CAPNP_DECLARE_SCHEMA(958ce3cb6c50d0eb);
 CAPNP_DECLARE_SCHEMA(c56842d120d60211);
 CAPNP_DECLARE_SCHEMA(a6eac2e750961be4);
 
@@ -73,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cac369ad427ba682, 8, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cac369ad427ba682, 9, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -118,7 +116,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dff0407799e40763, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dff0407799e40763, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -140,36 +138,6 @@
   };
 };
 
-struct AbsenceQuery {
-  AbsenceQuery() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(88c190feaa940721, 1, 2)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
-struct AbsenceReply {
-  AbsenceReply() = delete;
-
-  class Reader;
-  class Builder;
-  class Pipeline;
-
-  struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(958ce3cb6c50d0eb, 2, 1)
-    #if !CAPNP_LITE
-    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
-    #endif  // !CAPNP_LITE
-  };
-};
-
 struct FleetSnapshot {
   FleetSnapshot() = delete;
 
@@ -200,8 +168,6 @@
     SYN_DECLINED,
     SNAPSHOT,
     SYN_QUEUED,
-    ABSENCE_QUERY,
-    ABSENCE_REPLY,
   };
 
   struct _capnpPrivate {
@@ -498,7 +464,7 @@
 
   inline  ::uint32_t getInstance() const;
 
-  inline bool getFlowsKnown() const;
+  inline  ::uint64_t getConfigurationVersion() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -574,8 +540,8 @@
   inline  ::uint32_t getInstance();
   inline void setInstance( ::uint32_t value);
 
-  inline bool getFlowsKnown();
-  inline void setFlowsKnown(bool value);
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -840,6 +806,8 @@
 
   inline  ::uint32_t getIntervalMilliseconds() const;
 
+  inline  ::uint64_t getConfigurationVersion() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -887,6 +855,9 @@
   inline  ::uint32_t getIntervalMilliseconds();
   inline void setIntervalMilliseconds( ::uint32_t value);
 
+  inline  ::uint64_t getConfigurationVersion();
+  inline void setConfigurationVersion( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1015,200 +986,6 @@
 };
 #endif  // !CAPNP_LITE
 
-class AbsenceQuery::Reader {
-public:
-  typedef AbsenceQuery Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasBalancer() const;
-  inline  ::celerystile::peer::schema::Address::Reader getBalancer() const;
-
-  inline  ::uint32_t getId() const;
-
-  inline bool hasFlows() const;
-  inline  ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>::Reader getFlows() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class AbsenceQuery::Builder {
-public:
-  typedef AbsenceQuery Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasBalancer();
-  inline  ::celerystile::peer::schema::Address::Builder getBalancer();
-  inline void setBalancer( ::celerystile::peer::schema::Address::Reader value);
-  inline  ::celerystile::peer::schema::Address::Builder initBalancer();
-  inline void adoptBalancer(::capnp::Orphan< ::celerystile::peer::schema::Address>&& value);
-  inline ::capnp::Orphan< ::celerystile::peer::schema::Address> disownBalancer();
-
-  inline  ::uint32_t getId();
-  inline void setId( ::uint32_t value);
-
-  inline bool hasFlows();
-  inline  ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>::Builder getFlows();
-  inline void setFlows( ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>::Reader value);
-  inline  ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>::Builder initFlows(unsigned int size);
-  inline void adoptFlows(::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>>&& value);
-  inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>> disownFlows();
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class AbsenceQuery::Pipeline {
-public:
-  typedef AbsenceQuery Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::celerystile::peer::schema::Address::Pipeline getBalancer();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
-class AbsenceReply::Reader {
-public:
-  typedef AbsenceReply Reads;
-
-  Reader() = default;
-  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
-
-  inline ::capnp::MessageSize totalSize() const {
-    return _reader.totalSize().asPublic();
-  }
-
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const {
-    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
-  }
-#endif  // !CAPNP_LITE
-
-  inline bool hasSidecar() const;
-  inline  ::celerystile::peer::schema::Address::Reader getSidecar() const;
-
-  inline  ::uint32_t getId() const;
-
-  inline  ::uint64_t getHeld() const;
-
-  inline bool getCertain() const;
-
-private:
-  ::capnp::_::StructReader _reader;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::List;
-  friend class ::capnp::MessageBuilder;
-  friend class ::capnp::Orphanage;
-};
-
-class AbsenceReply::Builder {
-public:
-  typedef AbsenceReply Builds;
-
-  Builder() = delete;  // Deleted to discourage incorrect usage.
-                       // You can explicitly initialize to nullptr instead.
-  inline Builder(decltype(nullptr)) {}
-  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
-  inline operator Reader() const { return Reader(_builder.asReader()); }
-  inline Reader asReader() const { return *this; }
-
-  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
-#if !CAPNP_LITE
-  inline ::kj::StringTree toString() const { return asReader().toString(); }
-#endif  // !CAPNP_LITE
-
-  inline bool hasSidecar();
-  inline  ::celerystile::peer::schema::Address::Builder getSidecar();
-  inline void setSidecar( ::celerystile::peer::schema::Address::Reader value);
-  inline  ::celerystile::peer::schema::Address::Builder initSidecar();
-  inline void adoptSidecar(::capnp::Orphan< ::celerystile::peer::schema::Address>&& value);
-  inline ::capnp::Orphan< ::celerystile::peer::schema::Address> disownSidecar();
-
-  inline  ::uint32_t getId();
-  inline void setId( ::uint32_t value);
-
-  inline  ::uint64_t getHeld();
-  inline void setHeld( ::uint64_t value);
-
-  inline bool getCertain();
-  inline void setCertain(bool value);
-
-private:
-  ::capnp::_::StructBuilder _builder;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-  friend class ::capnp::Orphanage;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::_::PointerHelpers;
-};
-
-#if !CAPNP_LITE
-class AbsenceReply::Pipeline {
-public:
-  typedef AbsenceReply Pipelines;
-
-  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
-  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
-      : _typeless(kj::mv(typeless)) {}
-
-  inline  ::celerystile::peer::schema::Address::Pipeline getSidecar();
-private:
-  ::capnp::AnyPointer::Pipeline _typeless;
-  friend class ::capnp::PipelineHook;
-  template <typename, ::capnp::Kind>
-  friend struct ::capnp::ToDynamic_;
-};
-#endif  // !CAPNP_LITE
-
 class FleetSnapshot::Reader {
 public:
   typedef FleetSnapshot Reads;
@@ -1350,14 +1127,6 @@
   inline bool hasSynQueued() const;
   inline  ::celerystile::peer::schema::FlowClaim::Reader getSynQueued() const;
 
-  inline bool isAbsenceQuery() const;
-  inline bool hasAbsenceQuery() const;
-  inline  ::celerystile::peer::schema::AbsenceQuery::Reader getAbsenceQuery() const;
-
-  inline bool isAbsenceReply() const;
-  inline bool hasAbsenceReply() const;
-  inline  ::celerystile::peer::schema::AbsenceReply::Reader getAbsenceReply() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1451,22 +1220,6 @@
   inline void adoptSynQueued(::capnp::Orphan< ::celerystile::peer::schema::FlowClaim>&& value);
   inline ::capnp::Orphan< ::celerystile::peer::schema::FlowClaim> disownSynQueued();
 
-  inline bool isAbsenceQuery();
-  inline bool hasAbsenceQuery();
-  inline  ::celerystile::peer::schema::AbsenceQuery::Builder getAbsenceQuery();
-  inline void setAbsenceQuery( ::celerystile::peer::schema::AbsenceQuery::Reader value);
-  inline  ::celerystile::peer::schema::AbsenceQuery::Builder initAbsenceQuery();
-  inline void adoptAbsenceQuery(::capnp::Orphan< ::celerystile::peer::schema::AbsenceQuery>&& value);
-  inline ::capnp::Orphan< ::celerystile::peer::schema::AbsenceQuery> disownAbsenceQuery();
-
-  inline bool isAbsenceReply();
-  inline bool hasAbsenceReply();
-  inline  ::celerystile::peer::schema::AbsenceReply::Builder getAbsenceReply();
-  inline void setAbsenceReply( ::celerystile::peer::schema::AbsenceReply::Reader value);
-  inline  ::celerystile::peer::schema::AbsenceReply::Builder initAbsenceReply();
-  inline void adoptAbsenceReply(::capnp::Orphan< ::celerystile::peer::schema::AbsenceReply>&& value);
-  inline ::capnp::Orphan< ::celerystile::peer::schema::AbsenceReply> disownAbsenceReply();
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2005,18 +1758,18 @@
       ::capnp::bounded<14>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool HostRecord::Reader::getFlowsKnown() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<297>() * ::capnp::ELEMENTS);
+inline  ::uint64_t HostRecord::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
 
-inline bool HostRecord::Builder::getFlowsKnown() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<297>() * ::capnp::ELEMENTS);
+inline  ::uint64_t HostRecord::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS);
 }
-inline void HostRecord::Builder::setFlowsKnown(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<297>() * ::capnp::ELEMENTS, value);
+inline void HostRecord::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
 inline  ::uint32_t FlowClaim::Reader::getCallerIp() const {
@@ -2319,6 +2072,20 @@
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t BalancerHello::Reader::getConfigurationVersion() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BalancerHello::Builder::getConfigurationVersion() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void BalancerHello::Builder::setConfigurationVersion( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldFlows::Reader::getBorn() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2409,174 +2176,6 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool AbsenceQuery::Reader::hasBalancer() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AbsenceQuery::Builder::hasBalancer() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::celerystile::peer::schema::Address::Reader AbsenceQuery::Reader::getBalancer() const {
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::celerystile::peer::schema::Address::Builder AbsenceQuery::Builder::getBalancer() {
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::celerystile::peer::schema::Address::Pipeline AbsenceQuery::Pipeline::getBalancer() {
-  return  ::celerystile::peer::schema::Address::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void AbsenceQuery::Builder::setBalancer( ::celerystile::peer::schema::Address::Reader value) {
-  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::celerystile::peer::schema::Address::Builder AbsenceQuery::Builder::initBalancer() {
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AbsenceQuery::Builder::adoptBalancer(
-    ::capnp::Orphan< ::celerystile::peer::schema::Address>&& value) {
-  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::celerystile::peer::schema::Address> AbsenceQuery::Builder::disownBalancer() {
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t AbsenceQuery::Reader::getId() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t AbsenceQuery::Builder::getId() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AbsenceQuery::Builder::setId( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool AbsenceQuery::Reader::hasFlows() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline bool AbsenceQuery::Builder::hasFlows() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
-}
-inline  ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>::Reader AbsenceQuery::Reader::getFlows() const {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline  ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>::Builder AbsenceQuery::Builder::getFlows() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-inline void AbsenceQuery::Builder::setFlows( ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>::Reader value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
-}
-inline  ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>::Builder AbsenceQuery::Builder::initFlows(unsigned int size) {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
-}
-inline void AbsenceQuery::Builder::adoptFlows(
-    ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>>&& value) {
-  ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>> AbsenceQuery::Builder::disownFlows() {
-  return ::capnp::_::PointerHelpers< ::capnp::List< ::celerystile::peer::schema::FlowClaim,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
-      ::capnp::bounded<1>() * ::capnp::POINTERS));
-}
-
-inline bool AbsenceReply::Reader::hasSidecar() const {
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool AbsenceReply::Builder::hasSidecar() {
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::celerystile::peer::schema::Address::Reader AbsenceReply::Reader::getSidecar() const {
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::celerystile::peer::schema::Address::Builder AbsenceReply::Builder::getSidecar() {
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-#if !CAPNP_LITE
-inline  ::celerystile::peer::schema::Address::Pipeline AbsenceReply::Pipeline::getSidecar() {
-  return  ::celerystile::peer::schema::Address::Pipeline(_typeless.getPointerField(0));
-}
-#endif  // !CAPNP_LITE
-inline void AbsenceReply::Builder::setSidecar( ::celerystile::peer::schema::Address::Reader value) {
-  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::celerystile::peer::schema::Address::Builder AbsenceReply::Builder::initSidecar() {
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void AbsenceReply::Builder::adoptSidecar(
-    ::capnp::Orphan< ::celerystile::peer::schema::Address>&& value) {
-  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::celerystile::peer::schema::Address> AbsenceReply::Builder::disownSidecar() {
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline  ::uint32_t AbsenceReply::Reader::getId() const {
-  return _reader.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint32_t AbsenceReply::Builder::getId() {
-  return _builder.getDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
-}
-inline void AbsenceReply::Builder::setId( ::uint32_t value) {
-  _builder.setDataField< ::uint32_t>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
-}
-
-inline  ::uint64_t AbsenceReply::Reader::getHeld() const {
-  return _reader.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-
-inline  ::uint64_t AbsenceReply::Builder::getHeld() {
-  return _builder.getDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
-}
-inline void AbsenceReply::Builder::setHeld( ::uint64_t value) {
-  _builder.setDataField< ::uint64_t>(
-      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
-}
-
-inline bool AbsenceReply::Reader::getCertain() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-
-inline bool AbsenceReply::Builder::getCertain() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS);
-}
-inline void AbsenceReply::Builder::setCertain(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<32>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool FleetSnapshot::Reader::hasConfiguration() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3086,114 +2685,6 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline bool FleetMessage::Reader::isAbsenceQuery() const {
-  return which() == FleetMessage::ABSENCE_QUERY;
-}
-inline bool FleetMessage::Builder::isAbsenceQuery() {
-  return which() == FleetMessage::ABSENCE_QUERY;
-}
-inline bool FleetMessage::Reader::hasAbsenceQuery() const {
-  if (which() != FleetMessage::ABSENCE_QUERY) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetMessage::Builder::hasAbsenceQuery() {
-  if (which() != FleetMessage::ABSENCE_QUERY) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::celerystile::peer::schema::AbsenceQuery::Reader FleetMessage::Reader::getAbsenceQuery() const {
-  KJ_IREQUIRE((which() == FleetMessage::ABSENCE_QUERY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceQuery>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::celerystile::peer::schema::AbsenceQuery::Builder FleetMessage::Builder::getAbsenceQuery() {
-  KJ_IREQUIRE((which() == FleetMessage::ABSENCE_QUERY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceQuery>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FleetMessage::Builder::setAbsenceQuery( ::celerystile::peer::schema::AbsenceQuery::Reader value) {
-  _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::ABSENCE_QUERY);
-  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceQuery>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::celerystile::peer::schema::AbsenceQuery::Builder FleetMessage::Builder::initAbsenceQuery() {
-  _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::ABSENCE_QUERY);
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceQuery>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FleetMessage::Builder::adoptAbsenceQuery(
-    ::capnp::Orphan< ::celerystile::peer::schema::AbsenceQuery>&& value) {
-  _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::ABSENCE_QUERY);
-  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceQuery>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::celerystile::peer::schema::AbsenceQuery> FleetMessage::Builder::disownAbsenceQuery() {
-  KJ_IREQUIRE((which() == FleetMessage::ABSENCE_QUERY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceQuery>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
-inline bool FleetMessage::Reader::isAbsenceReply() const {
-  return which() == FleetMessage::ABSENCE_REPLY;
-}
-inline bool FleetMessage::Builder::isAbsenceReply() {
-  return which() == FleetMessage::ABSENCE_REPLY;
-}
-inline bool FleetMessage::Reader::hasAbsenceReply() const {
-  if (which() != FleetMessage::ABSENCE_REPLY) return false;
-  return !_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline bool FleetMessage::Builder::hasAbsenceReply() {
-  if (which() != FleetMessage::ABSENCE_REPLY) return false;
-  return !_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
-}
-inline  ::celerystile::peer::schema::AbsenceReply::Reader FleetMessage::Reader::getAbsenceReply() const {
-  KJ_IREQUIRE((which() == FleetMessage::ABSENCE_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceReply>::get(_reader.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline  ::celerystile::peer::schema::AbsenceReply::Builder FleetMessage::Builder::getAbsenceReply() {
-  KJ_IREQUIRE((which() == FleetMessage::ABSENCE_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceReply>::get(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FleetMessage::Builder::setAbsenceReply( ::celerystile::peer::schema::AbsenceReply::Reader value) {
-  _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::ABSENCE_REPLY);
-  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceReply>::set(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
-}
-inline  ::celerystile::peer::schema::AbsenceReply::Builder FleetMessage::Builder::initAbsenceReply() {
-  _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::ABSENCE_REPLY);
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceReply>::init(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-inline void FleetMessage::Builder::adoptAbsenceReply(
-    ::capnp::Orphan< ::celerystile::peer::schema::AbsenceReply>&& value) {
-  _builder.setDataField<FleetMessage::Which>(
-      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::ABSENCE_REPLY);
-  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceReply>::adopt(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
-}
-inline ::capnp::Orphan< ::celerystile::peer::schema::AbsenceReply> FleetMessage::Builder::disownAbsenceReply() {
-  KJ_IREQUIRE((which() == FleetMessage::ABSENCE_REPLY),
-              "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::AbsenceReply>::disown(_builder.getPointerField(
-      ::capnp::bounded<0>() * ::capnp::POINTERS));
-}
-
 }  // namespace
 }  // namespace
 }  // namespace
