Read wide configurations over slow links: transfers are limited by pauses, unchanged text is not sent

Balancers with 0.038 of a core on 10 Mbit/s never got a configuration of 2,200 routes (0.5 MB, 0.7 MB as base64): a call to the store was ended after 900 ms as a whole, however much had come, and began again for ever; beside it two neighbours and two holders of copies sent the same text, each within 400 ms as a whole. Every two seconds the re-check read the unchanged text again, and decoding it took 54 M instructions, 37 M of them in a constant-time base64 decoder.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -48,6 +48,8 @@
         }
 
     private:
+        struct TransferToken { };
+
         static fleet::BalancerOptions makeOptions(const FleetSettings& settings, std::uint64_t epoch)
         {
             fleet::BalancerOptions options;
@@ -133,7 +135,7 @@
         {
             while (true) {
                 if (!storeAvailable_ || !registryComplete_ || !ready_)
-                    co_await queryNeighbour(neighbour);
+                    co_await querySnapshot(neighbour);
                 co_await sleepFor(neighbourPollInterval);
             }
         }
@@ -149,22 +151,26 @@
                         co_return fleet::newestReplicas(balancer_.hostTable().hosts(), maxReplicasQueried);
                     },
                     asio::use_awaitable);
-                for (const auto& holder : holders) {
-                    const base::Endpoint status { holder.address, settings_.node.statusEndpoint.port };
-                    const auto snapshot = co_await fetchSnapshot(status);
-                    if (snapshot)
-                        applyConfiguration(snapshot->configuration, status.toString());
-                }
+                for (const auto& holder : holders)
+                    co_await querySnapshot({ holder.address, settings_.node.statusEndpoint.port });
                 co_await sleepFor(replicaQueryInterval);
             }
         }
 
-        Task queryNeighbour(base::Endpoint neighbour)
+        // A wide configuration fills a slow link for a second, so no two transfers of it run at the same time.
+        Task querySnapshot(base::Endpoint process)
         {
-            const auto snapshot = co_await fetchSnapshot(neighbour);
+            std::shared_ptr<TransferToken> transfer;
+            if (configurationTransfer_.expired() && !store_.receiving())
+                transfer = std::make_shared<TransferToken>();
+            if (transfer)
+                configurationTransfer_ = transfer;
+            const auto snapshot
+                = co_await fetchSnapshot(process, { transfer ? configurationVersion_ : peer::noConfiguration });
+            transfer.reset();
             if (!snapshot)
                 co_return;
-            applyConfiguration(snapshot->configuration, neighbour.toString());
+            applyConfiguration(snapshot->configuration, process.toString());
             postToTrafficThread([this, records = snapshot->hosts] {
                 balancer_.addHosts(records, clock_.now());
                 transport_.flush();
@@ -174,10 +180,12 @@
 
         asio::awaitable<base::HttpReply> handleHttpRequest(base::HttpRequest request) override
         {
-            if (request.target != snapshotPath)
+            const auto query = peer::parseSnapshotTarget(request.target);
+            if (!query)
                 co_return co_await FleetProcess::handleHttpRequest(std::move(request));
             fleet::FleetSnapshot snapshot;
-            snapshot.configuration = configurationText_;
+            if (configurationVersion_ > query->newerThan)
+                snapshot.configuration = configurationText_;
             snapshot.hosts = co_await asio::co_spawn(
                 trafficContext_,
                 [this]() -> asio::awaitable<std::vector<fleet::HostRecord>> {
@@ -304,6 +312,7 @@
         // Used by the control thread only.
         std::uint64_t configurationVersion_ = 0;
         std::string configurationText_;
+        std::weak_ptr<TransferToken> configurationTransfer_; // from another process; expires at its end
         bool registryComplete_ = false;
         bool storeAvailable_ = true;
 
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -142,13 +142,14 @@
     }
 }
 
-asio::awaitable<std::optional<fleet::FleetSnapshot>> FleetProcess::fetchSnapshot(base::Endpoint from)
+asio::awaitable<std::optional<fleet::FleetSnapshot>> FleetProcess::fetchSnapshot(
+    base::Endpoint from, peer::SnapshotRequest request)
 {
     constexpr std::chrono::milliseconds timeout { 400 };
     base::HttpConnection connection(from);
-    base::HttpRequest request;
-    request.target = snapshotPath;
-    const auto reply = co_await connection.exchange(std::move(request), timeout);
+    base::HttpRequest httpRequest;
+    httpRequest.target = peer::toTarget(request);
+    const auto reply = co_await connection.exchange(std::move(httpRequest), timeout);
     if (!reply || reply->status != 200)
         co_return std::nullopt;
     auto snapshot = decodeFromString<fleet::FleetSnapshot>(reply->body, settings_.keyring);
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -4,6 +4,7 @@
 #include "celerystile/base/events.hpp"
 #include "celerystile/base/http.hpp"
 #include "celerystile/fleet/message.hpp"
+#include "celerystile/peer/snapshot_request.hpp"
 #include "fleet_options.hpp"
 #include "platform/store_client.hpp"
 
@@ -23,9 +24,6 @@
 inline constexpr std::string_view hostsPrefix = "celerystile/hosts/";
 inline constexpr std::string_view flowsPrefix = "celerystile/flows/";
 
-/// @brief HTTP path at which each process serves a FleetSnapshot.
-inline constexpr std::string_view snapshotPath = "/snapshot";
-
 /// @brief A process of the fleet. The main thread runs the traffic context, a second thread the control context.
 class FleetProcess {
 public:
@@ -71,7 +69,8 @@
 
     /// @brief Fetches the snapshot of another process. @return none if it does not answer in time with status 200, or
     /// if the answer is malformed, which is logged.
-    boost::asio::awaitable<std::optional<fleet::FleetSnapshot>> fetchSnapshot(base::Endpoint from);
+    boost::asio::awaitable<std::optional<fleet::FleetSnapshot>> fetchSnapshot(
+        base::Endpoint from, peer::SnapshotRequest request);
 
     /// @brief Listens on this address and passes HTTP requests to handleHttpRequest().
     base::Result<bool> serve(const base::Endpoint& local);
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -215,7 +215,7 @@
 
         Task fetchConfiguration(base::Endpoint from)
         {
-            const auto snapshot = co_await fetchSnapshot(from);
+            const auto snapshot = co_await fetchSnapshot(from, { configurationVersion_ });
             const auto table = snapshot ? platform::parseConfiguration(snapshot->configuration)
                                         : base::Result<fleet::RouteTable>(base::failure(base::ErrorCode::Unavailable,
                                             "the process did not answer with a snapshot"));
@@ -252,10 +252,13 @@
 
         asio::awaitable<base::HttpReply> handleHttpRequest(base::HttpRequest request) override
         {
-            if (request.target == snapshotPath)
-                co_return base::HttpReply { 200,
-                    encodeToString(fleet::FleetSnapshot { configurationText_, {} }, settings_.keyring),
+            if (const auto query = peer::parseSnapshotTarget(request.target)) {
+                fleet::FleetSnapshot snapshot;
+                if (configurationVersion_ > query->newerThan)
+                    snapshot.configuration = configurationText_;
+                co_return base::HttpReply { 200, encodeToString(std::move(snapshot), settings_.keyring),
                     "application/octet-stream" };
+            }
             const bool fromHostApi = request.method == "PUT" || request.method == "DELETE";
             if (!fromHostApi)
                 co_return co_await FleetProcess::handleHttpRequest(std::move(request));
--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -1,6 +1,9 @@
 #include "celerystile/core/balancer.hpp"
 #include "celerystile/core/sidecar.hpp"
+#include "celerystile/store/base64.hpp"
 #include "inputs.hpp"
+#include "platform/operator_config.hpp"
+#include "platform/store_client.hpp"
 
 #include <cstdlib>
 #include <iostream>
@@ -63,6 +66,20 @@
     return sum;
 }
 
+std::uint64_t loadConfiguration(std::uint32_t times)
+{
+    constexpr std::size_t routes = 2'200;
+    const auto reply = boost::json::serialize(boost::json::object { { "key", "op/config" }, { "revision", 7 },
+        { "value", store::toBase64(bench::makeConfigurationText(routes, 7)) } });
+    std::uint64_t sum = 0;
+    for (std::uint32_t i = 0; i < times; ++i) {
+        const auto item = platform::parseItem(reply);
+        const auto table = item ? platform::parseConfiguration(item->value) : tl::make_unexpected(item.error());
+        sum += table ? table->routes.size() : 0;
+    }
+    return sum;
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -77,6 +94,8 @@
         std::cout << rebuild(times) << '\n';
     else if (step == "publish")
         std::cout << publish(times) << '\n';
+    else if (step == "configuration")
+        std::cout << loadConfiguration(times) << '\n';
     else
         return 2;
     return 0;
--- a/bench/inputs.hpp
+++ b/bench/inputs.hpp
@@ -3,11 +3,12 @@
 #include "celerystile/base/random.hpp"
 #include "celerystile/core/candidates.hpp"
 
+#include <boost/json/serialize.hpp>
 #include <string>
 #include <vector>
 
 /// @file
-/// @brief Hosts and flow keys that the benchmarks share.
+/// @brief Hosts, flow keys and configurations that the benchmarks share.
 
 namespace celerystile::bench {
 
@@ -28,4 +29,17 @@
         { core::IpAddress::fromV4(0x0a500001), 7001 } };
 }
 
+/// @brief Makes a configuration of the users' platform with `count` routes to one service.
+inline std::string makeConfigurationText(std::size_t count, std::uint64_t version)
+{
+    boost::json::array routes;
+    for (std::size_t i = 0; i < count; ++i)
+        routes.push_back(boost::json::object { { "name", "r-" + std::to_string(i) }, { "host", "198.18.0.1" },
+            { "prefix", "/" + std::to_string(1'024 + i) + "/" }, { "routeKind", "idempotent" }, { "timeoutMs", 2'000 },
+            { "targetLatencyMs", 120 }, { "priority", 2 }, { "service", "desk" }, { "maxAttempts", 2 } });
+    const boost::json::object limits { { "idleTimeoutMs", 15'000 } };
+    return boost::json::serialize(boost::json::object { { "version", version }, { "routes", std::move(routes) },
+        { "services", boost::json::array {} }, { "limits", limits } });
+}
+
 } // namespace celerystile::bench
--- a/fakes/memory_store.hpp
+++ b/fakes/memory_store.hpp
@@ -25,6 +25,8 @@
     bool reportCompaction = false; ///< the next watch reports that the history was compacted
     bool watchesStalled = false; ///< watches deliver no changes
     std::uint64_t calls = 0;
+    std::uint64_t listings = 0;
+    std::chrono::milliseconds longestWatch { 0 }; ///< the longest wait that a watch asked for
 
     Call<std::optional<store::Item>> get(std::string key, store::ReadConsistency) override
     {
@@ -38,6 +40,7 @@
     Call<store::Listing> list(std::string prefix, store::ReadConsistency) override
     {
         ++calls;
+        ++listings;
         if (down)
             co_return unavailable();
         store::Listing listing;
@@ -49,9 +52,10 @@
         co_return listing;
     }
 
-    Call<store::Changes> watch(std::string prefix, store::Revision after, std::chrono::milliseconds) override
+    Call<store::Changes> watch(std::string prefix, store::Revision after, std::chrono::milliseconds wait) override
     {
         ++calls;
+        longestWatch = std::max(longestWatch, wait);
         boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, watchDelay);
         co_await timer.async_wait(base::useNothrowAwaitable);
         if (down)
--- a/include/celerystile/base/http.hpp
+++ b/include/celerystile/base/http.hpp
@@ -36,6 +36,9 @@
     std::string method = "GET";
 };
 
+/// @brief Longest pause within a reply before its transfer is given up.
+inline constexpr std::chrono::milliseconds maxTransferPause { 1'000 };
+
 /// @brief Client connection that is kept open between requests and reopened after a failure. One request at a time.
 class HttpConnection {
 public:
@@ -45,14 +48,21 @@
     }
 
     /// @brief Sends a request and reads the reply; any failure closes the connection. Fails with Unavailable.
+    ///
+    /// The timeout limits the wait for the connection and for the first bytes of the reply. After that it is the
+    /// longest pause, at most maxTransferPause, so that a large reply on a slow link is read to its end.
     boost::asio::awaitable<Result<HttpReply>> exchange(HttpRequest request, std::chrono::milliseconds timeout);
 
+    /// @return whether a part of a reply has been received and the rest is expected.
+    bool receiving() const { return receiving_; }
+
 private:
     boost::asio::awaitable<Result<HttpReply>> exchangeOnStream(
         const HttpRequest& request, std::chrono::milliseconds timeout);
 
     Endpoint to_;
     std::optional<boost::beast::tcp_stream> stream_;
+    bool receiving_ = false;
 };
 
 /// @brief Handles a request of a server.
--- a/include/celerystile/store/prefix_watch.hpp
+++ b/include/celerystile/store/prefix_watch.hpp
@@ -18,6 +18,7 @@
     std::chrono::milliseconds recheckInterval {
         2'000
     }; ///< between stale reads that detect a watch whose connection is dead
+    std::size_t maxRecheckBytes = 65'536; ///< larger values are not read again; instead, watch calls are shorter
 };
 
 /// @brief Watches a prefix. Runs on one io_context.
@@ -38,7 +39,7 @@
     boost::asio::awaitable<void> run();
 
     /// @brief Lists the prefix at intervals, concurrently with run(). A watch on a dead connection would deliver
-    /// nothing until its timeout.
+    /// nothing until its timeout. Values above maxRecheckBytes are not listed: their watch times out soon enough.
     boost::asio::awaitable<void> recheck();
     void stop();
 
@@ -46,6 +47,7 @@
     boost::asio::awaitable<bool> listAll();
     boost::asio::awaitable<bool> pollChanges();
     bool apply(const Change& change);
+    bool tooLargeToRecheck() const;
     bool reportHealth(bool available, const std::string& detail);
 
     KeyValueStore& store_;
--- a/src/celerystile/base/http.cpp
+++ b/src/celerystile/base/http.cpp
@@ -1,5 +1,6 @@
 #include "celerystile/base/http.hpp"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -98,6 +99,7 @@
         enableKeepAlive(stream_->socket());
     }
     auto reply = co_await exchangeOnStream(request, timeout);
+    receiving_ = false;
     if (!reply)
         stream_.reset();
     co_return reply;
@@ -118,8 +120,13 @@
     beast::flat_buffer buffer;
     http::response_parser<http::string_body> parser;
     parser.body_limit(maxHttpBodyBytes);
-    if (const auto [error, size] = co_await http::async_read(*stream_, buffer, parser, useNothrowAwaitable); error)
-        co_return failure(ErrorCode::Unavailable, to_.toString() + ": " + error.message());
+    while (!parser.is_done()) {
+        if (const auto [error, size] = co_await http::async_read_some(*stream_, buffer, parser, useNothrowAwaitable);
+            error)
+            co_return failure(ErrorCode::Unavailable, to_.toString() + ": " + error.message());
+        receiving_ = true;
+        stream_->expires_after(std::min(timeout, maxTransferPause));
+    }
     HttpReply reply { static_cast<unsigned>(parser.get().result_int()), std::move(parser.get().body()),
         std::string(parser.get()[http::field::content_type]) };
     if (!parser.get().keep_alive())
--- a/src/celerystile/store/base64.cpp
+++ b/src/celerystile/store/base64.cpp
@@ -1,5 +1,6 @@
 #include "celerystile/store/base64.hpp"
 
+#include <kj/encoding.h>
 #include <sodium.h>
 
 namespace celerystile::store {
@@ -15,15 +16,12 @@
 
 base::Result<std::string> fromBase64(std::string_view text)
 {
-    std::string bytes(text.size(), '\0');
-    std::size_t length = 0;
-    const char* end = nullptr;
-    const int error = sodium_base642bin(reinterpret_cast<unsigned char*>(bytes.data()), bytes.size(), text.data(),
-        text.size(), nullptr, &length, &end, sodium_base64_VARIANT_ORIGINAL);
-    if (error != 0 || end != text.data() + text.size())
+    // Not libsodium's decoder: it runs in constant time, several times as long, which
+    // a balancer with little processor time notices at each change of a wide configuration.
+    const auto decoded = kj::decodeBase64(kj::arrayPtr(text.data(), text.size()));
+    if (decoded.hadErrors || text.size() % 4 != 0)
         return base::failure(base::ErrorCode::Malformed, "not base64");
-    bytes.resize(length);
-    return bytes;
+    return std::string(reinterpret_cast<const char*>(decoded.begin()), decoded.size());
 }
 
 } // namespace celerystile::store
--- a/src/celerystile/store/entry_and_prefix_test.cpp
+++ b/src/celerystile/store/entry_and_prefix_test.cpp
@@ -167,6 +167,26 @@
 
 } // namespace
 
+TEST_CASE("a wide configuration is not read again while it is unchanged; a short watch detects a dead connection")
+{
+    WatchFixture fixture;
+    const std::string wide(fixture.options.maxRecheckBytes + 1, 'x');
+    fixture.store.put("op/config", wide);
+    fixture.start();
+    fixture.runSteps();
+    CHECK(fixture.value() == wide);
+    const auto listings = fixture.store.listings;
+    fixture.store.longestWatch = {};
+    fixture.runSteps();
+    CHECK(fixture.store.listings == listings);
+    CHECK(fixture.store.longestWatch == fixture.options.recheckInterval);
+    fixture.store.put("op/config", "small again");
+    fixture.runSteps();
+    CHECK(fixture.value() == "small again");
+    CHECK(fixture.store.longestWatch == fixture.options.longPollTimeout);
+    CHECK(fixture.store.listings > listings);
+}
+
 TEST_CASE("a watched prefix stays up to date across an outage and compaction")
 {
     WatchFixture fixture;
--- a/src/celerystile/store/prefix_watch.cpp
+++ b/src/celerystile/store/prefix_watch.cpp
@@ -2,6 +2,8 @@
 
 #include "celerystile/base/stream.hpp"
 
+#include <numeric>
+
 namespace celerystile::store {
 
 namespace asio = boost::asio;
@@ -40,6 +42,13 @@
     }
 }
 
+bool PrefixWatch::tooLargeToRecheck() const
+{
+    const auto bytes = std::accumulate(items_.begin(), items_.end(), std::size_t { 0 },
+        [](std::size_t sum, const auto& entry) { return sum + entry.second.value.size(); });
+    return bytes > options_.maxRecheckBytes;
+}
+
 bool PrefixWatch::reportHealth(bool available, const std::string& detail)
 {
     if (available != available_)
@@ -64,7 +73,8 @@
 
 asio::awaitable<bool> PrefixWatch::pollChanges()
 {
-    const auto changes = co_await store_.watch(prefix_, revision_, options_.longPollTimeout);
+    const auto wait = tooLargeToRecheck() ? options_.recheckInterval : options_.longPollTimeout;
+    const auto changes = co_await store_.watch(prefix_, revision_, wait);
     if (stopped_ || !changes)
         co_return reportHealth(false, changes ? "stopped" : changes.error().detail);
     if (changes->compacted) {
@@ -99,7 +109,7 @@
     while (!stopped_) {
         recheckTimer_.expires_after(options_.recheckInterval);
         co_await recheckTimer_.async_wait(base::useNothrowAwaitable);
-        if (stopped_ || !listed_)
+        if (stopped_ || !listed_ || tooLargeToRecheck())
             continue;
         const auto listing = co_await store_.list(prefix_, ReadConsistency::Stale);
         bool changed = false;
