Saturated hosts accept flows at once, and their requests wait; no SYN waits any more

When all candidates are saturated, the one with the shortest wait accepts the flow without reserving capacity, and the request waits in the admission queue. SynQueued, the SYN queue and its counters are gone.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -114,8 +114,6 @@
                 balancer_.onSidecarHello(*hello);
             else if (const auto* declined = std::get_if<fleet::SynDeclined>(&message))
                 balancer_.onDeclined(*declined, now);
-            else if (const auto* queued = std::get_if<fleet::SynQueued>(&message))
-                balancer_.onQueued(*queued);
             scheduleWakeup();
         }
 
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -29,7 +29,6 @@
     DropNoHost, ///< packets for a service without a known host
     DropUnsettled, ///< SYNs without a known configuration or above maxPendingSyns
     SynHeld, ///< SYNs without a host while the host list is incomplete
-    DropQueuedCopy, ///< retransmitted SYNs whose first copy is in a sidecar's queue
     ClaimsAsked, ///< requests to sidecars for all their claims
     Count_,
 };
@@ -103,9 +102,6 @@
     /// @brief Places a declined SYN among the hosts that have not been tried.
     void onDeclined(const SynDeclined& declined, base::TimePoint now);
 
-    /// @brief Stops retries of a SYN that is in a sidecar's admission queue.
-    void onQueued(const SynQueued& queued);
-
     /// @return all hosts that are registered or have reported recently, for a snapshot to another balancer.
     std::vector<HostRecord> hostRecords(base::TimePoint now) const;
 
@@ -133,7 +129,6 @@
         CandidateList candidates;
         std::vector<Endpoint> tried;
         std::uint8_t position = 0;
-        bool queued = false; // in a sidecar's admission queue
         base::TimePoint firstCopyAt {};
         base::TimePoint retryAt {};
         base::TimePoint expiresAt {};
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -26,7 +26,7 @@
     Lookup, ///< the owner is unknown; passed on until a sidecar claims the flow
 };
 
-/// @brief The expected wait of a SYN in the admission queue of a candidate.
+/// @brief The expected wait of a request in the admission queue of a candidate.
 struct ShortestWait {
     std::uint8_t position = 0; ///< among the candidates
     std::uint32_t milliseconds = 0;
@@ -38,14 +38,14 @@
 struct Forward {
     ForwardPurpose purpose = ForwardPurpose::Open;
     ServiceId service = 0; ///< service of a new flow; 0 for packets of open flows
-    Endpoint balancer; ///< receives the FlowReport, SynQueued or SynDeclined in response
+    Endpoint balancer; ///< receives the FlowReport or SynDeclined in response
     std::uint8_t position = 0; ///< of the receiver among the candidates
     std::uint32_t priority = 0; ///< of the route; 0 is the most important
     std::uint32_t ageMilliseconds = 0; ///< time since the first copy of a SYN
     std::uint32_t objectiveMilliseconds = 0; ///< time within which the caller wants its answer
     std::uint32_t timeoutMilliseconds = 0; ///< after which the caller gives up a request; 0: unknown
     std::optional<ShortestWait> shortestWait; ///< of the saturated candidates visited so far
-    bool settled = false; ///< all candidates were visited; the receiver has the shortest wait and queues the SYN
+    bool settled = false; ///< all candidates were visited; the receiver has the shortest wait and accepts the flow
     CandidateList candidates; ///< sidecars in the order of the visits
     core::Bytes packet; ///< not owned; refers to the received datagram
 };
@@ -114,17 +114,9 @@
     bool operator==(const FleetSnapshot&) const = default;
 };
 
-/// @brief The SYN is in a sidecar's admission queue.
-struct SynQueued {
-    core::FlowKey key;
-
-    bool operator==(const SynQueued&) const = default;
-};
-
 /// @brief Maximum number of flows in one datagram, which then stays below 1,500 bytes.
 inline constexpr std::size_t maxFlowsPerDatagram = 48;
 
-using Message
-    = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot, SynQueued>;
+using Message = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot>;
 
 } // namespace celerystile::fleet
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -31,9 +31,7 @@
     FlowsReset, ///< callers reset because the host has ended
     SynPassedOn, ///< SYNs forwarded to the next candidate
     SynDeclined, ///< SYNs that no candidate accepted
-    SynQueued, ///< SYNs put into the admission queue
-    SynExpired, ///< queued SYNs whose caller gave up
-    RequestsHeld, ///< requests on open flows put into the admission queue
+    RequestsHeld, ///< requests put into the admission queue
     RequestsExpired, ///< queued requests whose caller gave up
     ClaimsDropped, ///< the caller acknowledged another host's SYN+ACK
     Trials, ///< packets of unknown flows delivered to the host to find out whether it holds them
@@ -51,7 +49,7 @@
 struct SidecarLatencies {
     base::Histogram opened; ///< from the delivery of a SYN to the host's SYN+ACK
     base::Histogram answered; ///< from the delivery of a request to the host's first data
-    base::Histogram waited; ///< time in the admission queue of the SYNs and requests that were admitted
+    base::Histogram waited; ///< time in the admission queue of the requests that were admitted
 };
 
 /// @brief Actions that the state machine requests from its process. Spans are valid only during the call.
@@ -90,10 +88,9 @@
     HostStatusOptions host;
     std::size_t maxFlows = 100'000;
     RequestMeterOptions meter;
-    std::size_t maxQueued = 512; ///< new flows and requests in the admission queue
+    std::size_t maxQueued = 512; ///< requests in the admission queue
     double requestsPerSlot = 1.0; ///< limit of requests at the host, its own queue included; more wait here
     std::uint32_t extraRequests = 2; ///< added to that limit, so that a host with few slots does not idle
-    base::Duration synLifetime = std::chrono::milliseconds(1300); ///< of a queued SYN; callers give up after 1.4 s
     base::Duration requestLifetime = std::chrono::seconds(3); ///< of a queued request without a known timeout
     base::Duration synAnswerTimeout = std::chrono::milliseconds(30); ///< a host answers in under a millisecond
     base::Duration openingLifetime
@@ -208,9 +205,7 @@
     bool saturated() const;
     bool holdRequest(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void releaseHeldRequests(const core::FlowKey& key, base::TimePoint now);
-    bool queueSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void admitQueued(base::TimePoint now);
-    void passQueuedSynsOn(base::TimePoint now);
     std::string_view declineReason(const Forward& forward, base::TimePoint now) const;
     void onUnknownFlow(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     bool startTrial(const Forward& forward, const core::Segment& segment, base::TimePoint now);
@@ -256,7 +251,6 @@
     RequestMeter meter_;
     SidecarLatencies latencies_;
     SavedForwards openingSyns_; // SYNs of handshakes that the caller has not finished
-    SavedForwards queuedSyns_; // SYNs in queue_
     boost::unordered_flat_map<core::FlowKey, std::vector<SavedForward>, core::FlowKeyHash>
         heldRequests_; // requests in queue_
     AdmissionQueue queue_;
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -21,7 +21,6 @@
         "drop_no_host",
         "drop_unsettled",
         "syn_held",
-        "drop_queued_copy",
         "claims_asked",
     };
 
@@ -104,8 +103,6 @@
     if (owner)
         owners_.erase(segment.key); // the caller has reused its port for a new flow
     if (const auto found = pending_.find(segment.key); found != pending_.end()) {
-        if (found->second.queued)
-            return increment(BalancerCount::DropQueuedCopy);
         found->second.packet.assign(packet.begin(), packet.end());
         found->second.segment = segment;
         return retry(found->second, now);
@@ -287,15 +284,6 @@
     place(pending, "declined by the previous candidates", now);
 }
 
-void Balancer::onQueued(const SynQueued& queued)
-{
-    const auto found = pending_.find(queued.key);
-    if (found == pending_.end())
-        return;
-    found->second.queued = true;
-    found->second.retryAt = found->second.expiresAt;
-}
-
 void Balancer::tick(base::TimePoint now)
 {
     wakeupAt_ = base::TimePoint::max();
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -23,8 +23,6 @@
         "flows_reset",
         "syn_passed_on",
         "syn_declined",
-        "syn_queued",
-        "syn_expired",
         "requests_held",
         "requests_expired",
         "claims_dropped",
--- a/src/celerystile/fleet/sidecar_admission.cpp
+++ b/src/celerystile/fleet/sidecar_admission.cpp
@@ -1,14 +1,14 @@
 #include "celerystile/fleet/sidecar.hpp"
 
 #include <algorithm>
-#include <utility>
 
-// The admission queue of a saturated host: SYNs that no candidate accepted at once, and requests on open flows.
+// The admission queue of a saturated host. Requests wait in it, not SYNs: a caller that gives up ends its flow, so its
+// request leaves the queue, whereas nothing shows that the caller of a waiting SYN is gone.
 
 namespace celerystile::fleet {
 
 // Adds this host's expected wait if it is the shortest so far. The other candidates are tried first; if all are
-// saturated, the SYN waits at the one with the shortest wait.
+// saturated, the one with the shortest wait accepts the flow.
 Forward Sidecar::withOwnWait(Forward forward) const
 {
     const auto wait = meter_.answerTime() * static_cast<double>(queue_.size() + 1) / requestLimit();
@@ -61,7 +61,7 @@
         return false;
     storePacket(heldRequests_[segment.key]);
     increment(SidecarCount::RequestsHeld);
-    recordDecision(DecisionKind::FlowWaits, segment.key, "request on an open flow: the host is saturated");
+    recordDecision(DecisionKind::FlowWaits, segment.key, "the host is saturated");
     return true;
 }
 
@@ -76,61 +76,20 @@
     }
 }
 
-bool Sidecar::queueSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now)
-{
-    const auto begunAt = now - std::chrono::milliseconds(forward.ageMilliseconds);
-    const auto objective = std::chrono::milliseconds(forward.objectiveMilliseconds);
-    if (!queue_.add({ segment.key, forward.priority, begunAt, begunAt + objective, begunAt + options_.synLifetime }))
-        return false;
-    auto& saved = queuedSyns_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
-    saved.forward.packet = saved.packet;
-    increment(SidecarCount::SynQueued);
-    recordDecision(DecisionKind::FlowWaits, segment.key, "new flow: all hosts are saturated");
-    output_.send(forward.balancer, SynQueued { segment.key });
-    return true;
-}
-
-// Drops expired entries, then admits entries while the host has fewer requests than its limit.
+// Drops expired requests, then admits others while the host has fewer than its limit.
 void Sidecar::admitQueued(base::TimePoint now)
 {
     for (const auto& key : queue_.expire(now)) {
-        const bool opening = queuedSyns_.erase(key) > 0;
-        increment(opening ? SidecarCount::SynExpired : SidecarCount::RequestsExpired);
-        recordDecision(DecisionKind::WaitExpired, key,
-            opening ? "new flow: the caller has given up" : "request on an open flow: the caller has given up");
+        heldRequests_.erase(key);
+        increment(SidecarCount::RequestsExpired);
+        recordDecision(DecisionKind::WaitExpired, key, "the caller has given up");
     }
-    boost::unordered::erase_if(heldRequests_, [&](const auto& entry) { return !queue_.contains(entry.first); });
     while (meter_.load() < requestLimit()) {
         const auto next = queue_.popNext(meter_.answerBound(), now);
         if (!next)
             return;
         latencies_.waited.add(now - next->arrivedAt);
-        if (heldRequests_.contains(next->key)) {
-            releaseHeldRequests(next->key, now);
-            continue;
-        }
-        const auto found = queuedSyns_.find(next->key);
-        if (found == queuedSyns_.end())
-            continue;
-        auto saved = std::move(found->second);
-        queuedSyns_.erase(found);
-        saved.forward.packet = saved.packet;
-        if (const auto reason = declineReason(saved.forward, now); !reason.empty())
-            passSynOn(saved.forward, saved.segment, reason, now);
-        else
-            acceptSyn(saved.forward, saved.segment, now);
-    }
-}
-
-// Queued SYNs are not part of the checkpoint and would be lost with the process, so other candidates get them.
-void Sidecar::passQueuedSynsOn(base::TimePoint now)
-{
-    for (auto& [key, saved] : std::exchange(queuedSyns_, {})) {
-        queue_.remove(key);
-        saved.forward.packet = saved.packet;
-        saved.forward.settled = false;
-        saved.forward.shortestWait.reset();
-        passSynOn(saved.forward, saved.segment, "the sidecar is about to restart", now);
+        releaseHeldRequests(next->key, now);
     }
 }
 
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -26,15 +26,14 @@
             return increment(SidecarCount::DropUnclaimed); // a late retransmission: the flow is past its handshake
         endFlow(segment.key); // the caller has reused its port
     }
-    if (queue_.contains(segment.key))
-        return output_.send(forward.balancer, SynQueued { segment.key });
     const auto reason = declineReason(forward, now);
     if (!reason.empty())
         return passSynOn(forward, segment, reason, now);
+    if (saturated() && !forward.settled)
+        return passSynOn(withOwnWait(forward), segment, "the host is saturated", now);
     if (!saturated())
-        return acceptSyn(forward, segment, now);
-    if (!forward.settled || !queueSyn(forward, segment, now))
-        passSynOn(withOwnWait(forward), segment, "the host is saturated", now);
+        meter_.reserve(segment.key, now); // a request follows the handshake
+    acceptSyn(forward, segment, now);
 }
 
 std::string_view Sidecar::declineReason(const Forward& forward, base::TimePoint now) const
@@ -69,7 +68,6 @@
     record.callerIsn = segment.sequence;
     record.lastSeen = secondsSinceStart(now);
     table_.add(segment.key, record);
-    meter_.reserve(segment.key, now); // a request follows the handshake
     auto& saved = openingSyns_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
     saved.forward.packet = saved.packet;
     openingQueue_.push_back({ segment.key, now });
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -33,7 +33,6 @@
 void Sidecar::announceRestart(base::TimePoint now)
 {
     restarting_ = true;
-    passQueuedSynsOn(now);
     sendReports(now);
 }
 
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -194,8 +194,6 @@
         }
         case schema::FleetMessage::SYN_DECLINED:
             return fleet::Message { fleet::SynDeclined { read(from.getSynDeclined()).key } };
-        case schema::FleetMessage::SYN_QUEUED:
-            return fleet::Message { fleet::SynQueued { read(from.getSynQueued()).key } };
         case schema::FleetMessage::SNAPSHOT:
             return read(from.getSnapshot());
         }
@@ -233,7 +231,6 @@
             held.setSequence(value.sequence);
             write(held.initFlows(static_cast<unsigned>(value.flows.size())), value.flows);
         }
-        void operator()(const fleet::SynQueued& value) { write(root.initSynQueued(), fleet::FlowClaim { value.key }); }
         void operator()(const fleet::FleetSnapshot& value)
         {
             auto snapshot = root.initSnapshot();
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -92,6 +92,5 @@
     heldFlows @4 :HeldFlows;
     synDeclined @5 :FlowClaim;
     snapshot @6 :FleetSnapshot;
-    synQueued @7 :FlowClaim;
   }
 }
