--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -24,7 +24,9 @@
     constexpr std::chrono::milliseconds withdrawalTime { 3'000 };
     constexpr std::chrono::milliseconds stopGraceMargin { 1'000 }; // reserve before the platform kills the process
     constexpr std::chrono::milliseconds neighbourPollInterval { 600 }; // while the store is unavailable
-    constexpr std::chrono::milliseconds replicaQueryInterval { 200 }; // until a configuration is known
+    constexpr std::chrono::milliseconds replicaQueryInterval {
+        200
+    }; // of replicas and neighbours until a configuration is known
     constexpr std::size_t maxReplicasQueried = 2; // more than one, because a holder may be shutting down
     constexpr base::Duration minTickInterval = std::chrono::milliseconds(5);
 
@@ -69,6 +71,7 @@
                     settings_.node.statusEndpoint, [this](const fleet::Message& message) { onMessage(message); });
                 !opened)
                 return opened;
+            store_.setStarting(true);
             spawn("configuration", [this] { return configurationWatch_.run(); });
             spawn("configuration recheck", [this] { return configurationWatch_.recheck(); });
             spawn("registry", [this] { return registryPoll_.run(); });
@@ -134,7 +137,7 @@
             while (true) {
                 if (!storeAvailable_ || !registryComplete_ || !ready_)
                     co_await querySnapshot(neighbour);
-                co_await sleepFor(neighbourPollInterval);
+                co_await sleepFor(configurationVersion_ == 0 ? replicaQueryInterval : neighbourPollInterval);
             }
         }
 
@@ -216,6 +219,7 @@
                 return;
             }
             configurationVersion_ = table->version;
+            store_.setStarting(false);
             configurationText_ = text;
             logEvent(Event::ConfigurationApplied,
                 { { "version", std::to_string(configurationVersion_) },
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -108,6 +108,7 @@
         {
             // After the warm-up time flows are relearned from packets and from other sidecars.
             const auto deadline = clock_.now() + settings_.node.warmUpTime;
+            store_.setStarting(true);
             while (clock_.now() < deadline) {
                 const auto flows = co_await store_.get(checkpointKey(), store::ReadConsistency::Latest);
                 if (flows) {
@@ -116,6 +117,7 @@
                 }
                 co_await sleepFor(readRetryInterval);
             }
+            store_.setStarting(false);
             spawn("checkpoint", [this] { return checkpointEntry_.run(); });
         }
 
--- a/include/celerystile/store/circuit_breaker.hpp
+++ b/include/celerystile/store/circuit_breaker.hpp
@@ -3,6 +3,8 @@
 #include "celerystile/base/clock.hpp"
 #include "celerystile/base/random.hpp"
 
+#include <optional>
+
 /// @file
 /// @brief Circuit breaker shared by all calls of a process to the store: after a failure, one probe at a time with
 /// exponential backoff.
@@ -18,6 +20,9 @@
     std::chrono::milliseconds maxBackoff {
         1'000
     }; ///< with the call timeout added, entries are registered again within two seconds after an outage
+    std::chrono::milliseconds maxBackoffWhileStarting {
+        300
+    }; ///< maxBackoff of a process that can't serve callers before the store answers
 };
 
 /// @brief The circuit breaker. Not thread-safe.
@@ -39,13 +44,23 @@
     /// @brief Records a call without an answer, or one that the store did not execute. Opens the breaker.
     void recordFailure(base::TimePoint now);
 
+    /// @brief Sets whether the process still waits for the state that it starts from.
+    void setStarting(bool starting) { starting_ = starting; }
+
     bool open() const { return open_; }
 
+    /// @return when allow() has to be asked again: the time of the next probe, or none while a probe is in progress.
+    std::optional<base::TimePoint> nextProbeAt() const
+    {
+        return probing_ ? std::optional<base::TimePoint> {} : nextProbeAt_;
+    }
+
 private:
     CircuitBreakerOptions options_;
     base::Random random_;
     bool open_ = false;
     bool probing_ = false;
+    bool starting_ = false;
     base::Duration backoff_ { 0 };
     base::TimePoint nextProbeAt_ {};
 };
--- a/src/celerystile/store/circuit_breaker.cpp
+++ b/src/celerystile/store/circuit_breaker.cpp
@@ -25,8 +25,8 @@
 {
     if (open_ && !probing_)
         return;
-    backoff_
-        = open_ ? std::min<base::Duration>(backoff_ * 2, options_.maxBackoff) : base::Duration(options_.initialBackoff);
+    const auto longest = starting_ ? options_.maxBackoffWhileStarting : options_.maxBackoff;
+    backoff_ = open_ ? std::min<base::Duration>(backoff_ * 2, longest) : base::Duration(options_.initialBackoff);
     open_ = true;
     probing_ = false;
     // Jitter between half of the backoff and all of it: processes that failed together don't probe together.
--- a/src/celerystile/store/circuit_breaker_test.cpp
+++ b/src/celerystile/store/circuit_breaker_test.cpp
@@ -84,6 +84,30 @@
     CHECK(breaker.allow(start + milliseconds(300)));
 }
 
+TEST_CASE("a process that still starts probes more often, and none is due while a probe is in progress")
+{
+    const auto longestBackoff = [](bool starting) {
+        CircuitBreaker breaker({}, 3);
+        breaker.setStarting(starting);
+        base::Duration longest { 0 };
+        auto now = start;
+        breaker.recordFailure(now);
+        for (int i = 0; i < 20; ++i) {
+            const auto next = breaker.nextProbeAt();
+            REQUIRE(next);
+            longest = std::max(longest, *next - now);
+            now = *next;
+            REQUIRE(breaker.allow(now));
+            CHECK(!breaker.nextProbeAt());
+            breaker.recordFailure(now);
+        }
+        return longest;
+    };
+    CHECK(longestBackoff(true) <= milliseconds(300));
+    CHECK(longestBackoff(false) > milliseconds(500));
+    CHECK(longestBackoff(false) <= milliseconds(1'000));
+}
+
 TEST_CASE("load: processes call less during an outage and all recover within two seconds after it")
 {
     const auto outage = simulateOutage(195, 4, milliseconds(9'000));
