--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -310,7 +310,7 @@
         fleet::Balancer balancer_;
         store::PrefixWatch configurationWatch_;
         store::PrefixPoll registryPoll_;
-        DecisionLog log_;
+        DecisionLog log_ { settings_.logDecisionsPerSecond };
         // Used by the control thread only.
         std::uint64_t configurationVersion_ = 0;
         std::string configurationText_;
--- a/apps/celerystiled/fleet_options.cpp
+++ b/apps/celerystiled/fleet_options.cpp
@@ -18,6 +18,8 @@
             "Second passphrase that is also accepted, for key rotation." },
         Option { "placement", "CELERYSTILE_PLACEMENT", OptionKind::Text, "least-loaded", false, 0, 0, "",
             "Placement strategy for new flows: least-loaded, local-first or rendezvous." },
+        Option { "log-decisions", "CELERYSTILE_LOG_DECISIONS", OptionKind::Number, "40", false, 1, 1'000'000,
+            "lines a second", "Limit of log lines on single flows; further ones are only counted." },
     };
 
 } // namespace
@@ -36,7 +38,8 @@
         return base::failure(base::ErrorCode::Invalid,
             "--placement: '" + settings.text("placement")
                 + "' is unknown; must be least-loaded, local-first or rendezvous");
-    return FleetSettings { settings.text("settings-file"), std::move(*node), *keyring, settings.text("placement") };
+    return FleetSettings { settings.text("settings-file"), std::move(*node), *keyring, settings.text("placement"),
+        static_cast<unsigned>(settings.number("log-decisions")) };
 }
 
 } // namespace celerystile::daemon
--- a/apps/celerystiled/fleet_options.hpp
+++ b/apps/celerystiled/fleet_options.hpp
@@ -16,6 +16,7 @@
     platform::NodeSettings node;
     peer::Keyring keyring;
     std::string placement; ///< name of the placement strategy for new flows; checked by readFleetSettings()
+    unsigned logDecisionsPerSecond = 0; ///< log lines on decisions; further ones are only counted
 };
 
 /// @brief Flags and environment variables of both roles.
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -366,7 +366,7 @@
         fleet::ConfigurationReplica replica_; // used by the traffic thread only
         std::uint64_t configurationVersion_ = 0; // this and the text: used by the control thread only
         std::string configurationText_;
-        DecisionLog log_;
+        DecisionLog log_ { settings_.logDecisionsPerSecond };
         std::uint64_t checkpointedVersion_ = 0;
         base::TimePoint checkpointedAt_ {};
         std::uint64_t malformed_ = 0;
--- a/apps/celerystiled/fleet_transport.cpp
+++ b/apps/celerystiled/fleet_transport.cpp
@@ -115,7 +115,7 @@
         linesInWindow_ = 0;
         suppressedLines_ = 0;
     }
-    if (linesInWindow_ >= maxLinesPerSecond) {
+    if (linesInWindow_ >= maxLinesPerSecond_) {
         ++suppressedLines_;
         return;
     }
--- a/apps/celerystiled/fleet_transport.hpp
+++ b/apps/celerystiled/fleet_transport.hpp
@@ -79,17 +79,20 @@
     return std::move(*value);
 }
 
-/// @brief Writes decisions to the log, at most maxLinesPerSecond; suppressed lines are counted and reported in the
+/// @brief Writes decisions to the log, at most `maxLinesPerSecond`; suppressed lines are counted and reported in the
 /// next window. Not thread-safe.
 class DecisionLog {
 public:
+    explicit DecisionLog(unsigned maxLinesPerSecond)
+        : maxLinesPerSecond_(maxLinesPerSecond)
+    {
+    }
+
     /// @brief Logs a decision, or counts it if the limit of this window is reached.
     void write(const fleet::Decision& decision, base::TimePoint now);
 
 private:
-    // Share of one process in the log volume that an on-call engineer can search.
-    static constexpr unsigned maxLinesPerSecond = 40;
-
+    unsigned maxLinesPerSecond_;
     base::TimePoint windowStart_ {};
     unsigned linesInWindow_ = 0;
     std::uint64_t suppressedLines_ = 0;
