--- a/include/celerystile/fleet/admission_queue.hpp
+++ b/include/celerystile/fleet/admission_queue.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 /// @file
-/// @brief Bounded admission queue for new flows and requests on open flows at a saturated host.
+/// @brief Bounded admission queue for requests at a saturated host.
 ///
 /// A host serves in order of arrival. Under overload every answer is delayed by its queue, and beyond that it sheds
 /// requests whose callers have no retries left. This queue keeps the host's own queue short and admits work as fast as
@@ -18,7 +18,7 @@
 
 namespace celerystile::fleet {
 
-/// @brief An entry of the queue: a flow's SYN or its next request.
+/// @brief An entry of the queue: the next request of a flow.
 struct QueueEntry {
     core::FlowKey key;
     std::uint32_t priority = 0; ///< 0 goes first
