--- a/src/celerystile/store/circuit_breaker_test.cpp
+++ b/src/celerystile/store/circuit_breaker_test.cpp
@@ -26,14 +26,16 @@
         base::Duration maxRecoveryTime { 0 }; // after the end of the outage
     };
 
+    constexpr milliseconds localRetry { 300 }; // between two calls of one component
+
     // Simulates all processes while the store refuses every call for `outageDuration`.
-    Outage simulateOutage(std::size_t processes, std::size_t users, milliseconds outageDuration)
+    Outage simulateOutage(std::size_t processes, std::size_t users, milliseconds outageDuration, bool starting = false)
     {
-        constexpr milliseconds localRetry { 300 };
         std::vector<Process> fleet;
         base::Random random(5);
         for (std::size_t i = 0; i < processes; ++i) {
             Process process { CircuitBreaker({}, i + 1), {}, {} };
+            process.breaker.setStarting(starting);
             for (std::size_t user = 0; user < users; ++user)
                 process.nextTry.push_back(start + milliseconds(random.below(1'000)));
             fleet.push_back(std::move(process));
@@ -120,4 +122,22 @@
     }
 }
 
+TEST_CASE(
+    "load: a fleet that restarts during an outage has the store back sooner than a running one, at a bounded price")
+{
+    constexpr std::size_t processes = 195;
+    const CircuitBreakerOptions options;
+    const auto running = simulateOutage(processes, 4, milliseconds(6'000));
+    const auto starting = simulateOutage(processes, 4, milliseconds(6'000), true);
+    const auto longestWait = options.maxBackoffWhileStarting + localRetry;
+    CHECK(starting.maxRecoveryTime <= longestWait);
+    CHECK(running.maxRecoveryTime > longestWait);
+    // Jitter shortens a backoff to half of it at most.
+    const auto callsPerSecond = std::chrono::seconds(1) / (options.maxBackoffWhileStarting / 2) + 1;
+    for (const auto& [second, calls] : starting.callsPerSecond) {
+        if (second > 0)
+            CHECK(calls <= processes * static_cast<std::size_t>(callsPerSecond));
+    }
+}
+
 } // namespace celerystile::store
