Observability of host records: what was not applied, who is believed, jumps of the time of day

The record of the incident can't tell its hypotheses apart: a report or registry entry that a balancer drops as older leaves no line and no counter, a reset does not say what was known of the host, a sidecar does not know that a balancer believes in another process, and nothing tells that the time of day has jumped. No decision changes.

- 6203 host_record_outdated, once in 10 s a host, with the identities received and known; counters reports_outdated and hosts_outdated.
- Records carry a random identity of the sidecar's process; a balancer's hello names the process that it knows at the receiver's address.
A sidecar logs 6106 process_mistaken and counts mistaken_balancers beside balancers.
- flow_reset by a balancer names instance, born, process, epoch and registration of the host it gives up.
- 6305 clock_stepped and the counter clock_steps; process_started names process and epoch; the dump of a balancer names identity and age of the last report of each host.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -274,6 +274,14 @@
             ready_ = ready;
         }
 
+        // Null before the first report.
+        static boost::json::value reportAge(const fleet::KnownHost& host, base::TimePoint now)
+        {
+            if (host.lastReportAt == base::TimePoint {})
+                return nullptr;
+            return std::chrono::duration_cast<std::chrono::milliseconds>(now - host.lastReportAt).count();
+        }
+
         boost::json::object stateJson(base::TimePoint now) const override
         {
             boost::json::object state;
@@ -290,7 +298,10 @@
             for (const auto& [sidecar, host] : balancer_.hostTable().hosts()) {
                 hosts.push_back(boost::json::object { { "sidecar", sidecar.toString() },
                     { "state", fleet::toString(host.record.state) }, { "open_flows", host.record.openFlows },
-                    { "registered", host.registered }, { "suspected", now < host.suspectedUntil } });
+                    { "registered", host.registered }, { "suspected", now < host.suspectedUntil },
+                    { "instance", host.record.instance }, { "born", host.record.born },
+                    { "process", host.record.process }, { "epoch", host.record.epoch },
+                    { "report_age_ms", reportAge(host, now) } });
             }
             state["hosts"] = std::move(hosts);
             return state;
@@ -304,6 +315,17 @@
                 { about.key.caller.address, settings_.node.packetEndpoint.port }, platform::makeReset(about));
         }
         void recordDecision(const fleet::Decision& decision) override { log_.write(decision, clock_.now()); }
+        void recordOutdated(const fleet::OutdatedRecord& record) override
+        {
+            const auto& [received, known, source] = record;
+            logEvent(Event::HostRecordOutdated,
+                { { "host", received.sidecar.toString() }, { "source", std::string(fleet::toString(source)) },
+                    { "instance", std::to_string(received.instance) }, { "born", std::to_string(received.born) },
+                    { "process", std::to_string(received.process) }, { "epoch", std::to_string(received.epoch) },
+                    { "known_instance", std::to_string(known.instance) }, { "known_born", std::to_string(known.born) },
+                    { "known_process", std::to_string(known.process) },
+                    { "known_epoch", std::to_string(known.epoch) } });
+        }
 
         std::unique_ptr<fleet::Placement> placement_;
         FleetTransport transport_;
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/json/serialize.hpp>
 #include <iostream>
+#include <random>
 
 namespace celerystile::daemon {
 
@@ -24,12 +25,21 @@
     constexpr std::chrono::milliseconds taskRestartDelay { 100 };
     constexpr int exitFailure = 1;
 
-    std::uint64_t unixMilliseconds()
+    std::uint64_t unixMilliseconds(const base::WallClock& clock)
     {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        const auto now = clock.now().time_since_epoch();
         return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
     }
 
+    // The time is mixed in for platforms whose random numbers repeat after a restart.
+    std::uint64_t makeProcessId(base::TimePoint now)
+    {
+        std::random_device random;
+        const auto bits = static_cast<std::uint64_t>(random()) << 32 | random();
+        const auto id = base::mix(bits ^ base::mix(static_cast<std::uint64_t>(now.time_since_epoch().count())));
+        return std::max<std::uint64_t>(1, id);
+    }
+
     // One line per number; strings and nested objects appear only in the dump.
     std::string metricsText(const boost::json::object& state)
     {
@@ -45,7 +55,8 @@
 
 FleetProcess::FleetProcess(const FleetSettings& settings)
     : settings_(settings)
-    , epoch_(unixMilliseconds())
+    , epoch_(unixMilliseconds(wallClock_))
+    , processId_(makeProcessId(clock_.now()))
     , store_(settings.node.storeEndpoint, clock_, storeTimeout, core::hashName(settings.node.name) ^ epoch_)
     , stopSignals_(controlContext_, SIGTERM, SIGINT)
     , reloadSignals_(controlContext_, SIGHUP)
@@ -61,7 +72,8 @@
         neighbours += (neighbours.empty() ? "" : ",") + address.toString();
     logEvent(Event::ProcessStarted,
         { { "instance", node.name }, { "neighbours", neighbours }, { "failure_domain", node.failureDomain },
-            { "store", node.storeEndpoint.toString() }, { "version", std::string(base::version) } });
+            { "store", node.storeEndpoint.toString() }, { "version", std::string(base::version) },
+            { "process", std::to_string(processId_) }, { "epoch", std::to_string(epoch_) } });
     auto opened = start();
     if (opened)
         opened = serve(node.readinessEndpoint);
@@ -119,6 +131,16 @@
     trafficContext_.stop();
 }
 
+void FleetProcess::checkClock()
+{
+    const auto step = clockSteps_.check();
+    if (!step)
+        return;
+    ++clockStepCount_;
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(*step).count();
+    logEvent(Event::ClockStepped, { { "step_ms", std::to_string(milliseconds) } });
+}
+
 FleetProcess::Task FleetProcess::watchSettings()
 {
     auto known = settings_.node;
@@ -129,6 +151,7 @@
                 reloadSignals_.cancel();
         });
         const auto [error, signal] = co_await reloadSignals_.async_wait(useNothrowAwaitable);
+        checkClock();
         auto read = platform::readNodeSettings(settings_.settingsFile);
         if (!read) {
             logEvent(
@@ -221,6 +244,7 @@
     state["store_calls_held_back"] = calls.shortCircuited;
     state["store_failures"] = calls.failures;
     state["log_lines_dropped"] = base::droppedLines();
+    state["clock_steps"] = clockStepCount_;
 }
 
 void FleetProcess::startTicking(std::function<base::TimePoint(base::TimePoint)> tick)
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celerystile/base/clock.hpp"
+#include "celerystile/base/clock_step.hpp"
 #include "celerystile/base/events.hpp"
 #include "celerystile/base/http.hpp"
 #include "celerystile/fleet/message.hpp"
@@ -89,7 +90,9 @@
 
     const FleetSettings settings_;
     const base::SteadyClock clock_;
+    const base::SystemClock wallClock_;
     const std::uint64_t epoch_; ///< start time of this process, Unix milliseconds
+    const std::uint64_t processId_; ///< random identity of this process; not 0
     boost::asio::io_context controlContext_;
     boost::asio::io_context trafficContext_;
     platform::StoreClient store_;
@@ -97,6 +100,7 @@
 private:
     Task stopOnSignal();
     Task watchSettings();
+    void checkClock();
     Task runWithRestart(std::string name, std::function<Task()> task);
     boost::asio::awaitable<base::HttpReply> statusReply(const std::string& target);
     void addProcessCounts(boost::json::object& state) const;
@@ -108,6 +112,8 @@
     base::TimePoint nextTick_ = base::TimePoint::max();
     std::function<base::TimePoint(base::TimePoint)> tick_;
     std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> acceptors_;
+    base::ClockStepDetector clockSteps_ { clock_, wallClock_ };
+    std::uint64_t clockStepCount_ = 0;
 };
 
 /// @brief Run a process of each role until it has been stopped. @return exit code of the process
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -44,7 +44,7 @@
         explicit FleetSidecar(const FleetSettings& settings)
             : FleetProcess(settings)
             , transport_(trafficContext_, settings_.keyring)
-            , sidecar_(makeOptions(settings, epoch_), *this, clock_.now())
+            , sidecar_(makeOptions(settings, epoch_, processId_), *this, clock_.now())
             , registryEntry_(store_, clock_, controlContext_,
                   std::string(hostsPrefix) + settings.node.packetEndpoint.toString(), {})
             , checkpointEntry_(store_, clock_, controlContext_,
@@ -54,13 +54,15 @@
         }
 
     private:
-        static fleet::SidecarOptions makeOptions(const FleetSettings& settings, std::uint64_t epoch)
+        static fleet::SidecarOptions makeOptions(
+            const FleetSettings& settings, std::uint64_t epoch, std::uint64_t process)
         {
             fleet::SidecarOptions options;
             options.self = settings.node.packetEndpoint;
             options.instance = fleet::instanceId(settings.node.name);
             options.failureDomain = core::hashName(settings.node.failureDomain);
             options.epoch = epoch;
+            options.process = process;
             options.relearnPeriod = settings.node.warmUpTime;
             constexpr double silentHeartbeats = 2.3; // two lost heartbeats and some delay
             constexpr double deadHeartbeats = 3.4;
@@ -317,6 +319,8 @@
             state["busy_flows"] = record.busyFlows;
             state["host_state"] = fleet::toString(record.state);
             state["host_born"] = record.born;
+            state["balancers"] = sidecar_.balancers();
+            state["mistaken_balancers"] = sidecar_.mistakenBalancers();
             return state;
         }
 
@@ -358,6 +362,14 @@
                 });
         }
         void recordDecision(const fleet::Decision& decision) override { log_.write(decision, clock_.now()); }
+        void recordMistaken(const base::Endpoint& balancer, const fleet::KnownProcess& known) override
+        {
+            const auto record = sidecar_.record(clock_.now());
+            logEvent(Event::ProcessMistaken,
+                { { "balancer", balancer.toString() }, { "known_process", std::to_string(known.process) },
+                    { "known_epoch", std::to_string(known.epoch) }, { "process", std::to_string(record.process) },
+                    { "epoch", std::to_string(record.epoch) } });
+        }
 
         FleetTransport transport_;
         fleet::Sidecar sidecar_;
--- a/apps/celerystiled/fleet_transport.cpp
+++ b/apps/celerystiled/fleet_transport.cpp
@@ -121,10 +121,18 @@
     }
     ++linesInWindow_;
     const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(decision.age).count();
-    base::logEvent(toEvent(decision.kind),
-        { { "flow", decision.flow.toString() }, { "host", decision.host ? decision.host->toString() : "-" },
-            { "reason", std::string(decision.reason) }, { "version", std::to_string(decision.version) },
-            { "load", std::to_string(decision.load) }, { "age_ms", std::to_string(age) } });
+    std::vector<base::Field> fields { { "flow", decision.flow.toString() },
+        { "host", decision.host ? decision.host->toString() : "-" }, { "reason", std::string(decision.reason) },
+        { "version", std::to_string(decision.version) }, { "load", std::to_string(decision.load) },
+        { "age_ms", std::to_string(age) } };
+    if (const auto& evidence = decision.evidence) {
+        fields.push_back({ "instance", std::to_string(evidence->instance) });
+        fields.push_back({ "born", std::to_string(evidence->born) });
+        fields.push_back({ "process", std::to_string(evidence->process) });
+        fields.push_back({ "epoch", std::to_string(evidence->epoch) });
+        fields.push_back({ "registered", evidence->registered ? "yes" : "no" });
+    }
+    base::logEvent(toEvent(decision.kind), fields);
 }
 
 } // namespace celerystile::daemon
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -158,6 +158,7 @@
             void send(const Endpoint& to, const Message& message) override { world.send(to, message); }
             void reset(const Segment& about) override { world.resetCaller(about.key, *this, lastReason); }
             void announce(const fleet::HostRecord& record) override { pendingEntry = record; }
+            void recordMistaken(const Endpoint&, const fleet::KnownProcess&) override { }
             void recordDecision(const fleet::Decision& decision) override { lastReason = decision.reason; }
 
             World& world;
@@ -191,6 +192,7 @@
             void send(const Endpoint& to, const Message& message) override { world.send(to, message); }
             void reset(const Segment& about) override { world.resetCaller(about.key, *this, lastReason); }
             void recordDecision(const fleet::Decision& decision) override { lastReason = decision.reason; }
+            void recordOutdated(const fleet::OutdatedRecord&) override { }
 
             World& world;
             std::size_t index;
--- a/include/celerystile/base/events.hpp
+++ b/include/celerystile/base/events.hpp
@@ -65,12 +65,15 @@
     HostStateChanged = 6103,
     HostLeft = 6104,
     CheckpointRead = 6105,
+    ProcessMistaken = 6106,
     RegistryChanged = 6201,
     RegistryEntryUnreadable = 6202,
+    HostRecordOutdated = 6203,
     SettingsReloaded = 6301,
     TaskFailed = 6302,
     CutOff = 6303,
     Reconnected = 6304,
+    ClockStepped = 6305,
 };
 
 /// @brief Catalogue entry of an event: its name in the log, its meaning and the action to take.
@@ -111,5 +114,6 @@
 /// base::logEvent(base::Event::Ready, { { "generation", "12" } });
 /// @endcode
 void logEvent(Event event, std::initializer_list<Field> fields = {});
+void logEvent(Event event, std::span<const Field> fields);
 
 } // namespace celerystile::base
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -30,6 +30,8 @@
     DropUnsettled, ///< SYNs without a known configuration or above maxPendingSyns
     SynHeld, ///< SYNs without a host while the host list is incomplete
     ClaimsAsked, ///< requests to sidecars for all their claims
+    ReportsOutdated, ///< reports of a process or incarnation that the host table holds a later one of
+    HostsOutdated, ///< the same for records of the registry or of another balancer's snapshot
     Count_,
 };
 
@@ -53,6 +55,9 @@
 
     /// @brief Logs a decision.
     virtual void recordDecision(const Decision& decision) = 0;
+
+    /// @brief Logs a host record that was not applied.
+    virtual void recordOutdated(const OutdatedRecord& record) = 0;
 };
 
 /// @brief Settings of a balancer.
@@ -122,6 +127,8 @@
     std::uint64_t count(BalancerCount which) const { return counts_[static_cast<std::size_t>(which)]; }
 
 private:
+    using LogTimes = boost::unordered_flat_map<Endpoint, base::TimePoint, core::EndpointHash>;
+
     struct PendingSyn {
         core::Segment segment;
         std::vector<std::uint8_t> packet;
@@ -136,6 +143,7 @@
 
     void increment(BalancerCount which) { ++counts_[static_cast<std::size_t>(which)]; }
     void onSyn(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
+    static bool isLogDue(LogTimes& loggedAt, const Endpoint& sidecar, base::TimePoint now);
     void recordEjected(const PendingSyn& pending, const std::vector<const KnownHost*>& usable,
         const std::vector<const KnownHost*>& eligible, base::TimePoint now);
     void place(PendingSyn& pending, std::string_view reason, base::TimePoint now);
@@ -149,7 +157,8 @@
     void resetLostFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now);
     void setUrgency(Forward& forward, const core::Segment& segment) const;
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
-    BalancerHello makeHello(bool wantsFlows = false) const;
+    BalancerHello makeHello(const Endpoint& sidecar, bool wantsFlows = false) const;
+    void onOutdatedRecord(const OutdatedRecord& record, base::TimePoint now);
     void repairClaims(base::TimePoint now);
     void sendHellos(base::TimePoint now);
     void retryHellos(base::TimePoint now);
@@ -164,7 +173,8 @@
     OwnerTable owners_;
     ClaimRepair repair_;
     LookupTracker lookups_;
-    boost::unordered_flat_map<Endpoint, base::TimePoint, core::EndpointHash> ejectionLoggedAt_; // by the host's sidecar
+    LogTimes ejectionLoggedAt_; // by the host's sidecar
+    LogTimes outdatedLoggedAt_; // by the host's sidecar
     boost::unordered_flat_map<core::FlowKey, PendingSyn, core::FlowKeyHash> pending_;
     base::TimePoint wakeupAt_ = base::TimePoint::max();
     base::TimePoint nextHello_;
--- a/include/celerystile/fleet/decision.hpp
+++ b/include/celerystile/fleet/decision.hpp
@@ -2,6 +2,7 @@
 
 #include "celerystile/base/clock.hpp"
 #include "celerystile/core/flow_key.hpp"
+#include "celerystile/fleet/host_record.hpp"
 
 #include <optional>
 #include <string_view>
@@ -27,6 +28,17 @@
 
 std::string_view toString(DecisionKind kind);
 
+/// @brief What a balancer knows of a host when it decides on one of its flows.
+struct HostEvidence {
+    InstanceId instance = 0;
+    std::uint64_t born = 0; ///< incarnation of the host
+    std::uint64_t process = 0; ///< identity of the sidecar's process
+    std::uint64_t epoch = 0; ///< of that process
+    bool registered = false; ///< has an entry in the registry
+
+    bool operator==(const HostEvidence&) const = default;
+};
+
 /// @brief A decision and its inputs.
 struct Decision {
     DecisionKind kind = DecisionKind::FlowPlaced;
@@ -36,6 +48,7 @@
     std::uint64_t version = 0; ///< configuration version (balancer) or host incarnation (sidecar)
     std::uint32_t load = 0; ///< known number of open flows of that host
     base::Duration age { 0 }; ///< age of that load
+    std::optional<HostEvidence> evidence; ///< of a reset by a balancer
 };
 
 } // namespace celerystile::fleet
--- a/include/celerystile/fleet/host_record.hpp
+++ b/include/celerystile/fleet/host_record.hpp
@@ -38,6 +38,7 @@
     std::uint64_t failureDomain = 0; ///< hash of its name
     std::uint64_t born = 0; ///< start of the host's incarnation, Unix milliseconds
     std::uint64_t epoch = 0; ///< start of the sidecar's process, Unix milliseconds
+    std::uint64_t process = 0; ///< random identity of the sidecar's process; 0: unknown
     std::uint32_t slots = 1; ///< requests that the host serves concurrently
     HostState state = HostState::Ready;
     std::uint32_t coldMilliseconds = 0; ///< remaining time of slow start
--- a/include/celerystile/fleet/host_table.hpp
+++ b/include/celerystile/fleet/host_table.hpp
@@ -4,6 +4,7 @@
 #include "celerystile/fleet/host_record.hpp"
 
 #include <boost/unordered/unordered_flat_map.hpp>
+#include <optional>
 #include <vector>
 
 /// @file
@@ -17,6 +18,23 @@
     Partial, ///< hosts may be missing, after an outage of the store or a restart of the fleet
 };
 
+/// @brief Where a host record came from.
+enum class RecordSource : std::uint8_t {
+    Report, ///< from the sidecar itself
+    HostList, ///< from the registry or from another balancer's snapshot
+};
+
+std::string_view toString(RecordSource source);
+
+/// @brief A record that was not applied, because the table holds one of a later process or incarnation.
+struct OutdatedRecord {
+    HostRecord received;
+    HostRecord known;
+    RecordSource source = RecordSource::Report;
+
+    bool operator==(const OutdatedRecord&) const = default;
+};
+
 /// @brief Settings of the host table.
 struct HostTableOptions {
     base::Duration reportLifetime
@@ -53,10 +71,12 @@
 
     /// @brief Applies the registry's entries. Hosts missing from a complete list stay only while their sidecars report;
     /// a partial list removes none.
-    void applyRegistry(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
+    /// @return the records that were not applied.
+    std::vector<OutdatedRecord> applyRegistry(
+        const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
 
-    /// @brief Records a sidecar's report; one of an older epoch or incarnation is ignored.
-    void recordReport(const HostRecord& record, base::TimePoint now);
+    /// @brief Records a sidecar's report. @return the record if it was not applied.
+    std::optional<OutdatedRecord> recordReport(const HostRecord& record, base::TimePoint now);
 
     /// @brief Records that a SYN was sent to the host.
     void recordPlacement(const Endpoint& sidecar);
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -69,6 +69,14 @@
     bool operator==(const FlowReport&) const = default;
 };
 
+/// @brief The sidecar process at an address that a balancer holds the newest record of.
+struct KnownProcess {
+    std::uint64_t process = 0; ///< 0: none
+    std::uint64_t epoch = 0;
+
+    bool operator==(const KnownProcess&) const = default;
+};
+
 /// @brief Announces a balancer. A restarted one has another epoch and receives all open flows.
 struct BalancerHello {
     Endpoint balancer;
@@ -77,6 +85,7 @@
     std::uint32_t intervalMilliseconds = 0; ///< maximum interval of its hellos; 0: unknown
     bool wantsFlows = false; ///< requests all claims of the receiver, because some were missed
     std::uint64_t configurationVersion = 0; ///< in force; 0: none yet
+    KnownProcess known; ///< at the receiver's address
 
     bool operator==(const BalancerHello&) const = default;
 };
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -77,6 +77,9 @@
 
     /// @brief Logs a decision.
     virtual void recordDecision(const Decision& decision) = 0;
+
+    /// @brief Logs that a balancer holds the record of another process at this address as the newer one.
+    virtual void recordMistaken(const Endpoint& balancer, const KnownProcess& known) = 0;
 };
 
 /// @brief Settings of a sidecar.
@@ -85,6 +88,7 @@
     InstanceId instance = 0; ///< the instance that runs this process and its host
     std::uint64_t failureDomain = 0;
     std::uint64_t epoch = 0; ///< start of this process, Unix milliseconds
+    std::uint64_t process = 0; ///< random identity of this process; not 0
     HostStatusOptions host;
     std::size_t maxFlows = 100'000;
     RequestMeterOptions meter;
@@ -165,6 +169,12 @@
     /// @return the number of hosts in the fleet by the last hello of a balancer, at least 1.
     std::uint32_t fleetHosts() const { return fleetHosts_; }
 
+    /// @return the number of balancers that receive reports.
+    std::size_t balancers() const { return balancers_.size(); }
+
+    /// @return the number of those that hold the record of another process at this address as the newer one.
+    std::size_t mistakenBalancers() const;
+
     HostRecord record(base::TimePoint now) const;
     const HostStatus& host() const { return host_; }
     const core::FlowTable& flows() const { return table_; }
@@ -188,6 +198,7 @@
         std::uint64_t epoch = 0;
         base::TimePoint lastReceivedAt {};
         base::Duration lifetime { 0 };
+        bool mistaken = false; // holds the record of another process at this address as the newer one
     };
 
     using SavedForwards = boost::unordered_flat_map<core::FlowKey, SavedForward, core::FlowKeyHash>;
--- a/src/celerystile/base/events.cpp
+++ b/src/celerystile/base/events.cpp
@@ -111,11 +111,17 @@
         EventInfo { Event::HostLeft, Level::Info, "host_left", "The host has announced that it ends.", "-" },
         EventInfo { Event::CheckpointRead, Level::Info, "checkpoint_read",
             "The checkpoint of the previous process was read from the store.", "-" },
+        EventInfo { Event::ProcessMistaken, Level::Warning, "process_mistaken",
+            "A balancer holds the record of another process at this sidecar's address as the newer one.",
+            "Check the clock of the instance; look for a second process with this address." },
         EventInfo { Event::RegistryChanged, Level::Info, "registry_changed",
             "The list of hosts in the registry has changed.", "-" },
         EventInfo { Event::RegistryEntryUnreadable, Level::Warning, "registry_entry_unreadable",
             "An entry of the registry is malformed or not authentic; it is ignored.",
             "Look for another writer or a different key." },
+        EventInfo { Event::HostRecordOutdated, Level::Warning, "host_record_outdated",
+            "A report or an entry of a host was not applied: a later process or incarnation is known at its address.",
+            "If it recurs for one host, check the clock of its instance." },
         EventInfo { Event::SettingsReloaded, Level::Info, "settings_reloaded", "The settings file was reloaded.", "-" },
         EventInfo { Event::TaskFailed, Level::Alarm, "task_failed", "A control task failed and was restarted.",
             "Report a bug with the detail." },
@@ -125,6 +131,8 @@
             "Check the network of that instance." },
         EventInfo {
             Event::Reconnected, Level::Info, "reconnected", "The balancer receives reports from sidecars again.", "-" },
+        EventInfo { Event::ClockStepped, Level::Warning, "clock_stepped",
+            "The time of day has jumped against the monotonic clock.", "Check the time service of the instance." },
     };
 
     el::Level toElpp(Level level)
@@ -193,6 +201,11 @@
 std::uint64_t droppedLines() { return droppedLineCount; }
 
 void logEvent(Event event, std::initializer_list<Field> fields)
+{
+    logEvent(event, std::span(fields.begin(), fields.size()));
+}
+
+void logEvent(Event event, std::span<const Field> fields)
 {
     if (!isWritable(STDOUT_FILENO)) {
         ++droppedLineCount;
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -22,6 +22,8 @@
         "drop_unsettled",
         "syn_held",
         "claims_asked",
+        "reports_outdated",
+        "hosts_outdated",
     };
 
     // The acknowledgement field of a SYN holds the number of earlier copies, which callers send at fixed times.
@@ -124,18 +126,25 @@
     place(stored, "new flow", now);
 }
 
-// Logs each ejected host at most once per logInterval, not for every flow.
+// Limits lines on a host to one per logInterval.
+bool Balancer::isLogDue(LogTimes& loggedAt, const Endpoint& sidecar, base::TimePoint now)
+{
+    constexpr base::Duration logInterval = std::chrono::seconds(10);
+    const auto [entry, first] = loggedAt.try_emplace(sidecar, now);
+    if (!first && now - entry->second < logInterval)
+        return false;
+    entry->second = now;
+    return true;
+}
+
 void Balancer::recordEjected(const PendingSyn& pending, const std::vector<const KnownHost*>& usable,
     const std::vector<const KnownHost*>& eligible, base::TimePoint now)
 {
-    constexpr base::Duration logInterval = std::chrono::seconds(10);
     for (const auto* host : usable) {
         if (std::find(eligible.begin(), eligible.end(), host) != eligible.end())
             continue;
-        const auto [entry, first] = ejectionLoggedAt_.try_emplace(host->record.sidecar, now);
-        if (!first && now - entry->second < logInterval)
+        if (!isLogDue(ejectionLoggedAt_, host->record.sidecar, now))
             continue;
-        entry->second = now;
         output_.recordDecision({ DecisionKind::HostEjected, pending.segment.key,
             "fails far more often than the other hosts; load is failures per mille", host->record.sidecar,
             routes_->version, host->record.failurePermille, now - host->lastReportAt });
@@ -237,10 +246,13 @@
 void Balancer::resetLostFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now)
 {
     const bool replaced = hostTable_.replaced(owner.sidecar, owner.instance);
+    const auto& host = *hostTable_.find(owner.sidecar);
     increment(BalancerCount::FlowsReset);
     output_.recordDecision({ DecisionKind::FlowReset, segment.key,
         replaced ? "another instance has the host's address" : "the host is lost", owner.sidecar, routes_->version, 0,
-        now - hostTable_.find(owner.sidecar)->lastReportAt });
+        now - host.lastReportAt,
+        HostEvidence {
+            host.record.instance, host.record.born, host.record.process, host.record.epoch, host.registered } });
     owners_.erase(segment.key);
     output_.reset(segment);
 }
@@ -314,8 +326,9 @@
         owners_.expire(routes_->idleTimeout * 2, now);
         hostTable_.expire(now);
         lookups_.expire(now);
-        boost::unordered::erase_if(
-            ejectionLoggedAt_, [&](const auto& entry) { return !hostTable_.hosts().contains(entry.first); });
+        for (auto* loggedAt : { &ejectionLoggedAt_, &outdatedLoggedAt_ })
+            boost::unordered::erase_if(
+                *loggedAt, [&](const auto& entry) { return !hostTable_.hosts().contains(entry.first); });
         repairClaims(now);
         nextSweep_ = now + sweepInterval;
     }
--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -39,9 +39,12 @@
         if (!hostTable_.find(record.sidecar))
             newSidecars.push_back(record.sidecar);
     }
-    hostTable_.applyRegistry(records, extent, now);
+    for (const auto& outdated : hostTable_.applyRegistry(records, extent, now)) {
+        increment(BalancerCount::HostsOutdated);
+        onOutdatedRecord(outdated, now);
+    }
     for (const auto& sidecar : newSidecars)
-        output_.send(sidecar, makeHello());
+        output_.send(sidecar, makeHello(sidecar));
     if (!newSidecars.empty()) {
         helloRetryDelay_ = options_.initialHelloRetryDelay;
         nextHelloRetry_ = now + helloRetryDelay_;
@@ -49,16 +52,21 @@
     }
 }
 
-BalancerHello Balancer::makeHello(bool wantsFlows) const
+BalancerHello Balancer::makeHello(const Endpoint& sidecar, bool wantsFlows) const
 {
+    const auto* host = hostTable_.find(sidecar);
     const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(helloInterval()).count();
     return { options_.self, options_.epoch, static_cast<std::uint32_t>(hostTable_.hosts().size()),
-        static_cast<std::uint32_t>(interval), wantsFlows, routes_->version };
+        static_cast<std::uint32_t>(interval), wantsFlows, routes_->version,
+        host ? KnownProcess { host->record.process, host->record.epoch } : KnownProcess {} };
 }
 
 void Balancer::onReport(const FlowReport& report, base::TimePoint now)
 {
-    hostTable_.recordReport(report.host, now);
+    if (const auto outdated = hostTable_.recordReport(report.host, now)) {
+        increment(BalancerCount::ReportsOutdated);
+        onOutdatedRecord(*outdated, now);
+    }
     for (const auto& claim : report.held) {
         owners_.addClaim({ report.host.sidecar, report.host.instance }, claim, now);
         pending_.erase(claim.key);
@@ -67,9 +75,15 @@
         owners_.removeClaim(report.host.sidecar, claim.key);
 }
 
+void Balancer::onOutdatedRecord(const OutdatedRecord& record, base::TimePoint now)
+{
+    if (isLogDue(outdatedLoggedAt_, record.known.sidecar, now))
+        output_.recordOutdated(record);
+}
+
 void Balancer::onSidecarHello(const SidecarHello& from)
 {
-    output_.send(from.sidecar, makeHello());
+    output_.send(from.sidecar, makeHello(from.sidecar));
     const auto* host = hostTable_.find(from.sidecar);
     for (const auto& [instance, flows] : owners_.flowsHeldBy(from.sidecar)) {
         for (std::size_t at = 0; at < flows.size(); at += maxFlowsPerDatagram) {
@@ -98,7 +112,7 @@
 {
     for (const auto& sidecar : repair_.check(hostTable_.hosts(), owners_.claimCounts(), now)) {
         increment(BalancerCount::ClaimsAsked);
-        output_.send(sidecar, makeHello(true));
+        output_.send(sidecar, makeHello(sidecar, true));
     }
 }
 
@@ -106,7 +120,7 @@
 void Balancer::sendHellos(base::TimePoint now)
 {
     for (const auto& [sidecar, host] : hostTable_.hosts())
-        output_.send(sidecar, makeHello());
+        output_.send(sidecar, makeHello(sidecar));
     nextHello_ = now + helloInterval();
 }
 
@@ -120,7 +134,7 @@
     for (const auto& [sidecar, host] : hostTable_.hosts()) {
         if (host.lastReportAt != base::TimePoint {} || !hostTable_.isCurrent(host, now))
             continue;
-        output_.send(sidecar, makeHello());
+        output_.send(sidecar, makeHello(sidecar));
         missing = true;
     }
     helloRetryDelay_ = std::min(helloRetryDelay_ * 2, helloInterval());
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -235,6 +235,34 @@
     }
 }
 
+TEST_CASE("a host record that is not applied is counted and logged once, a reset names what was known of the host")
+{
+    Fixture fixture;
+    auto record = hostOf("10.0.0.1:80");
+    record.instance = 1;
+    record.process = 11;
+    record.epoch = 2'000;
+    fixture.balancer.onReport({ record, { { synOf(caller).key, 900, 901, true } }, {} }, fixture.now);
+    auto earlier = record;
+    earlier.process = 10;
+    earlier.epoch = 1'000;
+    for (int i = 0; i < 3; ++i)
+        fixture.balancer.onReport({ earlier, {}, {} }, fixture.now);
+    fixture.balancer.setRegistry({ earlier }, ListExtent::Partial, fixture.now);
+    CHECK(fixture.balancer.count(BalancerCount::ReportsOutdated) == 3);
+    CHECK(fixture.balancer.count(BalancerCount::HostsOutdated) == 1);
+    REQUIRE(fixture.output.outdated.size() == 1);
+    CHECK(fixture.output.outdated.front() == OutdatedRecord { earlier, record, RecordSource::Report });
+
+    record.instance = 2;
+    record.process = 12;
+    record.epoch = 3'000;
+    fixture.balancer.onReport({ record, {}, {} }, fixture.now);
+    fixture.packet(dataOf(caller, 901));
+    REQUIRE(fixture.output.resets.size() == 1);
+    CHECK(fixture.output.decisions.back().evidence == HostEvidence { 2, record.born, 12, 3'000, true });
+}
+
 TEST_CASE("an unproven claim does not show that the flow ended with its host")
 {
     Fixture fixture;
--- a/src/celerystile/fleet/fleet_test_support.hpp
+++ b/src/celerystile/fleet/fleet_test_support.hpp
@@ -99,17 +99,24 @@
     std::vector<Decision> decisions;
 };
 
-using BalancerRecorder = Recorder<BalancerOutput>;
+class BalancerRecorder final : public Recorder<BalancerOutput> {
+public:
+    void recordOutdated(const OutdatedRecord& record) override { outdated.push_back(record); }
+
+    std::vector<OutdatedRecord> outdated;
+};
 
 class SidecarRecorder final : public Recorder<SidecarOutput> {
 public:
     void deliver(core::Bytes packet) override { delivered.emplace_back(packet.begin(), packet.end()); }
     void answer(const Endpoint& caller, core::Bytes) override { answered.push_back(caller); }
     void announce(const HostRecord& record) override { announced.push_back(record); }
+    void recordMistaken(const Endpoint& balancer, const KnownProcess&) override { mistaken.push_back(balancer); }
 
     std::vector<std::vector<std::uint8_t>> delivered;
     std::vector<Endpoint> answered;
     std::vector<HostRecord> announced;
+    std::vector<Endpoint> mistaken;
 };
 
 } // namespace celerystile::fleet::testing
--- a/src/celerystile/fleet/host_table.cpp
+++ b/src/celerystile/fleet/host_table.cpp
@@ -18,6 +18,12 @@
     return names[static_cast<std::size_t>(state)];
 }
 
+std::string_view toString(RecordSource source)
+{
+    constexpr std::array<std::string_view, 2> names { "report", "host list" };
+    return names[static_cast<std::size_t>(source)];
+}
+
 namespace {
 
     // A restart of the sidecar changes the epoch, a restart of the host its incarnation; the incarnation counts first.
@@ -37,14 +43,18 @@
     host.coldUntil = now + std::chrono::milliseconds(record.coldMilliseconds);
 }
 
-void HostTable::applyRegistry(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now)
+std::vector<OutdatedRecord> HostTable::applyRegistry(
+    const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now)
 {
+    std::vector<OutdatedRecord> outdated;
     for (auto& [sidecar, host] : hosts_)
         host.registered = host.registered && extent == ListExtent::Partial;
     for (const auto& record : records) {
         const auto [entry, added] = hosts_.try_emplace(record.sidecar);
         auto& host = entry->second;
         host.registered = true;
+        if (!added && isOlder(record, host.record))
+            outdated.push_back({ record, host.record, RecordSource::HostList });
         // A report is newer than the registry entry, unless the entry is of a later incarnation. The entry holds
         // neither the load nor the report interval.
         const bool reportIsNewer = !added && (reportedRecently(host, now) || host.record.restarting);
@@ -56,18 +66,20 @@
             host.lastReportAt = {};
     }
     expire(now);
+    return outdated;
 }
 
-void HostTable::recordReport(const HostRecord& record, base::TimePoint now)
+std::optional<OutdatedRecord> HostTable::recordReport(const HostRecord& record, base::TimePoint now)
 {
     const auto [entry, added] = hosts_.try_emplace(record.sidecar);
     auto& host = entry->second;
     if (!added && isOlder(record, host.record))
-        return;
+        return OutdatedRecord { record, host.record, RecordSource::Report };
     update(host, record, now);
     host.lastReportAt = now;
     host.suspectedUntil = {};
     host.placedSinceReport = 0;
+    return std::nullopt;
 }
 
 void HostTable::recordPlacement(const Endpoint& sidecar)
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -45,6 +45,7 @@
     record.failureDomain = options_.failureDomain;
     record.born = host_.born();
     record.epoch = options_.epoch;
+    record.process = options_.process;
     record.slots = host_.slots();
     record.state = host_.state(now);
     record.coldMilliseconds = static_cast<std::uint32_t>(host_.coldLeft(now).count());
@@ -121,6 +122,11 @@
     const std::chrono::duration<double, std::milli> helloTimeout(
         hello.intervalMilliseconds * options_.missedHelloLimit);
     known.lifetime = std::max(options_.minBalancerLifetime, std::chrono::duration_cast<base::Duration>(helloTimeout));
+    const bool mistaken
+        = hello.known.process != 0 && hello.known.process != options_.process && hello.known.epoch >= options_.epoch;
+    if (mistaken && !known.mistaken)
+        output_.recordMistaken(hello.balancer, hello.known);
+    known.mistaken = mistaken;
     if (known.epoch == hello.epoch && !hello.wantsFlows)
         return;
     const bool first = known.epoch == 0;
@@ -130,6 +136,12 @@
     startTransfer(hello.balancer, now);
 }
 
+std::size_t Sidecar::mistakenBalancers() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(balancers_.begin(), balancers_.end(), [](const auto& entry) { return entry.second.mistaken; }));
+}
+
 void Sidecar::onHeldFlows(const HeldFlows& held, base::TimePoint now)
 {
     if (host_.known())
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -88,6 +88,7 @@
             SidecarOptions options;
             options.self = self;
             options.epoch = 3;
+            options.process = 30;
             return options;
         }
 
@@ -723,6 +724,28 @@
     }
 }
 
+TEST_CASE("a sidecar logs once which balancer takes another process at its address for the newer one")
+{
+    Fixture fixture;
+    const auto hello = [&](const KnownProcess& known) {
+        BalancerHello hello { balancer, 4, 1, 1'000, false, 0, known };
+        fixture.sidecar.onHello(hello, fixture.now);
+    };
+    const auto own = fixture.sidecar.record(fixture.now);
+    hello({});
+    hello({ own.process, own.epoch });
+    hello({ own.process + 1, own.epoch - 1 }); // the predecessor, before the first report
+    CHECK(fixture.output.mistaken.empty());
+    CHECK(fixture.sidecar.mistakenBalancers() == 0);
+    hello({ own.process + 1, own.epoch + 8'000 });
+    hello({ own.process + 1, own.epoch + 8'000 });
+    CHECK(fixture.output.mistaken == std::vector<Endpoint> { balancer });
+    CHECK(fixture.sidecar.mistakenBalancers() == 1);
+    hello({ own.process, own.epoch });
+    CHECK(fixture.sidecar.mistakenBalancers() == 0);
+    CHECK(fixture.sidecar.balancers() == 1);
+}
+
 TEST_CASE("a new balancer receives all open flows, in datagrams of bounded size")
 {
     Fixture fixture;
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -116,6 +116,7 @@
         to.setFailureDomain(value.failureDomain);
         to.setBorn(value.born);
         to.setEpoch(value.epoch);
+        to.setProcess(value.process);
         to.setSlots(value.slots);
         to.setState(static_cast<std::uint8_t>(value.state));
         to.setColdMilliseconds(value.coldMilliseconds);
@@ -138,6 +139,7 @@
         value.failureDomain = from.getFailureDomain();
         value.born = from.getBorn();
         value.epoch = from.getEpoch();
+        value.process = from.getProcess();
         value.slots = from.getSlots();
         value.state = static_cast<fleet::HostState>(from.getState());
         value.coldMilliseconds = from.getColdMilliseconds();
@@ -183,7 +185,7 @@
             const auto hello = from.getBalancerHello();
             return fleet::Message { fleet::BalancerHello { read(hello.getBalancer()), hello.getEpoch(),
                 hello.getHosts(), hello.getIntervalMilliseconds(), hello.getWantsFlows(),
-                hello.getConfigurationVersion() } };
+                hello.getConfigurationVersion(), { hello.getKnownProcess(), hello.getKnownEpoch() } } };
         }
         case schema::FleetMessage::SIDECAR_HELLO:
             return fleet::Message { fleet::SidecarHello { read(from.getSidecarHello()) } };
@@ -220,6 +222,8 @@
             hello.setConfigurationVersion(value.configurationVersion);
             hello.setWantsFlows(value.wantsFlows);
             hello.setIntervalMilliseconds(value.intervalMilliseconds);
+            hello.setKnownProcess(value.known.process);
+            hello.setKnownEpoch(value.known.epoch);
         }
         void operator()(const fleet::SidecarHello& value) { write(root.initSidecarHello(), value.sidecar); }
         void operator()(const fleet::HeldFlows& value)
--- a/src/celerystile/peer/fleet_message_test.cpp
+++ b/src/celerystile/peer/fleet_message_test.cpp
@@ -30,6 +30,7 @@
         record.failureDomain = 9;
         record.born = 1'700'000'000'000;
         record.epoch = 1'700'000'000'001;
+        record.process = 0x5eed;
         record.slots = 5;
         record.state = fleet::HostState::Draining;
         record.coldMilliseconds = 20;
@@ -47,7 +48,7 @@
 TEST_CASE("fleet messages survive a round trip")
 {
     roundTrip(fleet::FlowReport { host(), { claim(), claim() }, { claim() } });
-    roundTrip(fleet::BalancerHello { endpoint("10.9.0.1:7720"), 4, 10, 9'600, true, 7 });
+    roundTrip(fleet::BalancerHello { endpoint("10.9.0.1:7720"), 4, 10, 9'600, true, 7, { 0x5eed, 11 } });
     roundTrip(fleet::SidecarHello { endpoint("10.9.0.1:7720") });
     roundTrip(fleet::HeldFlows { 7, 12, true, 9, { claim() } });
     roundTrip(fleet::SynDeclined { claim().key });
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -43,6 +43,7 @@
   failurePermille @12 :UInt16;
   instance @13 :UInt32;
   configurationVersion @14 :UInt64;
+  process @15 :UInt64;
 }
 
 struct FlowClaim {
@@ -68,6 +69,8 @@
   wantsFlows @3 :Bool;
   intervalMilliseconds @4 :UInt32;
   configurationVersion @5 :UInt64;
+  knownProcess @6 :UInt64;
+  knownEpoch @7 :UInt64;
 }
 
 struct HeldFlows {
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cac369ad427ba682, 9, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cac369ad427ba682, 10, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -116,7 +116,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(dff0407799e40763, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(dff0407799e40763, 6, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -465,6 +465,8 @@
 
   inline  ::uint64_t getConfigurationVersion() const;
 
+  inline  ::uint64_t getProcess() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -542,6 +544,9 @@
   inline  ::uint64_t getConfigurationVersion();
   inline void setConfigurationVersion( ::uint64_t value);
 
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -807,6 +812,10 @@
 
   inline  ::uint64_t getConfigurationVersion() const;
 
+  inline  ::uint64_t getKnownProcess() const;
+
+  inline  ::uint64_t getKnownEpoch() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -857,6 +866,12 @@
   inline  ::uint64_t getConfigurationVersion();
   inline void setConfigurationVersion( ::uint64_t value);
 
+  inline  ::uint64_t getKnownProcess();
+  inline void setKnownProcess( ::uint64_t value);
+
+  inline  ::uint64_t getKnownEpoch();
+  inline void setKnownEpoch( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1759,6 +1774,20 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t HostRecord::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostRecord::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void HostRecord::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t FlowClaim::Reader::getCallerIp() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2073,6 +2102,34 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t BalancerHello::Reader::getKnownProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BalancerHello::Builder::getKnownProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void BalancerHello::Builder::setKnownProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint64_t BalancerHello::Reader::getKnownEpoch() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t BalancerHello::Builder::getKnownEpoch() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void BalancerHello::Builder::setKnownEpoch( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldFlows::Reader::getBorn() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
