--- a/bench/interleaving_world.hpp
+++ b/bench/interleaving_world.hpp
@@ -8,7 +8,9 @@
 ///
 /// - ROUTE: a host accepts no SYN of another service.
 /// - FLOW: a flow that is open on a running host is not reset, and its packets do not go only to other hosts. After
-///   unplanned faults this applies once the instances involved have been fault-free for contactBound.
+///   unplanned faults this applies once the instances involved have been fault-free for contactBound. A jump of the
+///   time of day is such a fault; a sidecar that ends by itself is none; lost reports are one only when the loss
+///   begins.
 /// - TWICE: no request is executed on two hosts.
 /// - DRAIN: a host accepts no new flow later than drainBound after its sidecar received the draining state.
 /// - RECOVER: after the last fault new flows open and are served.
