Explorer: late heartbeats of a host's former incarnation

A heartbeat that was delayed may arrive after its sender has crashed and a new incarnation has registered at the same address. So far the order of `born` keeps it out: none of 500 random schedules with one time of day violates an invariant (the new test). The step is for changes of what identifies an incarnation.

--- a/bench/interleaving_schedule.hpp
+++ b/bench/interleaving_schedule.hpp
@@ -39,6 +39,7 @@
     TakeOverClockAhead, ///< like TakeOver, by a machine whose time of day is ahead by 0.3 to 10 s
     TakeOverClockBack, ///< like TakeOver, by a machine whose time of day is behind
     LateReports, ///< for a second a third of a sidecar's messages arrive a second time, up to 3 s late
+    LateHeartbeat, ///< a heartbeat of the host's former incarnation arrives at the sidecar
     EndSidecar, ///< the process ends by itself and is started again after 3 to 12 s; its host keeps running
     LoseReports, ///< a sidecar's messages to one of the balancers are lost for 3 to 8 s
     Count_,
@@ -65,7 +66,7 @@
 /// @brief The kinds with one time of day for all instances: OpenFlow to Wait.
 std::vector<StepKind> kindsWithOneClock();
 
-/// @brief The kinds in which each instance may have a time of day of its own: OpenFlow to LateReports.
+/// @brief The kinds in which each instance may have a time of day of its own: OpenFlow to LateHeartbeat.
 std::vector<StepKind> kindsWithOwnClocks();
 
 /// @brief All kinds.
--- a/bench/interleaving_test.cpp
+++ b/bench/interleaving_test.cpp
@@ -168,6 +168,14 @@
             StepKind::TakeOver, StepKind::Delay, StepKind::LateReports });
 }
 
+// Guards against a sidecar that takes a heartbeat of its host's former incarnation for the present one.
+TEST_CASE("interleavings: late heartbeats of a host that has ended violate no invariant")
+{
+    checkRandomSchedules(500,
+        { StepKind::OpenFlow, StepKind::Request, StepKind::KillSidecar, StepKind::StopSidecar, StepKind::RestartHost,
+            StepKind::Wait, StepKind::LateHeartbeat });
+}
+
 // Guards against sidecars that take a restarted balancer for its predecessor and send it no claims.
 TEST_CASE("interleavings: balancers that restart while their time of day jumps violate no invariant")
 {
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <utility>
 
 namespace celerystile::bench {
 
@@ -200,6 +201,8 @@
             std::unique_ptr<HostModel> host;
             std::unique_ptr<fleet::Sidecar> process;
             TimePoint nextHeartbeat {};
+            std::optional<fleet::HostReport> lastHeartbeat;
+            std::optional<fleet::HostReport> formerHeartbeat; // last one of the host's former incarnation
             bool predecessorRead = false;
             unsigned readAttempts = 0;
             TimePoint nextRead {};
@@ -402,6 +405,7 @@
         {
             slot.host = std::make_unique<HostModel>(++startedHosts_, service, slot.address, unixNow(slot));
             slot.drainedAt.reset();
+            slot.formerHeartbeat = std::exchange(slot.lastHeartbeat, std::nullopt);
             slot.nextHeartbeat = now_ + milliseconds(random_.below(heartbeatInterval.count()));
         }
 
@@ -410,7 +414,8 @@
             slot.nextHeartbeat = now_ + heartbeatInterval;
             if (!slot.process)
                 return;
-            slot.process->onHeartbeat(slot.host->heartbeat(), now_);
+            slot.lastHeartbeat = slot.host->heartbeat();
+            slot.process->onHeartbeat(*slot.lastHeartbeat, now_);
             if (slot.host->draining() && !slot.drainedAt)
                 slot.drainedAt = now_;
         }
@@ -720,6 +725,7 @@
             recordFault(slot);
             ++slot.instanceNumber;
             slot.clockError = clockError;
+            slot.lastHeartbeat.reset();
             slot.frozenUntil = {};
             slot.process.reset();
             ++slot.generation;
@@ -773,6 +779,16 @@
             calmAt_ = std::max(calmAt_, slot.lastFaultAt);
         }
 
+        // The host had sent one more heartbeat than the last one that arrived.
+        void deliverLateHeartbeat(Slot& slot)
+        {
+            if (!slot.formerHeartbeat || !slot.process || !isRunning(slot))
+                return;
+            auto late = *slot.formerHeartbeat;
+            ++late.sequence;
+            slot.process->onHeartbeat(late, now_);
+        }
+
         // A process that ends by itself is no disruption: its instance counts as fault-free all the while.
         void endSidecar(std::uint32_t target)
         {
@@ -881,6 +897,8 @@
                 return takeOverWithClockError(step.target, step.kind == StepKind::TakeOverClockAhead ? 1 : -1);
             case StepKind::LateReports:
                 return makeReportsLate(slot);
+            case StepKind::LateHeartbeat:
+                return deliverLateHeartbeat(slot);
             case StepKind::EndSidecar:
                 return endSidecar(step.target);
             case StepKind::LoseReports:
