Explorer: lost hellos, and the number of flows that stall; a failing test

A sidecar that receives neither hellos nor packets of a balancer for 10 s drops it and sends it no more reports.

A run reports how many flows that are open on a running host have no answer at its end. That breaks no invariant, but shows what silence costs where a reset is no longer sent.

--- a/bench/interleaving_models.hpp
+++ b/bench/interleaving_models.hpp
@@ -90,7 +90,11 @@
     /// @brief Handles a packet of the host.
     /// @return the acknowledgement to send, if any
     std::optional<Segment> onAnswer(const Segment& segment, TimePoint now);
-    void onReset() { state_ = State::Failed; }
+    void onReset()
+    {
+        state_ = State::Failed;
+        pending_.reset();
+    }
     void startRequest(TimePoint now);
 
     State state() const { return state_; }
--- a/bench/interleaving_test.cpp
+++ b/bench/interleaving_test.cpp
@@ -160,6 +160,16 @@
                       "request:2:0");
 }
 
+// Guards against resets by a balancer that gets no more reports because its hellos were lost, so that the sidecar has
+// dropped it.
+TEST_CASE("interleavings: the flows of a sidecar that has dropped a balancer stay open")
+{
+    checkNoViolations("open-flow:1:0 open-flow:1:0 open-flow:1:500 lose-forwards:602:13500 request:0:0 request:1:0 "
+                      "request:2:0");
+    checkNoViolations("open-flow:1:0 open-flow:1:0 open-flow:1:500 lose-forwards:605:13500 request:0:0 request:1:0 "
+                      "request:2:0");
+}
+
 // Guards against a table that takes a datagram of an ended process for news of its successor.
 TEST_CASE("interleavings: late datagrams of sidecars that have ended violate no invariant")
 {
@@ -188,10 +198,10 @@
     checkRandomSchedules(1'000, kindsWithOwnClocks());
 }
 
-TEST_CASE("interleavings: random schedules with absent sidecars and lost reports violate no invariant")
+TEST_CASE("interleavings: random schedules with absent sidecars and lost messages violate no invariant")
 {
     auto kinds = kindsWithOneClock();
-    kinds.insert(kinds.end(), { StepKind::EndSidecar, StepKind::LoseReports });
+    kinds.insert(kinds.end(), { StepKind::EndSidecar, StepKind::LoseReports, StepKind::LoseForwards });
     checkRandomSchedules(1'000, kinds);
 }
 
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -50,6 +50,8 @@
     constexpr milliseconds maxAbsence { 12'000 };
     constexpr milliseconds minReportLoss { 3'000 };
     constexpr milliseconds maxReportLoss { 8'000 };
+    constexpr milliseconds minForwardLoss { 8'000 };
+    constexpr milliseconds maxForwardLoss { 18'000 };
     constexpr std::uint64_t unixStartMilliseconds = 1'700'000'000'000;
 
     // Packets on the simulated network are memory copies of Segment; the sidecars and balancers do not parse them.
@@ -165,7 +167,12 @@
                         + " new flows were served after the last fault");
         }
 
-        RunReport report() const { return report_; }
+        RunReport report()
+        {
+            report_.stalled = static_cast<std::uint32_t>(std::count_if(flows_.begin(), flows_.end(),
+                [&](const auto& entry) { return entry.second.awaitingAnswer() && slotHolding(entry.first); }));
+            return report_;
+        }
 
     private:
         struct Instance {
@@ -223,8 +230,16 @@
             {
             }
 
-            void forward(const Endpoint& to, const fleet::Forward& forward) override { world.sendForward(to, forward); }
-            void send(const Endpoint& to, const Message& message) override { world.send(to, message); }
+            void forward(const Endpoint& to, const fleet::Forward& forward) override
+            {
+                if (!world.isLost(*this, to))
+                    world.sendForward(to, forward);
+            }
+            void send(const Endpoint& to, const Message& message) override
+            {
+                if (!world.isLost(*this, to))
+                    world.send(to, message);
+            }
             void reset(const Segment& about) override { world.resetCaller(about.key, *this, lastReason); }
             void recordDecision(const fleet::Decision& decision) override { lastReason = decision.reason; }
             void recordOutdated(const fleet::OutdatedRecord&) override { }
@@ -235,6 +250,7 @@
             std::string_view lastReason; // of the last decision; printed when it resets a flow wrongly
             std::uint64_t generation = 0;
             std::unique_ptr<fleet::Balancer> process;
+            std::array<TimePoint, slotCount> loseForwardsUntil {}; // by slot
             store::ListCompleteness completeness { store::ListCompletenessOptions {} };
             TimePoint nextList {};
             TimePoint nextPeerFetch {};
@@ -332,6 +348,12 @@
                 transmit([this, to, message] { receive(to, message); });
         }
 
+        bool isLost(const BalancerNode& sender, const Endpoint& to) const
+        {
+            const auto slot = slotAt(to);
+            return slot && now_ < sender.loseForwardsUntil[*slot];
+        }
+
         void sendFrom(const Slot& sender, const Endpoint& to, const Message& message)
         {
             if (const auto balancer = balancerAt(to); balancer && now_ < sender.loseReportsUntil[*balancer])
@@ -808,6 +830,15 @@
             calmAt_ = std::max(calmAt_, now_ + duration);
         }
 
+        void loseForwards(std::uint32_t target)
+        {
+            const auto [choice, duration]
+                = decodeTarget(target, slotCount * balancerCount, minForwardLoss, maxForwardLoss);
+            recordFault(*slots_[choice % slotCount]);
+            balancers_[choice / slotCount]->loseForwardsUntil[choice % slotCount] = now_ + duration;
+            calmAt_ = std::max(calmAt_, now_ + duration);
+        }
+
         void suspendStore(bool expireLeases)
         {
             store_.available = false;
@@ -903,6 +934,8 @@
                 return endSidecar(step.target);
             case StepKind::LoseReports:
                 return loseReports(step.target);
+            case StepKind::LoseForwards:
+                return loseForwards(step.target);
             case StepKind::Wait:
             case StepKind::Count_:
                 return;
--- a/bench/interleaving_world.hpp
+++ b/bench/interleaving_world.hpp
@@ -23,6 +23,7 @@
     std::uint32_t opened = 0; ///< flows whose caller received the SYN-ACK
     std::uint32_t answered = 0; ///< requests whose answer reached the caller
     std::uint32_t resets = 0; ///< open flows whose caller was reset
+    std::uint32_t stalled = 0; ///< flows open on a running host whose last request has no answer at the end
 
     bool operator==(const RunReport&) const = default;
 };
