Explorer: instances that are lost for seconds, and the number of abandoned flows

An instance with sidecar and host fails, and its address stays empty for 5 to 15 s. None of 500 random schedules with it violates an invariant. A run also reports how many flows of ended hosts got neither an answer nor a reset, which together with the stalled flows shows what a rule on resets costs.

--- a/bench/explore.cpp
+++ b/bench/explore.cpp
@@ -18,7 +18,7 @@
     for (const auto& line : report.violations)
         std::cout << line << "\n";
     std::cout << "flows opened " << report.opened << ", requests answered " << report.answered << ", open flows reset "
-              << report.resets << ", flows stalled " << report.stalled << "\n";
+              << report.resets << ", flows stalled " << report.stalled << ", abandoned " << report.abandoned << "\n";
 }
 
 bool violates(const Schedule& schedule, std::uint64_t seed, const std::string& invariant)
--- a/bench/interleaving_test.cpp
+++ b/bench/interleaving_test.cpp
@@ -186,6 +186,12 @@
             StepKind::Wait, StepKind::LateHeartbeat });
 }
 
+TEST_CASE("interleavings: instances that are lost for seconds violate no invariant")
+{
+    checkRandomSchedules(
+        500, { StepKind::OpenFlow, StepKind::Request, StepKind::KillBalancer, StepKind::LoseInstance });
+}
+
 // Guards against sidecars that take a restarted balancer for its predecessor and send it no claims.
 TEST_CASE("interleavings: balancers that restart while their time of day jumps violate no invariant")
 {
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -50,6 +50,8 @@
     constexpr milliseconds maxAbsence { 12'000 };
     constexpr milliseconds minReportLoss { 3'000 };
     constexpr milliseconds maxReportLoss { 8'000 };
+    constexpr milliseconds minReplacement { 5'000 };
+    constexpr milliseconds maxReplacement { 15'000 };
     constexpr milliseconds minForwardLoss { 8'000 };
     constexpr milliseconds maxForwardLoss { 18'000 };
     constexpr std::uint64_t unixStartMilliseconds = 1'700'000'000'000;
@@ -169,8 +171,10 @@
 
         RunReport report()
         {
-            report_.stalled = static_cast<std::uint32_t>(std::count_if(flows_.begin(), flows_.end(),
-                [&](const auto& entry) { return entry.second.awaitingAnswer() && slotHolding(entry.first); }));
+            for (const auto& [key, flow] : flows_) {
+                if (flow.awaitingAnswer())
+                    ++(slotHolding(key) ? report_.stalled : report_.abandoned);
+            }
             return report_;
         }
 
@@ -217,6 +221,7 @@
             std::optional<fleet::HostRecord> storedEntry;
             TimePoint nextWrite {};
             TimePoint nextCheckpoint {};
+            TimePoint lostUntil {}; // no instance has the address
             TimePoint lateReportsUntil {};
             std::array<TimePoint, balancerCount> loseReportsUntil {}; // by balancer
             std::optional<TimePoint> drainedAt; // when the sidecar received the first heartbeat with the draining state
@@ -589,7 +594,7 @@
             slot.process.reset();
             const auto generation = ++slot.generation;
             scheduleAfter(after, [this, &slot, generation] {
-                if (slot.generation != generation)
+                if (slot.generation != generation || now_ < slot.lostUntil)
                     return;
                 fleet::SidecarOptions options;
                 options.self = slot.address;
@@ -740,21 +745,49 @@
             lastFaultAt_ = std::max(lastFaultAt_, instance.frozenUntil);
         }
 
-        // The instance that gets the address has a clock of its own.
-        void takeOver(Slot& slot, milliseconds clockError)
+        // The instance that gets the address next has a clock of its own.
+        void endInstance(Slot& slot, milliseconds successorClockError)
         {
-            const std::string service = serviceNames[slot.host && slot.host->service() == serviceNames[0] ? 1 : 0];
             recordFault(slot);
             ++slot.instanceNumber;
-            slot.clockError = clockError;
+            slot.clockError = successorClockError;
             slot.lastHeartbeat.reset();
             slot.frozenUntil = {};
+            slot.lostUntil = {};
             slot.process.reset();
             ++slot.generation;
             slot.host.reset();
-            scheduleAfter(restartDelay(), [this, &slot, service] {
-                startHost(slot, service);
-                startSidecar(slot, milliseconds(random_.below(300)));
+        }
+
+        void startInstance(Slot& slot, const std::string& service)
+        {
+            startHost(slot, service);
+            startSidecar(slot, milliseconds(random_.below(300)));
+        }
+
+        void takeOver(Slot& slot, milliseconds clockError)
+        {
+            const std::string service = serviceNames[slot.host && slot.host->service() == serviceNames[0] ? 1 : 0];
+            endInstance(slot, clockError);
+            scheduleAfter(restartDelay(), [this, &slot, service] { startInstance(slot, service); });
+        }
+
+        void loseInstance(std::uint32_t target)
+        {
+            const auto [choice, absence] = decodeTarget(target, slotCount, minReplacement, maxReplacement);
+            auto& slot = *slots_[choice];
+            if (!slot.host)
+                return;
+            const auto service = slot.host->service();
+            endInstance(slot, 0ms);
+            slot.lostUntil = now_ + absence;
+            slot.lastFaultAt = slot.lostUntil;
+            lastFaultAt_ = std::max(lastFaultAt_, slot.lostUntil);
+            calmAt_ = std::max(calmAt_, slot.lostUntil);
+            const auto instanceNumber = slot.instanceNumber;
+            scheduleAfter(absence, [this, &slot, service, instanceNumber] {
+                if (slot.instanceNumber == instanceNumber)
+                    startInstance(slot, service);
             });
         }
 
@@ -936,6 +969,8 @@
                 return loseReports(step.target);
             case StepKind::LoseForwards:
                 return loseForwards(step.target);
+            case StepKind::LoseInstance:
+                return loseInstance(step.target);
             case StepKind::Wait:
             case StepKind::Count_:
                 return;
--- a/bench/interleaving_world.hpp
+++ b/bench/interleaving_world.hpp
@@ -24,6 +24,7 @@
     std::uint32_t answered = 0; ///< requests whose answer reached the caller
     std::uint32_t resets = 0; ///< open flows whose caller was reset
     std::uint32_t stalled = 0; ///< flows open on a running host whose last request has no answer at the end
+    std::uint32_t abandoned = 0; ///< flows whose host has ended, with neither an answer nor a reset at the end
 
     bool operator==(const RunReport&) const = default;
 };
