Failing tests: a sidecar that starts behind its predecessor's time of day is never heard

Three sidecars and a balancer in memory. One sidecar restarts with a clock that is behind its predecessor's start, or its address passes to an instance whose clock is behind: no report is accepted any more, and after two seconds the callers of the living host are reset, as in the incident. The third test, late reports of a predecessor, passes; it bounds what a fix may do.

--- a/include/celerystile/fleet/decision.hpp
+++ b/include/celerystile/fleet/decision.hpp
@@ -48,7 +48,7 @@
     std::uint64_t version = 0; ///< configuration version (balancer) or host incarnation (sidecar)
     std::uint32_t load = 0; ///< known number of open flows of that host
     base::Duration age { 0 }; ///< age of that load
-    std::optional<HostEvidence> evidence; ///< of a reset by a balancer
+    std::optional<HostEvidence> evidence {}; ///< of a reset by a balancer
 };
 
 } // namespace celerystile::fleet
--- /dev/null
+++ b/src/celerystile/fleet/succession_test.cpp
@@ -0,0 +1,234 @@
+#include "fleet_test_support.hpp"
+
+#include <doctest/doctest.h>
+#include <memory>
+
+// Sidecar processes and hosts that follow one another at an address, as one balancer sees them. The messages between
+// the balancer and the sidecars are delivered at once.
+
+namespace celerystile::fleet {
+
+namespace {
+
+    using namespace testing;
+
+    constexpr const char* caller = "100.64.0.7:40001";
+    constexpr milliseconds heartbeatInterval { 770 };
+    constexpr milliseconds timeStep { 50 };
+    constexpr milliseconds maxReportAge { 700 }; // the report interval and a time step
+    constexpr std::uint64_t startEpoch = 1'700'000'000'000; // Unix milliseconds
+    const Endpoint balancerAddress = endpoint("10.9.0.1:7720");
+
+    struct Node {
+        Endpoint address;
+        InstanceId instance = 0;
+        HostReport heartbeat;
+        base::TimePoint nextHeartbeat {};
+        SidecarRecorder output;
+        std::unique_ptr<Sidecar> process;
+    };
+
+    class Fleet {
+    public:
+        explicit Fleet(std::size_t hosts)
+        {
+            balancer.setRoutes(routesTo(core::hashName("desk")));
+            for (std::size_t i = 0; i < hosts; ++i) {
+                auto node = std::make_unique<Node>();
+                node->address = endpoint(("10.0.0." + std::to_string(i + 1) + ":80").c_str());
+                node->instance = static_cast<InstanceId>(i + 1);
+                nodes.push_back(std::move(node));
+                startHost(*nodes.back(), startEpoch);
+                startSidecar(*nodes.back(), startEpoch);
+            }
+            std::vector<HostRecord> entries;
+            for (const auto& node : nodes)
+                entries.push_back(node->process->record(now));
+            balancer.setRegistry(entries, ListExtent::Complete, now);
+            run(std::chrono::seconds(2));
+        }
+
+        void startHost(Node& node, std::uint64_t born) const
+        {
+            node.heartbeat = { "i-1", "desk", endpoint("10.0.0.1:8080"), 2, false, milliseconds(0), 0, born };
+            node.nextHeartbeat = now;
+        }
+
+        /// @param timeOfDay Unix milliseconds at the start of the process, as its instance's clock shows it
+        void startSidecar(Node& node, std::uint64_t timeOfDay)
+        {
+            SidecarOptions options;
+            options.self = node.address;
+            options.instance = node.instance;
+            options.epoch = timeOfDay;
+            options.process = nextProcess++;
+            node.output.sent.clear();
+            node.process = std::make_unique<Sidecar>(options, node.output, now);
+            node.process->requestHeldFlows({ balancerAddress }, now);
+        }
+
+        void openFlow(Node& node)
+        {
+            Forward forward;
+            forward.service = core::hashName("desk");
+            forward.balancer = balancerAddress;
+            forward.candidates = { node.address };
+            forward.packet = packetBytes;
+            node.process->onForward(forward, synOf(caller), now);
+            node.process->onHostPacket(synAckOf(caller, hostSequence), packetBytes, now);
+            forward.purpose = ForwardPurpose::Owned;
+            node.process->onForward(forward, callerData(), now);
+            run(std::chrono::seconds(1));
+            REQUIRE(balancer.owners().flowsHeldBy(node.address).size() == 1);
+        }
+
+        static core::Segment callerData() { return dataOf(caller, hostSequence + 1); }
+
+        /// Runs the fleet; the caller sends a packet on its flow in every step.
+        void run(base::Duration duration)
+        {
+            for (const auto end = now + duration; now < end;) {
+                now += timeStep;
+                for (auto& node : nodes) {
+                    if (!node->process)
+                        continue;
+                    if (now >= node->nextHeartbeat) {
+                        ++node->heartbeat.sequence;
+                        node->process->onHeartbeat(node->heartbeat, now);
+                        node->nextHeartbeat = now + heartbeatInterval;
+                    }
+                    node->process->tick(now);
+                }
+                balancer.tick(now);
+                deliver();
+                if (callerSends)
+                    balancer.onPacket(callerData(), packetBytes, now);
+            }
+        }
+
+        void deliver()
+        {
+            bool delivered = true;
+            while (delivered) {
+                delivered = false;
+                for (const auto& [to, message] : std::exchange(output.sent, {})) {
+                    delivered = true;
+                    toSidecar(to, message);
+                }
+                for (auto& node : nodes) {
+                    for (const auto& sent : std::exchange(node->output.sent, {})) {
+                        delivered = true;
+                        toBalancer(sent.second);
+                    }
+                }
+            }
+        }
+
+        void toSidecar(const Endpoint& to, const Message& message)
+        {
+            for (auto& node : nodes) {
+                if (node->address != to || !node->process)
+                    continue;
+                if (const auto* hello = std::get_if<BalancerHello>(&message))
+                    node->process->onHello(*hello, now);
+                else if (const auto* held = std::get_if<HeldFlows>(&message))
+                    node->process->onHeldFlows(*held, now);
+            }
+        }
+
+        void toBalancer(const Message& message)
+        {
+            if (const auto* report = std::get_if<FlowReport>(&message))
+                balancer.onReport(*report, now);
+            else if (const auto* hello = std::get_if<SidecarHello>(&message))
+                balancer.onSidecarHello(*hello);
+        }
+
+        base::Duration reportAge(const Node& node) const
+        {
+            return now - balancer.hostTable().find(node.address)->lastReportAt;
+        }
+
+        static constexpr std::uint32_t hostSequence = 900;
+
+        base::TimePoint now { std::chrono::hours(1) };
+        std::uint64_t nextProcess = 100;
+        bool callerSends = false;
+        std::vector<std::unique_ptr<Node>> nodes;
+        BalancerRecorder output;
+        std::unique_ptr<Placement> placement = makeLeastLoadedPlacement({});
+        Balancer balancer { options(), *placement, output, now };
+
+        static BalancerOptions options()
+        {
+            BalancerOptions options;
+            options.self = balancerAddress;
+            options.epoch = 5;
+            return options;
+        }
+    };
+
+} // namespace
+
+// Guards against callers of a living host being reset because the reports of its sidecar were dropped as a
+// predecessor's.
+TEST_CASE("succession: a sidecar that starts while the time of day is behind its predecessor's start is heard")
+{
+    Fleet fleet(3);
+    auto& node = *fleet.nodes.front();
+    fleet.openFlow(node);
+    fleet.callerSends = true;
+    for (const std::uint64_t timeOfDay :
+        { startEpoch + 8'000, startEpoch + 3'000, startEpoch - 60'000, startEpoch - 60'000 }) {
+        CAPTURE(timeOfDay);
+        fleet.startSidecar(node, timeOfDay);
+        fleet.run(std::chrono::seconds(1));
+        CHECK((fleet.reportAge(node) < maxReportAge));
+        fleet.run(std::chrono::seconds(4));
+        CHECK((fleet.reportAge(node) < maxReportAge));
+        CHECK(fleet.output.resets.empty());
+    }
+}
+
+// Guards against a machine whose clock is behind being dropped as the one that had its address before.
+TEST_CASE("succession: an instance whose clock is behind that of the last one at its address is heard")
+{
+    Fleet fleet(3);
+    auto& node = *fleet.nodes.front();
+    fleet.openFlow(node);
+    ++node.instance;
+    fleet.startHost(node, startEpoch - 60'000);
+    fleet.startSidecar(node, startEpoch - 60'000);
+    fleet.run(std::chrono::seconds(1));
+    CHECK((fleet.reportAge(node) < maxReportAge));
+    CHECK(fleet.balancer.hostTable().find(node.address)->record.instance == node.instance);
+    fleet.callerSends = true;
+    fleet.run(timeStep);
+    CHECK(fleet.output.resets.size() == 1); // the flow ended with the instance that held it
+}
+
+// Guards against a late report being taken for news of the process that has replaced its sender.
+TEST_CASE("succession: late reports of a predecessor change nothing, whatever its clock showed")
+{
+    Fleet fleet(3);
+    auto& node = *fleet.nodes.front();
+    fleet.startSidecar(node, startEpoch + 8'000);
+    fleet.run(std::chrono::seconds(2));
+    auto late = node.process->record(fleet.now);
+    late.state = HostState::Draining;
+    ++node.instance;
+    fleet.startHost(node, startEpoch + 4'000);
+    fleet.startSidecar(node, startEpoch + 4'000);
+    fleet.run(std::chrono::seconds(1));
+    fleet.openFlow(node);
+    fleet.callerSends = true;
+    for (int i = 0; i < 5; ++i) {
+        fleet.balancer.onReport({ late, {}, {} }, fleet.now);
+        CHECK(fleet.balancer.hostTable().find(node.address)->record.instance == node.instance);
+        CHECK((fleet.balancer.hostTable().find(node.address)->record.state == HostState::Ready));
+        fleet.run(milliseconds(300));
+    }
+    CHECK(fleet.output.resets.empty());
+}
+
+} // namespace celerystile::fleet
