Processes at an address are ordered by a number that they raise, not by the time of day

Cause: a balancer ordered the records of an address by (born, epoch), both Unix milliseconds. A sidecar that started while the time of day was lower than at its predecessor's start was dropped as older for as long as it lived, silently; two seconds later its host was taken for lost. An address that passes to an instance whose clock is behind, or a host whose born falls, had the same effect.

Change: records of one process are ordered by a sequence number, processes at one address by the epoch, which is no longer a time: a balancer that receives a report of a process which does not follow the one it knows answers with a hello that names the latter; the sidecar raises its epoch above it, announces itself again and reports. A live process is accepted after one round trip, whatever any clock shows; a late report of one that has ended stays older. The time of day at the start is only the first guess. born is an identity. 'replaced' needs a report of the other instance, as a relayed record may be an old one.

Ruled out: ordering by born alone (a late report of the predecessor is news then, and born is a clock too); the store's revision (a sidecar that restarts while the store is away would have none).

Hellos and reports are 16 bytes longer; their pacing follows.

--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -524,6 +524,7 @@
                 options.epoch = unixNow();
                 options.instance = slot.instanceNumber + 1;
                 options.relearnPeriod = contactBound;
+                options.process = ++lastProcess_;
                 slot.process = std::make_unique<fleet::Sidecar>(options, slot, now_);
                 slot.predecessorRead = false;
                 slot.readAttempts = 0;
@@ -793,6 +794,7 @@
         std::map<std::pair<FlowKey, std::uint32_t>, std::uint64_t>
             executedRequests_; // request -> incarnation of the host that executed it
         std::uint16_t nextPort_ = 40'000;
+        std::uint64_t lastProcess_ = 0; // identities of sidecar processes
         RunReport report_;
     };
 
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -30,8 +30,8 @@
     DropUnsettled, ///< SYNs without a known configuration or above maxPendingSyns
     SynHeld, ///< SYNs without a host while the host list is incomplete
     ClaimsAsked, ///< requests to sidecars for all their claims
-    ReportsOutdated, ///< reports of a process or incarnation that the host table holds a later one of
-    HostsOutdated, ///< the same for records of the registry or of another balancer's snapshot
+    ReportsOutdated, ///< reports that were not applied, because the host table holds a later one
+    HostsOutdated, ///< records of other processes in the registry or a snapshot that were not applied for that reason
     Count_,
 };
 
--- a/include/celerystile/fleet/host_record.hpp
+++ b/include/celerystile/fleet/host_record.hpp
@@ -31,14 +31,18 @@
 std::string_view toString(HostState state);
 
 /// @brief A backend server and its load, identified by the address of its sidecar.
+///
+/// No field is ordered by a clock: the time of day may step, and an address may pass to a machine with another clock.
 struct HostRecord {
     Endpoint sidecar; ///< UDP address that receives packets for the host
     InstanceId instance = 0; ///< the instance that runs host and sidecar
     ServiceId service = 0;
     std::uint64_t failureDomain = 0; ///< hash of its name
-    std::uint64_t born = 0; ///< start of the host's incarnation, Unix milliseconds
-    std::uint64_t epoch = 0; ///< start of the sidecar's process, Unix milliseconds
+    std::uint64_t born = 0; ///< identity of the host's incarnation: its start by its own clock, Unix milliseconds
     std::uint64_t process = 0; ///< random identity of the sidecar's process; 0: unknown
+    std::uint64_t epoch
+        = 0; ///< orders the processes at an address; a process raises it above those of its predecessors
+    std::uint64_t sequence = 0; ///< orders the records of one process
     std::uint32_t slots = 1; ///< requests that the host serves concurrently
     HostState state = HostState::Ready;
     std::uint32_t coldMilliseconds = 0; ///< remaining time of slow start
@@ -52,4 +56,11 @@
     bool operator==(const HostRecord&) const = default;
 };
 
+/// @return whether `record` was made before `known`, a record of the same address, or by a process that does not follow
+/// that of `known`.
+bool isOutdated(const HostRecord& record, const HostRecord& known);
+
+/// @return whether `record` is of a later process than `known`, or of a later incarnation of the host.
+bool isSuccessor(const HostRecord& record, const HostRecord& known);
+
 } // namespace celerystile::fleet
--- a/include/celerystile/fleet/host_table.hpp
+++ b/include/celerystile/fleet/host_table.hpp
@@ -26,7 +26,7 @@
 
 std::string_view toString(RecordSource source);
 
-/// @brief A record that was not applied, because the table holds one of a later process or incarnation.
+/// @brief A record that was not applied, because the table holds a later one.
 struct OutdatedRecord {
     HostRecord received;
     HostRecord known;
@@ -71,7 +71,7 @@
 
     /// @brief Applies the registry's entries. Hosts missing from a complete list stay only while their sidecars report;
     /// a partial list removes none.
-    /// @return the records that were not applied.
+    /// @return the records of other processes that were not applied.
     std::vector<OutdatedRecord> applyRegistry(
         const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
 
@@ -101,7 +101,7 @@
     /// this balancer itself is cut off.
     bool cutOff(base::TimePoint now) const;
 
-    /// @return whether another instance has this address now, so that the earlier one and its host have ended.
+    /// @return whether another instance reports from this address now, so that the earlier one and its host have ended.
     bool replaced(const Endpoint& sidecar, InstanceId instance) const;
 
     /// @return whether the host is registered or its sidecar has reported recently.
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -38,6 +38,7 @@
     PassedOn, ///< packets of unknown flows forwarded to the next candidate
     DropUnclaimed, ///< packets of flows that no sidecar claims
     DropTableFull,
+    EpochRaised, ///< hellos of balancers that took another process for the latest at this address
     Count_,
 };
 
@@ -87,7 +88,7 @@
     Endpoint self;
     InstanceId instance = 0; ///< the instance that runs this process and its host
     std::uint64_t failureDomain = 0;
-    std::uint64_t epoch = 0; ///< start of this process, Unix milliseconds
+    std::uint64_t epoch = 0; ///< first guess of a number above those of earlier processes at this address
     std::uint64_t process = 0; ///< random identity of this process; not 0
     HostStatusOptions host;
     std::size_t maxFlows = 100'000;
@@ -138,7 +139,8 @@
     /// @brief Handles the message that the host stops; ignored if `id` is that of another host.
     void onLeave(const std::string& id, base::TimePoint now);
 
-    /// @brief Handles a balancer's hello. A new epoch or `wantsFlows` starts a transfer of all flows to it.
+    /// @brief Handles a balancer's hello. A new epoch or `wantsFlows` starts a transfer of all flows to it; one that
+    /// takes another process at this address for the latest raises this process's epoch.
     void onHello(const BalancerHello& hello, base::TimePoint now);
 
     /// @brief Adopts flows held before the start, or resets their callers if the host has restarted since. Before the
@@ -175,6 +177,7 @@
     /// @return the number of those that hold the record of another process at this address as the newer one.
     std::size_t mistakenBalancers() const;
 
+    /// @return the host's record, with the sequence number of the last one that was sent.
     HostRecord record(base::TimePoint now) const;
     const HostStatus& host() const { return host_; }
     const core::FlowTable& flows() const { return table_; }
@@ -237,6 +240,9 @@
     void sendClaim(const Endpoint& balancer, const core::FlowKey& key, base::TimePoint now);
     void recordHeld(const core::FlowKey& key);
     void retryHello(base::TimePoint now);
+    HostRecord nextRecord(base::TimePoint now);
+    void raiseEpoch(std::uint64_t above, base::TimePoint now);
+    void announceAndReport(base::TimePoint now);
     void sendReports(base::TimePoint now);
     base::Duration reportInterval(base::Duration minInterval) const;
     void startTransfer(const Endpoint& balancer, base::TimePoint now);
@@ -251,6 +257,8 @@
     SidecarOptions options_;
     SidecarOutput& output_;
     base::TimePoint start_;
+    std::uint64_t epoch_;
+    std::uint64_t sequence_ = 0; // of the last record sent
     HostStatus host_;
     std::vector<Endpoint> bootstrapBalancers_; // receive hellos while no balancer is known
     base::Duration helloRetryDelay_ { 0 };
--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-    constexpr double helloBytes = 120; // a BalancerHello with its tag and its UDP and IP headers
+    constexpr double helloBytes = 136; // a BalancerHello with its tag and its UDP and IP headers
 
 } // namespace
 
@@ -65,7 +65,11 @@
 {
     if (const auto outdated = hostTable_.recordReport(report.host, now)) {
         increment(BalancerCount::ReportsOutdated);
-        onOutdatedRecord(*outdated, now);
+        // A live sidecar raises its epoch in answer to the hello; the report of one that has ended is late.
+        if (outdated->received.process != outdated->known.process) {
+            onOutdatedRecord(*outdated, now);
+            output_.send(report.host.sidecar, makeHello(report.host.sidecar));
+        }
     }
     for (const auto& claim : report.held) {
         owners_.addClaim({ report.host.sidecar, report.host.instance }, claim, now);
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -438,6 +438,7 @@
         }
         CHECK(!table.lost(sidecar, now));
         auto back = entries.front();
+        back.process += 1;
         back.epoch += 1;
         entries.front() = back;
         table.applyRegistry(entries, ListExtent::Complete, now);
--- a/src/celerystile/fleet/fleet_test_support.hpp
+++ b/src/celerystile/fleet/fleet_test_support.hpp
@@ -50,6 +50,7 @@
     record.sidecar = endpoint(sidecar);
     record.service = service;
     record.born = 1'000;
+    record.process = 1;
     record.epoch = 1;
     record.slots = 2;
     record.openFlows = openFlows;
--- a/src/celerystile/fleet/host_table.cpp
+++ b/src/celerystile/fleet/host_table.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <array>
-#include <tuple>
 
 namespace celerystile::fleet {
 
@@ -24,15 +23,18 @@
     return names[static_cast<std::size_t>(source)];
 }
 
-namespace {
-
-    // A restart of the sidecar changes the epoch, a restart of the host its incarnation; the incarnation counts first.
-    bool isOlder(const HostRecord& a, const HostRecord& b)
-    {
-        return std::tie(a.born, a.epoch) < std::tie(b.born, b.epoch);
-    }
+bool isOutdated(const HostRecord& record, const HostRecord& known)
+{
+    if (record.process == known.process)
+        return record.sequence < known.sequence;
+    return record.epoch <= known.epoch;
+}
 
-} // namespace
+bool isSuccessor(const HostRecord& record, const HostRecord& known)
+{
+    const bool other = record.process != known.process || record.born != known.born;
+    return other && !isOutdated(record, known);
+}
 
 void HostTable::update(KnownHost& host, const HostRecord& record, base::TimePoint now)
 {
@@ -53,13 +55,14 @@
         const auto [entry, added] = hosts_.try_emplace(record.sidecar);
         auto& host = entry->second;
         host.registered = true;
-        if (!added && isOlder(record, host.record))
+        const bool isOld = !added && isOutdated(record, host.record);
+        if (isOld && record.process != host.record.process)
             outdated.push_back({ record, host.record, RecordSource::HostList });
-        // A report is newer than the registry entry, unless the entry is of a later incarnation. The entry holds
-        // neither the load nor the report interval.
+        // A report is newer than the registry entry, unless the entry is of a successor. The entry holds neither the
+        // load nor the report interval.
         const bool reportIsNewer = !added && (reportedRecently(host, now) || host.record.restarting);
-        const bool successor = !added && isOlder(host.record, record);
-        if (added || successor || (!reportIsNewer && !isOlder(record, host.record)))
+        const bool successor = !added && isSuccessor(record, host.record);
+        if (added || successor || (!reportIsNewer && !isOld))
             update(host, record, now);
         // No report of the successor can be overdue before its first one.
         if (successor)
@@ -73,7 +76,7 @@
 {
     const auto [entry, added] = hosts_.try_emplace(record.sidecar);
     auto& host = entry->second;
-    if (!added && isOlder(record, host.record))
+    if (!added && isOutdated(record, host.record))
         return OutdatedRecord { record, host.record, RecordSource::Report };
     update(host, record, now);
     host.lastReportAt = now;
@@ -160,7 +163,9 @@
 bool HostTable::replaced(const Endpoint& sidecar, InstanceId instance) const
 {
     const auto* host = find(sidecar);
-    return host && instance != 0 && host->record.instance != 0 && host->record.instance != instance;
+    // A record from the registry or another balancer may be that of an instance that had the address earlier.
+    const bool reported = host && host->lastReportAt != base::TimePoint {};
+    return reported && instance != 0 && host->record.instance != 0 && host->record.instance != instance;
 }
 
 bool HostTable::cutOff(base::TimePoint now) const
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -30,6 +30,7 @@
         "passed_on",
         "drop_unclaimed",
         "drop_table_full",
+        "epoch_raised",
     };
 
     HostStatusOptions withEpoch(HostStatusOptions options, std::uint64_t epoch)
@@ -46,6 +47,7 @@
     : options_(options)
     , output_(output)
     , start_(start)
+    , epoch_(options.epoch)
     , host_(withEpoch(options.host, options.epoch), start)
     , meter_(options.meter)
     , queue_(options.maxQueued)
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -24,7 +24,7 @@
 // The interval grows with the number of balancers, so that the bytes per second stay within controlBytesPerSecond.
 base::Duration Sidecar::reportInterval(base::Duration minInterval) const
 {
-    constexpr double reportBytes = 220; // a report with a few flows, its tag and its UDP and IP headers
+    constexpr double reportBytes = 236; // a report with a few flows, its tag and its UDP and IP headers
     const std::chrono::duration<double> paced(
         static_cast<double>(balancers_.size()) * reportBytes / options_.controlBytesPerSecond);
     return std::max(minInterval, std::chrono::duration_cast<base::Duration>(paced));
@@ -44,8 +44,9 @@
     record.service = host_.service();
     record.failureDomain = options_.failureDomain;
     record.born = host_.born();
-    record.epoch = options_.epoch;
     record.process = options_.process;
+    record.epoch = epoch_;
+    record.sequence = sequence_;
     record.slots = host_.slots();
     record.state = host_.state(now);
     record.coldMilliseconds = static_cast<std::uint32_t>(host_.coldLeft(now).count());
@@ -59,6 +60,18 @@
     return record;
 }
 
+HostRecord Sidecar::nextRecord(base::TimePoint now)
+{
+    ++sequence_;
+    return record(now);
+}
+
+void Sidecar::announceAndReport(base::TimePoint now)
+{
+    output_.announce(nextRecord(now));
+    sendReports(now);
+}
+
 FlowClaim Sidecar::claimOf(const core::FlowKey& key, const core::FlowRecord& record)
 {
     return { key, record.hostIsn, record.callerAck, record.state == core::FlowState::Open };
@@ -74,8 +87,7 @@
         adoptHeldFlows(held, now);
     if (outcome == HeartbeatOutcome::FirstOfIncarnation || outcome == HeartbeatOutcome::Changed) {
         announcedState_ = host_.state(now);
-        output_.announce(record(now));
-        sendReports(now);
+        announceAndReport(now);
     }
     return outcome;
 }
@@ -91,8 +103,7 @@
     if (!host_.known() || host_.state(now) == announcedState_)
         return;
     announcedState_ = host_.state(now);
-    output_.announce(record(now));
-    sendReports(now);
+    announceAndReport(now);
 }
 
 void Sidecar::requestHeldFlows(const std::vector<Endpoint>& balancers, base::TimePoint now)
@@ -123,10 +134,12 @@
         hello.intervalMilliseconds * options_.missedHelloLimit);
     known.lifetime = std::max(options_.minBalancerLifetime, std::chrono::duration_cast<base::Duration>(helloTimeout));
     const bool mistaken
-        = hello.known.process != 0 && hello.known.process != options_.process && hello.known.epoch >= options_.epoch;
+        = hello.known.process != 0 && hello.known.process != options_.process && hello.known.epoch >= epoch_;
     if (mistaken && !known.mistaken)
         output_.recordMistaken(hello.balancer, hello.known);
     known.mistaken = mistaken;
+    if (mistaken)
+        raiseEpoch(hello.known.epoch, now);
     if (known.epoch == hello.epoch && !hello.wantsFlows)
         return;
     const bool first = known.epoch == 0;
@@ -136,6 +149,14 @@
     startTransfer(hello.balancer, now);
 }
 
+void Sidecar::raiseEpoch(std::uint64_t above, base::TimePoint now)
+{
+    epoch_ = above + 1;
+    increment(SidecarCount::EpochRaised);
+    if (host_.known())
+        announceAndReport(now);
+}
+
 std::size_t Sidecar::mistakenBalancers() const
 {
     return static_cast<std::size_t>(
@@ -250,7 +271,7 @@
         // The balancer's owner entry is stale; without this report it would send the flow's next packet here again.
         endedSinceReport_.push_back({ segment.key });
         FlowReport report;
-        report.host = record(now);
+        report.host = nextRecord(now);
         report.ended.push_back({ segment.key });
         output_.send(forward.balancer, report);
         return increment(SidecarCount::DropUnclaimed);
@@ -301,7 +322,7 @@
     if (!record)
         return;
     FlowReport report;
-    report.host = this->record(now);
+    report.host = nextRecord(now);
     report.held.push_back(claimOf(key, *record));
     output_.send(balancer, report);
 }
@@ -320,7 +341,7 @@
             held.push_back(claimOf(key, *record));
     }
     std::vector<FlowReport> reports(1);
-    reports.front().host = record(now);
+    reports.front().host = nextRecord(now);
     forEachPart(held, [&](std::vector<FlowClaim> part) {
         if (!reports.back().held.empty())
             reports.push_back({ reports.front().host, {}, {} });
@@ -358,7 +379,7 @@
     if (!host_.known())
         return keys.clear();
     FlowReport report;
-    report.host = record(now);
+    report.host = nextRecord(now);
     while (!keys.empty() && report.held.size() < maxFlowsPerDatagram) {
         if (const auto* flow = table_.find(keys.back()))
             report.held.push_back(claimOf(keys.back(), *flow));
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -738,9 +738,9 @@
     CHECK(fixture.output.mistaken.empty());
     CHECK(fixture.sidecar.mistakenBalancers() == 0);
     hello({ own.process + 1, own.epoch + 8'000 });
+    CHECK(fixture.sidecar.mistakenBalancers() == 1);
     hello({ own.process + 1, own.epoch + 8'000 });
     CHECK(fixture.output.mistaken == std::vector<Endpoint> { balancer });
-    CHECK(fixture.sidecar.mistakenBalancers() == 1);
     hello({ own.process, own.epoch });
     CHECK(fixture.sidecar.mistakenBalancers() == 0);
     CHECK(fixture.sidecar.balancers() == 1);
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -117,6 +117,7 @@
         to.setBorn(value.born);
         to.setEpoch(value.epoch);
         to.setProcess(value.process);
+        to.setSequence(value.sequence);
         to.setSlots(value.slots);
         to.setState(static_cast<std::uint8_t>(value.state));
         to.setColdMilliseconds(value.coldMilliseconds);
@@ -140,6 +141,7 @@
         value.born = from.getBorn();
         value.epoch = from.getEpoch();
         value.process = from.getProcess();
+        value.sequence = from.getSequence();
         value.slots = from.getSlots();
         value.state = static_cast<fleet::HostState>(from.getState());
         value.coldMilliseconds = from.getColdMilliseconds();
--- a/src/celerystile/peer/fleet_message_test.cpp
+++ b/src/celerystile/peer/fleet_message_test.cpp
@@ -31,6 +31,7 @@
         record.born = 1'700'000'000'000;
         record.epoch = 1'700'000'000'001;
         record.process = 0x5eed;
+        record.sequence = 77;
         record.slots = 5;
         record.state = fleet::HostState::Draining;
         record.coldMilliseconds = 20;
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -44,6 +44,7 @@
   instance @13 :UInt32;
   configurationVersion @14 :UInt64;
   process @15 :UInt64;
+  sequence @16 :UInt64;
 }
 
 struct FlowClaim {
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -71,7 +71,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(cac369ad427ba682, 10, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(cac369ad427ba682, 11, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -467,6 +467,8 @@
 
   inline  ::uint64_t getProcess() const;
 
+  inline  ::uint64_t getSequence() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -547,6 +549,9 @@
   inline  ::uint64_t getProcess();
   inline void setProcess( ::uint64_t value);
 
+  inline  ::uint64_t getSequence();
+  inline void setSequence( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1788,6 +1793,20 @@
       ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t HostRecord::Reader::getSequence() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HostRecord::Builder::getSequence() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS);
+}
+inline void HostRecord::Builder::setSequence( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t FlowClaim::Reader::getCallerIp() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
