A sidecar's silence resets no caller

Cause: HostTable::lost took overdue reports, while most others are not overdue, for the end of the host. It is a guess: the sidecar may be away or slow, its reports may be lost on the way to one balancer, or not be believed.

Change: a balancer resets a proven flow only when another instance reports from its host's address. Its packets still go to the silent sidecar, which serves them when it is back. An unproven claim of a silent host is looked up elsewhere, as before.

--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -24,7 +24,7 @@
     FlowsPlaced, ///< SYNs sent to a host
     SynRetried, ///< SYNs sent to another host because one did not answer
     SynRefused, ///< resets in answer to a SYN
-    FlowsReset, ///< resets to callers of open flows whose host is lost
+    FlowsReset, ///< resets to callers of open flows whose host's address another instance has
     DropNoRoute, ///< packets of open flows for an address that has no route
     DropNoHost, ///< packets for a service without a known host
     DropUnsettled, ///< SYNs without a known configuration or above maxPendingSyns
@@ -153,8 +153,7 @@
     void sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void retry(PendingSyn& pending, base::TimePoint now);
     void refuse(const core::Segment& segment, std::string_view reason);
-    bool isOwnerLost(const Owner& owner, base::TimePoint now) const;
-    void resetLostFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now);
+    void resetReplacedFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now);
     void setUrgency(Forward& forward, const core::Segment& segment) const;
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     BalancerHello makeHello(const Endpoint& sidecar, bool wantsFlows = false) const;
--- a/include/celerystile/fleet/host_table.hpp
+++ b/include/celerystile/fleet/host_table.hpp
@@ -39,7 +39,8 @@
 struct HostTableOptions {
     base::Duration reportLifetime
         = std::chrono::seconds(3); ///< minimum validity of a report after the registry entry is removed
-    base::Duration retention = std::chrono::seconds(60); ///< of a lost host; equals the longest lifetime of a flow
+    base::Duration retention
+        = std::chrono::seconds(60); ///< of a host without entry and reports; equals the longest lifetime of a flow
     base::Duration minReportTimeout
         = std::chrono::milliseconds(2'000); ///< time without a report after which a sidecar is unresponsive
     double missedReportLimit = 3.5; ///< the same timeout in announced report intervals; the longer one counts
@@ -93,9 +94,9 @@
     /// @return the hosts of a service that may hold open flows.
     std::vector<const KnownHost*> possibleOwners(ServiceId service) const;
 
-    /// @return whether a sidecar's reports are overdue without an announced restart while those of most others are not,
-    /// so that the sidecar is lost rather than this balancer cut off.
-    bool lost(const Endpoint& sidecar, base::TimePoint now) const;
+    /// @return whether a sidecar's reports are overdue without an announced restart while those of most others are not.
+    /// That is no proof that its host has ended: the sidecar may be away, slow or unable to reach this balancer.
+    bool silent(const Endpoint& sidecar, base::TimePoint now) const;
 
     /// @return whether the reports of at least 90 % of the registered sidecars that have reported are overdue, so that
     /// this balancer itself is cut off.
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -148,7 +148,7 @@
     void onHeldFlows(const HeldFlows& held, base::TimePoint now);
 
     /// @brief Starts a planned restart: the sidecar accepts no new flow, and its reports carry `restarting`, so that
-    /// balancers do not treat the missing reports as a lost host.
+    /// balancers do not take it for silent.
     void announceRestart(base::TimePoint now);
 
     /// @brief Requests the flows held here before the start; repeats until a balancer has sent a message.
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -63,10 +63,13 @@
     const auto owner = owners_.resolve(segment, now);
     if (!owner)
         return lookUp(segment, packet, now);
-    if (!segment.rst && isOwnerLost(owner->owner, now)) {
-        if (owner->proven)
-            return resetLostFlow(segment, owner->owner, now);
-        owners_.erase(segment.key); // the claim is unproven, so another host may hold the flow
+    const bool replaced = hostTable_.replaced(owner->owner.sidecar, owner->owner.instance);
+    if (replaced && owner->proven && !segment.rst)
+        return resetReplacedFlow(segment, owner->owner, now);
+    // Another host may hold a flow whose claim is unproven. A proven one stays with its host while the sidecar is
+    // silent: silence does not show that the host has ended.
+    if (!owner->proven && !segment.rst && (replaced || hostTable_.silent(owner->owner.sidecar, now))) {
+        owners_.erase(segment.key);
         return lookUp(segment, packet, now);
     }
     increment(BalancerCount::ForwardedOwned);
@@ -237,20 +240,13 @@
     output_.reset(segment);
 }
 
-bool Balancer::isOwnerLost(const Owner& owner, base::TimePoint now) const
-{
-    return hostTable_.replaced(owner.sidecar, owner.instance) || hostTable_.lost(owner.sidecar, now);
-}
-
 // With the reset the caller can reconnect at once; otherwise it would wait for its timeout.
-void Balancer::resetLostFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now)
+void Balancer::resetReplacedFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now)
 {
-    const bool replaced = hostTable_.replaced(owner.sidecar, owner.instance);
     const auto& host = *hostTable_.find(owner.sidecar);
     increment(BalancerCount::FlowsReset);
-    output_.recordDecision({ DecisionKind::FlowReset, segment.key,
-        replaced ? "another instance has the host's address" : "the host is lost", owner.sidecar, routes_->version, 0,
-        now - host.lastReportAt,
+    output_.recordDecision({ DecisionKind::FlowReset, segment.key, "another instance has the host's address",
+        owner.sidecar, routes_->version, 0, now - host.lastReportAt,
         HostEvidence {
             host.record.instance, host.record.born, host.record.process, host.record.epoch, host.registered } });
     owners_.erase(segment.key);
--- a/src/celerystile/fleet/host_table.cpp
+++ b/src/celerystile/fleet/host_table.cpp
@@ -150,7 +150,7 @@
     return now - host.lastReportAt >= reportTimeout(host);
 }
 
-bool HostTable::lost(const Endpoint& sidecar, base::TimePoint now) const
+bool HostTable::silent(const Endpoint& sidecar, base::TimePoint now) const
 {
     const auto* host = find(sidecar);
     if (!host || !reportOverdue(*host, now))
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -75,7 +75,8 @@
 
 void Sidecar::onForward(const Forward& forward, const core::Segment& segment, base::TimePoint now)
 {
-    // A balancer whose hello was lost receives claims too, and would treat the host as lost if no reports followed.
+    // A balancer whose hello was lost receives claims too, and would take this sidecar for silent if no reports
+    // followed.
     auto& known = balancers_[forward.balancer];
     known.lastReceivedAt = now;
     known.lifetime = std::max(known.lifetime, options_.minBalancerLifetime);
