A balancer's process is identified by a random number, not by the time of its start

A sidecar transfers all its flows to a balancer whose hello has another identity. That was the Unix millisecond of the process's start: two processes of a balancer that start around a step of the time of day could have the same one, and the second would get no claims.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -36,7 +36,7 @@
             : FleetProcess(settings)
             , placement_(fleet::makePlacement(settings.placement))
             , transport_(trafficContext_, settings_.keyring)
-            , balancer_(makeOptions(settings, epoch_), *placement_, *this, clock_.now())
+            , balancer_(makeOptions(settings, processId_), *placement_, *this, clock_.now())
             , configurationWatch_(
                   store_, controlContext_, std::string(platform::configurationPrefix), {},
                   [this](const auto& items) { onConfiguration(items); },
@@ -52,12 +52,12 @@
     private:
         struct TransferToken { };
 
-        static fleet::BalancerOptions makeOptions(const FleetSettings& settings, std::uint64_t epoch)
+        static fleet::BalancerOptions makeOptions(const FleetSettings& settings, std::uint64_t process)
         {
             fleet::BalancerOptions options;
             options.self = settings.node.statusEndpoint; // messages use the status endpoint over UDP
             options.failureDomain = core::hashName(settings.node.failureDomain);
-            options.epoch = epoch;
+            options.epoch = process;
             return options;
         }
 
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -91,7 +91,7 @@
     const FleetSettings settings_;
     const base::SteadyClock clock_;
     const base::SystemClock wallClock_;
-    const std::uint64_t epoch_; ///< start time of this process, Unix milliseconds
+    const std::uint64_t epoch_; ///< first guess of a number above those of earlier processes: Unix milliseconds
     const std::uint64_t processId_; ///< random identity of this process; not 0
     boost::asio::io_context controlContext_;
     boost::asio::io_context trafficContext_;
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -81,7 +81,7 @@
 /// @brief Announces a balancer. A restarted one has another epoch and receives all open flows.
 struct BalancerHello {
     Endpoint balancer;
-    std::uint64_t epoch = 0;
+    std::uint64_t epoch = 0; ///< random identity of the balancer's process
     std::uint32_t hosts = 0; ///< number of known hosts, by which shared budgets are divided
     std::uint32_t intervalMilliseconds = 0; ///< maximum interval of its hellos; 0: unknown
     bool wantsFlows = false; ///< requests all claims of the receiver, because some were missed
