--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -625,7 +625,7 @@
                     return;
                 fleet::BalancerOptions options;
                 options.self = balancer.address;
-                options.epoch = unixNow(balancer);
+                options.epoch = base::mix(++startedBalancers_);
                 balancer.process = std::make_unique<fleet::Balancer>(options, *placement_, balancer, now_);
                 balancer.process->setRoutes(allRoutes());
                 balancer.completeness.recordFailure();
@@ -990,6 +990,7 @@
         TimePoint calmAt_ {}; // end of the faults that outlast their step by seconds
         std::uint64_t startedHosts_ = 0;
         std::uint64_t startedSidecars_ = 0;
+        std::uint64_t startedBalancers_ = 0;
         std::vector<std::unique_ptr<Slot>> slots_;
         std::vector<std::unique_ptr<BalancerNode>> balancers_;
         std::map<FlowKey, CallerFlow> flows_;
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -30,6 +30,7 @@
         "passed_on",
         "drop_unclaimed",
         "drop_table_full",
+        "epoch_raised",
     };
 
     HostStatusOptions withEpoch(HostStatusOptions options, std::uint64_t epoch)
@@ -46,6 +47,7 @@
     : options_(options)
     , output_(output)
     , start_(start)
+    , epoch_(options.epoch)
     , host_(withEpoch(options.host, options.epoch), start)
     , meter_(options.meter)
     , queue_(options.maxQueued)
@@ -73,7 +75,8 @@
 
 void Sidecar::onForward(const Forward& forward, const core::Segment& segment, base::TimePoint now)
 {
-    // A balancer whose hello was lost receives claims too, and would treat the host as lost if no reports followed.
+    // A balancer whose hello was lost receives claims too, and would take this sidecar for silent if no reports
+    // followed.
     auto& known = balancers_[forward.balancer];
     known.lastReceivedAt = now;
     known.lifetime = std::max(known.lifetime, options_.minBalancerLifetime);
