--- a/bench/gossip_net.cpp
+++ b/bench/gossip_net.cpp
@@ -1,5 +1,7 @@
 #include "gossip_net.hpp"
 
+#include <algorithm>
+
 namespace celerystile::bench {
 
 namespace {
@@ -49,7 +51,9 @@
     GossipNet& net;
     std::size_t index;
     std::unique_ptr<core::Gossip> gossip;
-    core::Incarnation incarnation = 1;
+    core::Incarnation firstIncarnation = 1000;
+    std::uint64_t epoch = 1000;
+    std::uint16_t trafficPort = 7400;
     base::TimePoint pausedUntil;
     bool crashed = false;
 };
@@ -79,10 +83,10 @@
     core::Member member;
     member.id = base::mix(index + 1);
     member.role = index % 6 == 0 ? core::Role::Balancer : core::Role::Sidecar;
-    member.incarnation = nodes_[index]->incarnation * 1000;
-    member.epoch = member.incarnation;
+    member.incarnation = nodes_[index]->firstIncarnation;
+    member.epoch = nodes_[index]->epoch;
     member.control = addressOf(index);
-    member.traffic = addressOf(index);
+    member.traffic = { addressOf(index).address, nodes_[index]->trafficPort };
     member.failureDomain = "domain-" + std::to_string(index % failureDomains);
     member.place = "sibenik";
     member.services = { 1 };
@@ -173,7 +177,19 @@
 {
     auto& node = *nodes_[index];
     node.crashed = false;
-    ++node.incarnation;
+    node.firstIncarnation += 1000;
+    node.epoch += 1000;
+    createGossip(index, { addressOf(entryPoint) });
+    node.gossip->setOwnState(core::MemberState::Ready);
+}
+
+void GossipNet::replace(std::size_t index, std::size_t entryPoint, core::Incarnation firstIncarnation)
+{
+    auto& node = *nodes_[index];
+    node.crashed = false;
+    node.firstIncarnation = firstIncarnation;
+    node.epoch = base::mix(node.epoch);
+    ++node.trafficPort;
     createGossip(index, { addressOf(entryPoint) });
     node.gossip->setOwnState(core::MemberState::Ready);
 }
@@ -210,6 +226,25 @@
     return count;
 }
 
+std::size_t GossipNet::nodesKnowingProcess(std::size_t subject, core::MemberState state)
+{
+    const auto expected = makeMember(subject);
+    std::size_t count = 0;
+    for (std::size_t i = 0; i < nodes_.size(); ++i) {
+        if (!isRunning(i))
+            continue;
+        const auto members = nodes_[i]->gossip->allMembers();
+        count += std::any_of(members.begin(), members.end(),
+                     [&](const core::Member& member) {
+                         return member.id == expected.id && member.epoch == expected.epoch
+                             && member.traffic == expected.traffic && member.state == state;
+                     })
+            ? 1
+            : 0;
+    }
+    return count;
+}
+
 std::size_t GossipNet::falseFailures()
 {
     std::size_t count = 0;
--- a/bench/gossip_net.hpp
+++ b/bench/gossip_net.hpp
@@ -45,6 +45,11 @@
 
     /// @brief Sets which nodes can send to which; by default every node can send to every other.
     void setReachable(std::function<bool(std::size_t from, std::size_t to)> path) { reachable_ = std::move(path); }
+
+    /// @brief Starts a new process under the id of a member that has ended, with this first incarnation, an epoch of
+    /// its own and another traffic port.
+    void replace(std::size_t node, std::size_t entryPoint, core::Incarnation firstIncarnation);
+
     void setGeneration(std::size_t node, core::Generation generation);
 
     core::Gossip& node(std::size_t index);
@@ -53,6 +58,9 @@
 
     /// @brief Number of running nodes whose view has the subject in this state.
     std::size_t nodesSeeing(std::size_t about, core::MemberState state);
+
+    /// @brief Number of running nodes whose record of the subject is that of its present process, in this state.
+    std::size_t nodesKnowingProcess(std::size_t subject, core::MemberState state);
     std::size_t runningNodes() const;
 
     /// @brief Number of running nodes that at least one running node lists as failed, left or unreachable.
--- a/bench/gossip_test.cpp
+++ b/bench/gossip_test.cpp
@@ -185,6 +185,63 @@
         CHECK(net.nodesSeeing(node, MemberState::Ready) == 20);
 }
 
+// After a restart with a lower or repeated clock reading, members kept the predecessor's address and epoch for ever.
+TEST_CASE("a successor is known within 13 s, whatever its first incarnation is")
+{
+    constexpr core::Incarnation predecessor = 1000;
+    for (const core::Incarnation first : { predecessor - 1, predecessor, predecessor + 1, core::Incarnation { 1 } }) {
+        for (const auto absence : { 500ms, 20'000ms }) { // unnoticed; detected as a failure
+            for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+                CAPTURE(first);
+                CAPTURE(absence.count());
+                CAPTURE(seed);
+                GossipNet net(60, { seed, 0.05, 0.1, 0.1 });
+                net.runFor(150s);
+                net.crash(17);
+                net.runFor(absence);
+                net.replace(17, 3, first);
+                CHECK(
+                    net.runUntil([&] { return net.nodesKnowingProcess(17, MemberState::Ready) == net.runningNodes(); },
+                        propagationBound));
+            }
+        }
+    }
+}
+
+// The leave of the predecessor, at a higher incarnation, must not be taken for one of the successor.
+TEST_CASE("a successor with a lower first incarnation is known within 13 s after its predecessor has left")
+{
+    for (std::uint64_t seed = 1; seed <= 5; ++seed) {
+        CAPTURE(seed);
+        GossipNet net(60, { seed, 0.05, 0.1, 0.1 });
+        net.runFor(150s);
+        net.node(17).setOwnState(MemberState::Left);
+        net.runFor(20s);
+        net.crash(17);
+        net.replace(17, 3, 1);
+        CHECK(net.runUntil(
+            [&] { return net.nodesKnowingProcess(17, MemberState::Ready) == net.runningNodes(); }, propagationBound));
+    }
+}
+
+// Members must not lose each other when no start is later than that of its predecessor by the clock.
+TEST_CASE("members that are all replaced one after another with the same first incarnation know each other")
+{
+    GossipNet net(20, { 14 });
+    net.runFor(5s);
+    for (std::size_t node = 0; node < net.size(); ++node) {
+        net.crash(node);
+        net.runFor(1s);
+        net.replace(node, (node + 1) % net.size(), 1);
+        net.runFor(10s);
+    }
+    for (std::size_t node = 0; node < net.size(); ++node) {
+        CAPTURE(node);
+        CHECK(net.runUntil(
+            [&] { return net.nodesKnowingProcess(node, MemberState::Ready) == net.runningNodes(); }, propagationBound));
+    }
+}
+
 TEST_CASE("a new generation reaches every member within 13 s at any fleet size, at 5 % loss")
 {
     for (const std::size_t nodes : { 10U, 100U, 400U }) {
