Tests that fail: a host's start time taken for an order

`born`, the Unix millisecond of a host's start by its own clock, orders incarnations of a host at its sidecar. A clock may step between two starts, and heartbeats may arrive late. The tests show a living host taken for silent and dead, its callers reset, and checkpoints taken for complete that are not.

--- /dev/null
+++ b/src/celerystile/fleet/host_status_test.cpp
@@ -0,0 +1,198 @@
+#include "celerystile/fleet/host_status.hpp"
+
+#include "fleet_test_support.hpp"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <functional>
+#include <map>
+#include <rapidcheck.h>
+#include <set>
+
+namespace celerystile::fleet {
+
+namespace {
+
+    using namespace testing;
+
+    constexpr milliseconds heartbeatInterval { 770 };
+    const base::TimePoint start { std::chrono::hours(1) };
+
+    HostReport heartbeat(std::uint64_t sequence, std::uint64_t born)
+    {
+        return { "i-1", "desk", endpoint("10.0.0.1:8080"), 2, false, milliseconds(0), sequence, born };
+    }
+
+    /// One heartbeat as it arrives at the sidecar.
+    struct Arrival {
+        milliseconds at { 0 };
+        std::uint64_t sequence = 0;
+        std::uint64_t born = 0;
+    };
+
+    /// An incarnation of the host; its heartbeats are numbered from 1, whether the sidecar's process runs or not.
+    struct Life {
+        milliseconds from { 0 };
+        milliseconds until { 0 };
+        std::uint64_t born = 0;
+        std::vector<milliseconds> heartbeats;
+    };
+
+    constexpr milliseconds maxDelay { 4'000 }; // of a late heartbeat
+    constexpr milliseconds observed { 12'000 }; // time from the start of the last incarnation to the end
+
+    Life arbitraryLife(milliseconds from, milliseconds length, std::uint64_t born)
+    {
+        Life life { from, from + length, born, {} };
+        auto at = from + milliseconds(*rc::gen::inRange(0, 960));
+        while (at < life.until) {
+            life.heartbeats.push_back(at);
+            at += milliseconds(*rc::gen::inRange(580, 960));
+        }
+        return life;
+    }
+
+    /// Several incarnations, one after the other, started in any order by their own clocks.
+    std::vector<Life> arbitraryLives()
+    {
+        const auto count = *rc::gen::inRange<std::size_t>(2, 5);
+        const auto born
+            = *rc::gen::unique<std::vector<std::uint64_t>>(count, rc::gen::inRange<std::uint64_t>(1, 50'000));
+        std::vector<Life> lives;
+        milliseconds at { 0 };
+        for (std::size_t i = 0; i < count; ++i) {
+            const bool last = i + 1 == count;
+            lives.push_back(arbitraryLife(at, last ? observed : milliseconds(*rc::gen::inRange(300, 6'000)), born[i]));
+            at = lives.back().until + milliseconds(*rc::gen::inRange(50, 1'500));
+        }
+        return lives;
+    }
+
+    /// Heartbeats of ended incarnations arrive on time, late, twice or never; those of the last one on time.
+    std::vector<Arrival> arbitraryArrivals(const std::vector<Life>& lives, milliseconds processStart)
+    {
+        std::vector<Arrival> arrivals;
+        const auto add = [&](const Life& life, std::size_t index, milliseconds delay) {
+            // A process that receives a heartbeat with the number 1 takes its sender for a host that has just started.
+            const bool unheardStart = index == 0 && life.from <= processStart && delay.count() > 0;
+            if (life.heartbeats[index] + delay >= processStart && !unheardStart)
+                arrivals.push_back({ life.heartbeats[index] + delay, index + 1, life.born });
+        };
+        for (const auto& life : lives) {
+            const bool living = &life == &lives.back();
+            for (std::size_t i = 0; i < life.heartbeats.size(); ++i) {
+                if (living || *rc::gen::inRange(0, 4) > 0)
+                    add(life, i, milliseconds(0));
+                if (!living && *rc::gen::arbitrary<bool>())
+                    add(life, i, milliseconds(*rc::gen::inRange(1, static_cast<int>(maxDelay.count()))));
+            }
+        }
+        std::stable_sort(arrivals.begin(), arrivals.end(), [](const auto& a, const auto& b) { return a.at < b.at; });
+        return arrivals;
+    }
+
+    SidecarOptions sidecarOptions()
+    {
+        SidecarOptions options;
+        options.self = endpoint("10.0.0.1:80");
+        options.process = 30;
+        return options;
+    }
+
+    /// What happens at a sidecar, in the order of time.
+    using Schedule = std::multimap<milliseconds, std::function<void(base::TimePoint)>>;
+
+} // namespace
+
+// Guards against the loss of a living host whose clock went back: all its heartbeats were stale.
+TEST_CASE("a host that has restarted with a lower start time is the present one once its predecessor is silent")
+{
+    HostStatus status({}, start);
+    auto now = start;
+    std::uint64_t sequence = 0;
+    for (; sequence < 5; now += heartbeatInterval)
+        status.recordHeartbeat(heartbeat(++sequence, 9'000), now);
+    int heartbeats = 0;
+    while (status.born() != 1'000 && heartbeats < 10) {
+        status.recordHeartbeat(heartbeat(static_cast<std::uint64_t>(++heartbeats), 1'000), now);
+        CHECK(!status.dead(now));
+        now += heartbeatInterval;
+    }
+    CHECK(status.born() == 1'000);
+    CHECK(heartbeats <= 4);
+    CHECK((status.state(now) == HostState::Ready));
+}
+
+TEST_CASE("late heartbeats of an ended incarnation do not displace a host that beats, whatever their order")
+{
+    HostStatus status({}, start);
+    auto now = start;
+    status.recordHeartbeat(heartbeat(40, 9'000), now);
+    status.recordHeartbeat(heartbeat(1, 9'500), now += heartbeatInterval);
+    for (std::uint64_t i = 2; i < 12; ++i) {
+        status.recordHeartbeat(heartbeat(40 + i, 9'000), now += heartbeatInterval / 2);
+        status.recordHeartbeat(heartbeat(i, 9'500), now += heartbeatInterval / 2);
+        CHECK(status.born() == 9'500);
+    }
+}
+
+// Guards against lost flows of a living host whose sidecar took a late heartbeat for the host's.
+TEST_CASE("a host that was first heard after another one may be older than the process")
+{
+    HostStatus status({}, start);
+    SUBCASE("after a late heartbeat of an ended incarnation") { status.recordHeartbeat(heartbeat(40, 1'000), start); }
+    SUBCASE("after a late leave message of an ended incarnation") { status.recordLeave("i-0"); }
+    status.recordHeartbeat(heartbeat(7, 2'000), start + milliseconds(300));
+    CHECK(status.mayPredateProcess());
+    CHECK(!status.startedWithProcess());
+}
+
+// Guards against resets of a living host's flows after its sidecar took another incarnation for the present one.
+TEST_CASE("a host that beats becomes the present one, and its callers are not reset, whatever late heartbeats arrive")
+{
+    const bool holds = rc::check("late, doubled and reordered heartbeats of ended incarnations", [] {
+        const auto lives = arbitraryLives();
+        const auto& living = lives.back();
+        const milliseconds processStart(*rc::gen::inRange(0, static_cast<int>((living.from + maxDelay).count())));
+        const auto arrivals = arbitraryArrivals(lives, processStart);
+
+        SidecarRecorder output;
+        Sidecar sidecar(sidecarOptions(), output, start + processStart);
+        Schedule schedule;
+        for (auto at = processStart; at < living.until; at += milliseconds(100))
+            schedule.emplace(at, [&](base::TimePoint now) { sidecar.tick(now); });
+        for (const auto& arrival : arrivals)
+            schedule.emplace(arrival.at,
+                [&](base::TimePoint now) { sidecar.onHeartbeat(heartbeat(arrival.sequence, arrival.born), now); });
+        HeldFlows held;
+        held.born = living.born;
+        std::set<core::FlowKey> ofLiving;
+        for (int i = 1; i <= 6; ++i) {
+            auto packet = dataOf(("100.64.0.7:" + std::to_string(i)).c_str(), 901);
+            ofLiving.insert(packet.key);
+            const auto openedAt = living.from + milliseconds(*rc::gen::inRange(1, 8'000));
+            if (openedAt < processStart)
+                held.flows.push_back({ packet.key, 900, 901, true });
+            else
+                schedule.emplace(
+                    openedAt, [&, packet](base::TimePoint now) { sidecar.onHostPacket(packet, packetBytes, now); });
+        }
+        if (!held.flows.empty())
+            schedule.emplace(processStart + milliseconds(*rc::gen::inRange(0, 4'000)),
+                [&](base::TimePoint now) { sidecar.onHeldFlows(held, now); });
+
+        const auto settledAt = std::max(living.from + maxDelay, processStart) + milliseconds(4'000);
+        for (const auto& [at, happen] : schedule) {
+            happen(start + at);
+            if (at < settledAt || at >= living.until)
+                continue;
+            RC_ASSERT(sidecar.host().born() == living.born);
+            RC_ASSERT((sidecar.host().state(start + at) == HostState::Ready));
+        }
+        for (const auto& reset : output.resets)
+            RC_ASSERT(!ofLiving.contains(reset.key));
+    });
+    CHECK(holds);
+}
+
+} // namespace celerystile::fleet
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -221,6 +221,58 @@
     CHECK(fixture.sidecar.flows().size() == 0);
 }
 
+// Guards against resets of flows that a living host holds, whose clock was set back before it started.
+TEST_CASE("callers of a host that has restarted with a lower start time are not reset while it sends heartbeats")
+{
+    Fixture fixture;
+    fixture.advanceWithHeartbeats(milliseconds(5'000));
+    const auto afterRestart = [&](std::uint64_t heartbeats) {
+        for (std::uint64_t i = 0; i < heartbeats; ++i) {
+            fixture.sidecar.onHeartbeat(report(fixture.sequence = i + 1, 400), fixture.now);
+            for (int step = 0; step < 7; ++step)
+                fixture.advance(milliseconds(110));
+        }
+    };
+    SUBCASE("a flow of the present incarnation")
+    {
+        fixture.open();
+        fixture.output.resets.clear();
+        afterRestart(10);
+        CHECK(fixture.output.resets.empty());
+        CHECK(fixture.sidecar.host().born() == 400);
+        CHECK((fixture.sidecar.host().state(fixture.now) == HostState::Ready));
+        CHECK(fixture.sidecar.flows().openFlows() == 1);
+    }
+    SUBCASE("a flow of the earlier one")
+    {
+        Fixture earlier;
+        earlier.open();
+        earlier.advanceWithHeartbeats(milliseconds(5'000));
+        for (std::uint64_t i = 1; i <= 6; ++i) {
+            earlier.sidecar.onHeartbeat(report(i, 400), earlier.now);
+            for (int step = 0; step < 7; ++step)
+                earlier.advance(milliseconds(110));
+        }
+        CHECK(earlier.output.resets.size() == 1);
+    }
+}
+
+// Guards against resets of a living host's flows by a heartbeat of an incarnation that this process never heard.
+TEST_CASE("a late heartbeat with a higher start time, received soon after the start, resets no caller")
+{
+    Fixture fixture(40);
+    fixture.open();
+    fixture.advance(milliseconds(300));
+    fixture.sidecar.onHeartbeat(report(12, 5'000), fixture.now);
+    for (int i = 0; i < 5; ++i) {
+        fixture.advance(milliseconds(400));
+        fixture.sidecar.onHeartbeat(report(++fixture.sequence), fixture.now);
+        fixture.advance(milliseconds(370));
+    }
+    CHECK(fixture.output.resets.empty());
+    CHECK(fixture.sidecar.host().born() == 1'000);
+}
+
 TEST_CASE("a paused process does not treat the missing heartbeats as a failure of the host")
 {
     Fixture fixture;
@@ -252,6 +304,52 @@
     }
 }
 
+// Guards against resets of flows that a living host holds, by a new process that hears another incarnation first.
+TEST_CASE("flows held before the start are retained while it is uncertain which incarnation is alive")
+{
+    Fixture fixture(0);
+    HeldFlows held;
+    held.sequence = 39;
+    held.flows = { { synOf(caller).key, 900, 4'901, true } };
+    const auto beat = [&](std::uint64_t from, std::uint64_t born) {
+        for (std::uint64_t i = 0; i < 5; ++i) {
+            fixture.sidecar.onHeartbeat(report(from + i, born), fixture.now);
+            for (int step = 0; step < 7; ++step)
+                fixture.advance(milliseconds(110));
+        }
+    };
+    SUBCASE("the first heartbeat is a late one of an ended incarnation whose clock was ahead")
+    {
+        held.born = 1'000;
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        fixture.sidecar.onHeartbeat(report(7, 5'000), fixture.now);
+        fixture.advance(milliseconds(300));
+        beat(40, 1'000);
+        CHECK(fixture.output.resets.empty());
+        CHECK(fixture.sidecar.flows().openFlows() == 1);
+    }
+    SUBCASE("the checkpoint names a flow that the next incarnation opened before its first heartbeat")
+    {
+        held.born = 500;
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        fixture.sidecar.onHeartbeat(report(2, 1'000), fixture.now);
+        fixture.sidecar.onHostPacket(dataOf(caller, 700), packetBytes, fixture.now);
+        fixture.advance(milliseconds(700));
+        beat(3, 1'000);
+        CHECK(fixture.output.resets.empty());
+        CHECK(fixture.sidecar.flows().openFlows() == 1);
+    }
+    SUBCASE("the host has restarted: the callers are reset as soon as its next heartbeats show that it is alive")
+    {
+        SUBCASE("with a higher start time") { held.born = 500; }
+        SUBCASE("with a lower start time") { held.born = 5'000; }
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        beat(2, 1'000);
+        CHECK(fixture.output.resets.size() == 1);
+        CHECK(fixture.sidecar.flows().size() == 0);
+    }
+}
+
 TEST_CASE("after a start no new flow is accepted before the first heartbeat")
 {
     Fixture fixture(0);
@@ -382,6 +480,33 @@
     }
 }
 
+// Guards against flows that are found by nobody: a sidecar whose clock was set back took its host for a younger one.
+TEST_CASE("a last checkpoint is incomplete if the host's heartbeats do not show that it is younger than the process")
+{
+    Fixture fixture(0);
+    fixture.sidecar.onHeartbeat(report(5, 9'000'000'000), fixture.now); // start by a clock that was ahead
+    fixture.sidecar.announceRestart(fixture.now);
+    CHECK(!fixture.sidecar.checkpoint().complete);
+}
+
+// Guards against flows that are found by nobody: completeness is that of one incarnation.
+TEST_CASE("a complete checkpoint of an ended incarnation says nothing of the host that is alive")
+{
+    Fixture fixture(0);
+    HeldFlows held;
+    held.born = 1'000;
+    held.complete = true;
+    held.sequence = 39;
+    fixture.sidecar.onHeldFlows(held, fixture.now);
+    fixture.sidecar.onHeartbeat(report(40), fixture.now); // a late one
+    fixture.advance(milliseconds(300));
+    fixture.sidecar.onHeartbeat(report(9, 2'000), fixture.now);
+    fixture.sidecar.onForward(lookup(), dataOf(caller, 500), fixture.now);
+    CHECK(fixture.output.delivered.size() == 1);
+    fixture.sidecar.announceRestart(fixture.now);
+    CHECK(!fixture.sidecar.checkpoint().complete);
+}
+
 TEST_CASE("no trials after a planned stop of the predecessor, whose checkpoint names all flows")
 {
     Fixture fixture(0);
