A sidecar compares its host's age with its own by heartbeat numbers alone

Callers of flows that a living host held got no answer after two restarts of its sidecar: the first process published a checkpoint as complete that was not, so the second one tried no unknown flow at the host.

HostStatus compared `born` with the process's epoch, two readings of a clock that may step between them, and took every host that was not the first one heard (or that was heard after a leave message) for one that started after the process. A late heartbeat of an ended incarnation is enough for that.

The number of a heartbeat bounds the host's age, and the process knows its own on the monotonic clock. Where the two do not show that the host is younger, a checkpoint is not complete and unknown flows are tried; that costs trials, but no flows. When host and process start together, as after a power loss, the numbers do not show it any more.

Three older tests used times that contradict each other and relied on the clock or on the order of arrival: a third heartbeat at the moment of the process's start (its sender is older), a restart in no time, and a planned stop of a process that is as old as its host. They pass the time that makes the host younger; a subcase is new in which the start time claims that it is and the numbers do not show it.

--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -33,12 +33,6 @@
 
 /// @brief Settings of the host status.
 struct HostStatusOptions {
-    std::uint64_t epoch = 0; ///< start of this process, Unix milliseconds
-    std::chrono::milliseconds startTolerance {
-        300
-    }; ///< how much earlier than this process the host may start when both restart after a power loss
-    std::uint64_t maxStartupHeartbeats
-        = 6; ///< maximum number of the first heartbeat received if host and process start together
     base::Duration heartbeatInterval = std::chrono::milliseconds(770); ///< approximate time between heartbeats
     base::Duration silentAfter = std::chrono::milliseconds(1800); ///< a little over two heartbeats
     base::Duration deadAfter = std::chrono::milliseconds(2600); ///< three heartbeats and a margin
@@ -79,9 +73,9 @@
     /// @return whether the host's incarnation may be older than this process, so that it may hold flows unknown here.
     bool mayPredateProcess() const { return mayPredateProcess_; }
 
-    /// @return whether the host's incarnation started together with this process or later, so that no predecessor of
-    /// the process can have opened flows there.
-    bool startedWithProcess() const { return startedWithProcess_; }
+    /// @return whether the host's incarnation started after this process, so that no predecessor of the process can
+    /// have opened flows there.
+    bool startedAfterProcess() const { return startedAfterProcess_; }
 
     /// @return the number of the last heartbeat.
     std::uint64_t sequence() const { return sequence_; }
@@ -98,13 +92,12 @@
 
 private:
     base::Duration maxAge(std::uint64_t heartbeats) const;
-    bool startedAfterProcess(const HostReport& report, base::TimePoint now) const;
 
     HostStatusOptions options_;
     base::TimePoint start_;
     bool known_ = false;
     bool mayPredateProcess_ = true;
-    bool startedWithProcess_ = false;
+    bool startedAfterProcess_ = false;
     std::string id_;
     ServiceId service_ = 0;
     std::uint64_t born_ = 0;
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -2,14 +2,7 @@
 
 namespace celerystile::fleet {
 
-// Heartbeats are numbered from the host's start, so the number bounds its age. With any number but the first, a
-// predecessor of this process may have received an earlier heartbeat.
-bool HostStatus::startedAfterProcess(const HostReport& report, base::TimePoint now) const
-{
-    constexpr std::uint64_t first = 1;
-    return known_ || report.sequence <= first || now - start_ >= maxAge(report.sequence);
-}
-
+// Heartbeats are numbered from the host's start, so the number bounds its age.
 base::Duration HostStatus::maxAge(std::uint64_t heartbeats) const
 {
     constexpr double jitter = 1.25; // heartbeat intervals vary
@@ -30,10 +23,10 @@
     const bool wasSilent = state(now) == HostState::Silent;
     const bool changed = wasSilent || service != service_ || reportedState != reportedState_ || report.slots != slots_;
     if (!sameIncarnation) {
-        mayPredateProcess_ = !startedAfterProcess(report, now);
-        const auto tolerance = static_cast<std::uint64_t>(options_.startTolerance.count());
-        startedWithProcess_
-            = known_ || (report.sequence <= options_.maxStartupHeartbeats && report.born + tolerance >= options_.epoch);
+        // With any number but the first, a predecessor of this process may have received an earlier heartbeat.
+        constexpr std::uint64_t first = 1;
+        startedAfterProcess_ = now - start_ >= maxAge(report.sequence);
+        mayPredateProcess_ = report.sequence > first && !startedAfterProcess_;
         firstSequence_ = report.sequence;
     }
     known_ = true;
--- a/src/celerystile/fleet/host_status_test.cpp
+++ b/src/celerystile/fleet/host_status_test.cpp
@@ -144,7 +144,7 @@
     SUBCASE("after a late leave message of an ended incarnation") { status.recordLeave("i-0"); }
     status.recordHeartbeat(heartbeat(7, 2'000), start + milliseconds(300));
     CHECK(status.mayPredateProcess());
-    CHECK(!status.startedWithProcess());
+    CHECK(!status.startedAfterProcess());
 }
 
 // Guards against resets of a living host's flows after its sidecar took another incarnation for the present one.
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -32,12 +32,6 @@
         "drop_table_full",
     };
 
-    HostStatusOptions withEpoch(HostStatusOptions options, std::uint64_t epoch)
-    {
-        options.epoch = epoch;
-        return options;
-    }
-
 } // namespace
 
 std::string_view toString(SidecarCount count) { return countNames[static_cast<std::size_t>(count)]; }
@@ -46,7 +40,7 @@
     : options_(options)
     , output_(output)
     , start_(start)
-    , host_(withEpoch(options.host, options.epoch), start)
+    , host_(options.host, start)
     , meter_(options.meter)
     , queue_(options.maxQueued)
     , lastReportAt_(start)
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -153,7 +153,7 @@
 // Whether the table holds all flows of the host: no predecessor can have opened any, or its checkpoint named them all.
 bool Sidecar::allFlowsKnown() const
 {
-    return host_.known() && (predecessorFlowsComplete_ || host_.startedWithProcess());
+    return host_.known() && (predecessorFlowsComplete_ || host_.startedAfterProcess());
 }
 
 void Sidecar::adoptHeldFlows(const HeldFlows& held, base::TimePoint now)
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -435,8 +435,10 @@
     SUBCASE("it has restarted since")
     {
         Fixture fixture(40);
+        fixture.advance(milliseconds(3'000));
         fixture.sidecar.onHeartbeat(report(3, 2'000), fixture.now);
         CHECK(!tried(fixture, lookup()));
+        CHECK(!tried(fixture, owned()));
     }
     SUBCASE("it is younger than the process by the number of its heartbeats")
     {
@@ -459,23 +461,29 @@
     options.epoch = 10'000;
     SidecarRecorder output;
     Sidecar sidecar(options, output, now);
-    SUBCASE("the host may be older than the process")
+    SUBCASE("the host may be older than the process, by its start time too")
     {
         sidecar.onHeartbeat(report(1, 9'500), now);
         sidecar.announceRestart(now);
         CHECK(!sidecar.checkpoint().complete);
     }
-    SUBCASE("both started together")
+    SUBCASE("the host may be older than the process, its start time is higher")
     {
-        sidecar.onHeartbeat(report(3, 9'800), now);
-        sidecar.announceRestart(now);
+        sidecar.onHeartbeat(report(3, 12'000), now + milliseconds(2'000));
+        sidecar.announceRestart(now + milliseconds(2'000));
+        CHECK(!sidecar.checkpoint().complete);
+    }
+    SUBCASE("the host is younger than the process, by the number of its heartbeats")
+    {
+        sidecar.onHeartbeat(report(3, 9'800), now + milliseconds(3'000));
+        sidecar.announceRestart(now + milliseconds(3'000));
         CHECK(sidecar.checkpoint().complete);
     }
     SUBCASE("the host has restarted since")
     {
         sidecar.onHeartbeat(report(1, 9'500), now);
-        sidecar.onHeartbeat(report(1, 12'000), now);
-        sidecar.announceRestart(now);
+        sidecar.onHeartbeat(report(1, 12'000), now + milliseconds(1'000));
+        sidecar.announceRestart(now + milliseconds(1'000));
         CHECK(sidecar.checkpoint().complete);
     }
 }
@@ -554,7 +562,9 @@
 
 TEST_CASE("load: a planned stop retains the flows just accepted and accepts no more")
 {
-    Fixture fixture;
+    Fixture fixture(0);
+    fixture.advance(milliseconds(1'000)); // the host starts after the process
+    fixture.sidecar.onHeartbeat(report(1), fixture.now);
     fixture.open("100.64.0.8:1"); // saturates the host together with the next ones
     for (int port = 2; port <= 4; ++port) {
         const auto from = "100.64.0.8:" + std::to_string(port);
