A complete checkpoint counts for the incarnation that it names

Callers of flows that a living host held got no answer: its sidecar tried no unknown flow at the host, and handed the same belief to its successor.

Sidecar kept "the predecessor named all flows" for as long as the process lived. When the incarnation of that checkpoint turned out to have ended (a late heartbeat of it came first) or ended later, it said the same of the next one, which may have opened flows before this process started.

The sidecar keeps the incarnation whose checkpoint was complete and compares it with the present one.

--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -226,6 +226,7 @@
         core::FlowRecord& record, const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void deliver(core::FlowRecord& record, const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     void adoptFlow(const core::Segment& segment, base::TimePoint now);
+    bool checkpointWasComplete() const;
     bool allFlowsKnown() const;
     void adoptHeldFlows(const HeldFlows& held, base::TimePoint now);
     void resetCaller(const FlowClaim& claim, std::string_view reason);
@@ -256,7 +257,8 @@
     base::Duration helloRetryDelay_ { 0 };
     base::TimePoint nextHelloRetry_ {};
     bool restarting_ = false;
-    bool predecessorFlowsComplete_ = false; // after a planned stop, its checkpoint named all flows
+    std::optional<std::uint64_t>
+        completeIncarnation_; // of the host; a predecessor's last checkpoint named all flows that it held
     HostState announcedState_ = HostState::Gone;
     core::FlowTable table_;
     RequestMeter meter_;
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -150,10 +150,12 @@
         pendingHeldFlows_.push_back(held);
 }
 
+bool Sidecar::checkpointWasComplete() const { return host_.known() && completeIncarnation_ == host_.born(); }
+
 // Whether the table holds all flows of the host: no predecessor can have opened any, or its checkpoint named them all.
 bool Sidecar::allFlowsKnown() const
 {
-    return host_.known() && (predecessorFlowsComplete_ || host_.startedAfterProcess());
+    return host_.known() && (checkpointWasComplete() || host_.startedAfterProcess());
 }
 
 void Sidecar::adoptHeldFlows(const HeldFlows& held, base::TimePoint now)
@@ -165,8 +167,8 @@
     // A process that ran between the author of the checkpoint and this one would have received a heartbeat before it
     // accepted a flow, so consecutive heartbeat numbers show that there was none.
     const bool noProcessBetween = host_.firstSequence() <= held.sequence + 1;
-    predecessorFlowsComplete_
-        = predecessorFlowsComplete_ || (held.complete && held.born == host_.born() && noProcessBetween);
+    if (held.complete && held.born == host_.born() && noProcessBetween)
+        completeIncarnation_ = held.born;
     for (const auto& claim : held.flows) {
         if (table_.find(claim.key) || table_.size() >= options_.maxFlows)
             continue;
@@ -228,7 +230,7 @@
 // trial at one host is harmless; trials are limited because each packet would otherwise visit many hosts.
 bool Sidecar::startTrial(const Forward& forward, const core::Segment& segment, base::TimePoint now)
 {
-    if (segment.rst || predecessorFlowsComplete_ || !host_.mayPredateProcess())
+    if (segment.rst || checkpointWasComplete() || !host_.mayPredateProcess())
         return false; // the table holds every flow of this host
     const bool relearning = now - start_ < options_.relearnPeriod;
     if (!relearning && forward.purpose != ForwardPurpose::Owned)
