A sidecar orders the starts of its host by their heartbeats, not by their clock

Callers of a living host were reset with "the host is unresponsive" when the host had restarted after its clock went back, and with "the host has restarted" when a late heartbeat of an ended incarnation carried a higher start time.

HostStatus took `born`, Unix milliseconds of a clock that may step, for the order of incarnations: all heartbeats of one with a lower start time were stale for ever, so that the host became silent, then dead; one with a higher start time was believed without further evidence.

`born` is an identity now, with the host's id. A higher one is a hint that makes an incarnation that was never heard before the present one at once. Any other becomes the present one when it has sent two heartbeats with rising numbers while the present one is silent; so late heartbeats neither displace a host that sends heartbeats nor keep one out. Callers are reset when it is certain that the successor is alive: at its first heartbeat, unless the present incarnation was first heard less than the delay of a late heartbeat ago or the number says that the other is older than the present one's last heartbeat; otherwise with its second one, if no other incarnation is heard in one interval. Heartbeats of any incarnation postpone "unresponsive".

--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -2,7 +2,9 @@
 
 #include "celerystile/fleet/host_record.hpp"
 
+#include <optional>
 #include <string>
+#include <vector>
 
 /// @file
 /// @brief Heartbeats of a backend server, and the state that its sidecar derives from them.
@@ -18,17 +20,17 @@
     bool draining = false;
     std::chrono::milliseconds coldLeft { 0 }; ///< remaining time of slow start
     std::uint64_t sequence = 0; ///< number of the heartbeat within the incarnation, from 1
-    std::uint64_t born = 0; ///< start of the incarnation, Unix milliseconds
+    std::uint64_t born = 0; ///< identity of the incarnation: its start by the host's clock, Unix milliseconds
 
     bool operator==(const HostReport&) const = default;
 };
 
 /// @brief Effect of a heartbeat on the status.
 enum class HeartbeatOutcome {
-    FirstOfIncarnation, ///< the host has started or restarted; flows of an earlier incarnation have ended
+    FirstOfIncarnation, ///< another incarnation is the present one now
     Changed, ///< the state, service or number of slots differs and has to be announced
     Unchanged,
-    Stale, ///< older than the last one: ignored
+    Stale, ///< older than the last one, or of another incarnation, which is probably an ended one: ignored
 };
 
 /// @brief Settings of the host status.
@@ -36,9 +38,15 @@
     base::Duration heartbeatInterval = std::chrono::milliseconds(770); ///< approximate time between heartbeats
     base::Duration silentAfter = std::chrono::milliseconds(1800); ///< a little over two heartbeats
     base::Duration deadAfter = std::chrono::milliseconds(2600); ///< three heartbeats and a margin
+    base::Duration maxHeartbeatDelay = std::chrono::seconds(4); ///< of a heartbeat whose sender has ended
 };
 
 /// @brief Status of a sidecar's host, derived from heartbeats in order. Not thread-safe.
+///
+/// Incarnations of the host are ordered by the arrival of their heartbeats, not by their start times: a clock may step
+/// between two starts, and a late heartbeat may arrive after its sender has ended and another incarnation has started.
+/// - A higher start time makes an incarnation that was never heard before the present one at once.
+/// - Any other incarnation becomes the present one when it goes on sending heartbeats while the present one is silent.
 class HostStatus {
 public:
     HostStatus(HostStatusOptions options, base::TimePoint start)
@@ -48,7 +56,7 @@
     {
     }
 
-    /// @brief Records a heartbeat. One of an earlier incarnation, or with a number not above the last one, is ignored.
+    /// @brief Records a heartbeat.
     HeartbeatOutcome recordHeartbeat(const HostReport& report, base::TimePoint now);
 
     /// @brief Records that the host stops. @return false if `id` is that of another host.
@@ -58,7 +66,7 @@
     void recordActivity(base::TimePoint now) { lastActivityAt_ = now; }
 
     /// @brief Excludes a pause of this process from the time without heartbeats.
-    void recordPause(base::Duration gap) { lastHeartbeatAt_ += gap; }
+    void recordPause(base::Duration gap);
 
     /// @return the state of the last heartbeat or leave message; Silent after silentAfter without a heartbeat.
     HostState state(base::TimePoint now) const;
@@ -68,45 +76,78 @@
     bool dead(base::TimePoint now) const;
 
     /// @return whether a heartbeat or a leave message of the host has been received.
-    bool known() const { return known_; }
+    bool known() const { return present_ || left_; }
+
+    /// @return whether a heartbeat has been received.
+    bool heard() const { return present_.has_value(); }
+
+    /// @return whether heartbeats show that the present incarnation is alive: none of them can be a late one of an
+    /// incarnation that has ended.
+    bool confirmed(base::TimePoint now) const;
+
+    /// @return whether the present incarnation has taken the place of one that was heard before, for the first time.
+    bool replacedAnother() const { return replacedAnother_; }
+
+    /// @return the earliest time at which the present incarnation can have started, by the numbers of its heartbeats.
+    base::TimePoint earliestStart() const { return present_ ? present_->earliestStart : start_; }
 
     /// @return whether the host's incarnation may be older than this process, so that it may hold flows unknown here.
-    bool mayPredateProcess() const { return mayPredateProcess_; }
+    bool mayPredateProcess() const;
 
     /// @return whether the host's incarnation started after this process, so that no predecessor of the process can
     /// have opened flows there.
-    bool startedAfterProcess() const { return startedAfterProcess_; }
+    bool startedAfterProcess() const { return present_ && present_->earliestStart >= start_; }
 
     /// @return the number of the last heartbeat.
-    std::uint64_t sequence() const { return sequence_; }
+    std::uint64_t sequence() const { return present_ ? present_->sequence.value_or(0) : 0; }
 
     /// @return the number of the first heartbeat received of the present incarnation.
-    std::uint64_t firstSequence() const { return firstSequence_; }
+    std::uint64_t firstSequence() const { return present_ ? present_->firstSequence : 0; }
 
-    /// @return an upper bound of the present incarnation's age, by the number of its heartbeats.
-    base::Duration maxAge() const { return maxAge(sequence_); }
+    /// @return the identity of the present incarnation; 0: no heartbeat yet.
+    std::uint64_t born() const { return present_ ? present_->born : 0; }
     ServiceId service() const { return service_; }
-    std::uint64_t born() const { return born_; }
     std::uint32_t slots() const { return slots_; }
     std::chrono::milliseconds coldLeft(base::TimePoint now) const;
 
 private:
+    struct Incarnation {
+        std::string id;
+        std::uint64_t born = 0;
+        std::optional<std::uint64_t> sequence; // of the last heartbeat
+        std::uint64_t firstSequence = 0;
+        base::TimePoint firstHeardAt {};
+        base::TimePoint earliestStart {};
+        unsigned heartbeats = 0; // since the last heartbeat of the present one, or since it became the present one
+        bool superseded = false;
+    };
+
     base::Duration maxAge(std::uint64_t heartbeats) const;
+    base::Duration minAge(std::uint64_t heartbeats) const;
+    static bool isFrom(const HostReport& report, const Incarnation& incarnation);
+    HeartbeatOutcome recordPresent(const HostReport& report, base::TimePoint now);
+    std::size_t findOrAddOther(const HostReport& report, base::TimePoint now);
+    bool recordSequence(Incarnation& incarnation, const HostReport& report, base::TimePoint now) const;
+    bool isSuccessor(const Incarnation& other, bool firstHeard, base::TimePoint now) const;
+    bool isSuccessorCertain(const Incarnation& other, base::TimePoint now) const;
+    void makePresent(std::size_t index, base::TimePoint now);
+    void forgetRivals();
+    bool applyState(const HostReport& report, base::TimePoint now);
 
     HostStatusOptions options_;
     base::TimePoint start_;
-    bool known_ = false;
-    bool mayPredateProcess_ = true;
-    bool startedAfterProcess_ = false;
-    std::string id_;
+    bool left_ = false;
+    std::optional<Incarnation> present_;
+    std::vector<Incarnation> others_; // in the order in which they were heard first
+    base::TimePoint presentSince_ {};
+    bool confirmed_ = false;
+    bool replacedAnother_ = false;
     ServiceId service_ = 0;
-    std::uint64_t born_ = 0;
-    std::uint64_t sequence_ = 0;
-    std::uint64_t firstSequence_ = 0;
     std::uint32_t slots_ = 1;
     HostState reportedState_ = HostState::Ready;
     base::TimePoint coldUntil_ {};
     base::TimePoint lastHeartbeatAt_;
+    base::TimePoint lastOtherHeartbeatAt_ {};
     base::TimePoint lastActivityAt_ {};
 };
 
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -132,7 +132,8 @@
     /// @brief Handles a caller's packet that the host bounced because it does not hold the flow or refuses the SYN.
     void onBounced(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
 
-    /// @brief Handles a heartbeat. The first one of a later incarnation resets the callers of the earlier one's flows.
+    /// @brief Handles a heartbeat. The callers of an earlier incarnation's flows are reset once it is certain that the
+    /// present one is alive; usually its first heartbeat suffices.
     HeartbeatOutcome onHeartbeat(const HostReport& report, base::TimePoint now);
 
     /// @brief Handles the message that the host stops; ignored if `id` is that of another host.
@@ -233,6 +234,7 @@
     static FlowClaim claimOf(const core::FlowKey& key, const core::FlowRecord& record);
     void endFlow(const core::FlowKey& key);
     void closeIfFinished(core::FlowRecord& record, const core::FlowKey& key, base::TimePoint now);
+    void resetPredecessorFlows(base::TimePoint now);
     void resetFlowsUnseenSince(base::TimePoint since, std::string_view reason, base::TimePoint now);
 
     void sendClaim(const Endpoint& balancer, const core::FlowKey& key, base::TimePoint now);
@@ -257,6 +259,7 @@
     base::Duration helloRetryDelay_ { 0 };
     base::TimePoint nextHelloRetry_ {};
     bool restarting_ = false;
+    bool predecessorFlowsOpen_ = false; // of an earlier incarnation of the host; their callers are still to be reset
     std::optional<std::uint64_t>
         completeIncarnation_; // of the host; a predecessor's last checkpoint named all flows that it held
     HostState announcedState_ = HostState::Gone;
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -1,58 +1,199 @@
 #include "celerystile/fleet/host_status.hpp"
 
+#include <algorithm>
+
 namespace celerystile::fleet {
 
+namespace {
+
+    constexpr std::size_t maxOthers = 8; // incarnations remembered beside the present one
+    constexpr unsigned confirmingHeartbeats = 2;
+
+    // Heartbeat intervals vary.
+    constexpr double minIntervalFactor = 0.75;
+    constexpr double maxIntervalFactor = 1.25;
+
+    base::Duration multiply(base::Duration interval, double factor, std::uint64_t count)
+    {
+        constexpr std::uint64_t maxCount = 1'000'000; // keeps the product in range
+        const auto product
+            = std::chrono::duration<double>(interval) * factor * static_cast<double>(std::min(count, maxCount));
+        return std::chrono::duration_cast<base::Duration>(product);
+    }
+
+} // namespace
+
 // Heartbeats are numbered from the host's start, so the number bounds its age.
 base::Duration HostStatus::maxAge(std::uint64_t heartbeats) const
 {
-    constexpr double jitter = 1.25; // heartbeat intervals vary
-    const auto age
-        = std::chrono::duration<double>(options_.heartbeatInterval) * jitter * static_cast<double>(heartbeats);
-    return std::chrono::duration_cast<base::Duration>(age);
+    return multiply(options_.heartbeatInterval, maxIntervalFactor, heartbeats);
+}
+
+base::Duration HostStatus::minAge(std::uint64_t heartbeats) const
+{
+    return multiply(options_.heartbeatInterval, minIntervalFactor, heartbeats > 0 ? heartbeats - 1 : 0);
+}
+
+bool HostStatus::mayPredateProcess() const
+{
+    // With any number but the first, a predecessor of this process may have received an earlier heartbeat.
+    constexpr std::uint64_t first = 1;
+    return !present_ || (present_->firstSequence > first && !startedAfterProcess());
+}
+
+bool HostStatus::isFrom(const HostReport& report, const Incarnation& incarnation)
+{
+    return report.born == incarnation.born && report.id == incarnation.id;
+}
+
+// @return the index of the reporting incarnation in others_.
+std::size_t HostStatus::findOrAddOther(const HostReport& report, base::TimePoint now)
+{
+    const auto found
+        = std::find_if(others_.begin(), others_.end(), [&](const Incarnation& other) { return isFrom(report, other); });
+    if (found != others_.end())
+        return static_cast<std::size_t>(found - others_.begin());
+    if (others_.size() >= maxOthers)
+        others_.erase(others_.begin());
+    Incarnation other;
+    other.id = report.id;
+    other.born = report.born;
+    other.firstSequence = report.sequence;
+    other.firstHeardAt = now;
+    other.earliestStart = now - maxAge(report.sequence);
+    others_.push_back(std::move(other));
+    return others_.size() - 1;
+}
+
+// @return whether the heartbeat is newer than the incarnation's last one.
+bool HostStatus::recordSequence(Incarnation& incarnation, const HostReport& report, base::TimePoint now) const
+{
+    if (report.sequence <= incarnation.sequence)
+        return false;
+    // The first heartbeat may be a late one, which makes the incarnation look younger; the next ones correct this.
+    // Later ones would only add the jitter of the interval.
+    constexpr std::uint64_t correcting = 2;
+    if (report.sequence <= incarnation.firstSequence + correcting)
+        incarnation.earliestStart = std::min(incarnation.earliestStart, now - maxAge(report.sequence));
+    incarnation.sequence = report.sequence;
+    ++incarnation.heartbeats;
+    return true;
 }
 
 HeartbeatOutcome HostStatus::recordHeartbeat(const HostReport& report, base::TimePoint now)
 {
-    const bool sameIncarnation = known_ && report.born == born_;
-    if (known_ && report.born < born_)
+    if (present_ && isFrom(report, *present_))
+        return recordPresent(report, now);
+    const auto index = findOrAddOther(report, now);
+    auto& other = others_[index];
+    const bool firstHeard = !other.sequence;
+    if (!recordSequence(other, report, now))
         return HeartbeatOutcome::Stale;
-    if (sameIncarnation && report.sequence <= sequence_)
+    lastActivityAt_ = now;
+    if (!isSuccessor(other, firstHeard, now)) {
+        lastOtherHeartbeatAt_ = now;
+        confirmed_ = false;
         return HeartbeatOutcome::Stale;
+    }
+    makePresent(index, now);
+    applyState(report, now);
+    return HeartbeatOutcome::FirstOfIncarnation;
+}
+
+HeartbeatOutcome HostStatus::recordPresent(const HostReport& report, base::TimePoint now)
+{
+    if (!recordSequence(*present_, report, now))
+        return HeartbeatOutcome::Stale;
+    lastActivityAt_ = now;
+    forgetRivals();
+    return applyState(report, now) ? HeartbeatOutcome::Changed : HeartbeatOutcome::Unchanged;
+}
+
+// @return whether the state differs.
+bool HostStatus::applyState(const HostReport& report, base::TimePoint now)
+{
     const auto service = core::hashName(report.service);
     const auto reportedState = report.draining ? HostState::Draining : HostState::Ready;
     const bool wasSilent = state(now) == HostState::Silent;
     const bool changed = wasSilent || service != service_ || reportedState != reportedState_ || report.slots != slots_;
-    if (!sameIncarnation) {
-        // With any number but the first, a predecessor of this process may have received an earlier heartbeat.
-        constexpr std::uint64_t first = 1;
-        startedAfterProcess_ = now - start_ >= maxAge(report.sequence);
-        mayPredateProcess_ = report.sequence > first && !startedAfterProcess_;
-        firstSequence_ = report.sequence;
-    }
-    known_ = true;
-    id_ = report.id;
     service_ = service;
-    born_ = report.born;
-    sequence_ = report.sequence;
     slots_ = report.slots;
     reportedState_ = reportedState;
     coldUntil_ = now + report.coldLeft;
     lastHeartbeatAt_ = now;
-    lastActivityAt_ = now;
-    if (!sameIncarnation)
-        return HeartbeatOutcome::FirstOfIncarnation;
-    return changed ? HeartbeatOutcome::Changed : HeartbeatOutcome::Unchanged;
+    return changed;
+}
+
+// A late heartbeat neither displaces a host that sends heartbeats nor keeps a living host out: at worst it is believed
+// until it is silent and the living host has sent two more.
+bool HostStatus::isSuccessor(const Incarnation& other, bool firstHeard, base::TimePoint now) const
+{
+    if (!present_ || (firstHeard && other.born > present_->born))
+        return true;
+    const auto presentState = state(now);
+    return other.heartbeats >= confirmingHeartbeats
+        && (presentState == HostState::Silent || presentState == HostState::Gone);
+}
+
+// Whether the heartbeats of `other` are those of a living host, and not late ones of a host that ended before the
+// present incarnation started.
+bool HostStatus::isSuccessorCertain(const Incarnation& other, base::TimePoint now) const
+{
+    if (other.heartbeats >= confirmingHeartbeats)
+        return std::all_of(others_.begin(), others_.end(),
+            [&](const Incarnation& rival) { return &rival == &other || rival.heartbeats == 0; });
+    return now - present_->firstHeardAt >= options_.maxHeartbeatDelay
+        && now - lastHeartbeatAt_ >= minAge(other.sequence.value_or(0));
+}
+
+void HostStatus::makePresent(std::size_t index, base::TimePoint now)
+{
+    auto next = others_[index];
+    confirmed_ = present_ && isSuccessorCertain(others_[index], now);
+    replacedAnother_ = present_ && !next.superseded;
+    others_.erase(others_.begin() + static_cast<std::ptrdiff_t>(index));
+    if (present_) {
+        present_->superseded = true;
+        others_.push_back(std::move(*present_));
+    }
+    present_ = std::move(next);
+    present_->heartbeats = 1;
+    presentSince_ = now;
+    forgetRivals();
+}
+
+// Heartbeats of other incarnations count only while the present one sends none.
+void HostStatus::forgetRivals()
+{
+    for (auto& other : others_)
+        other.heartbeats = 0;
+}
+
+bool HostStatus::confirmed(base::TimePoint now) const
+{
+    // Within one interval a heartbeat of the living host would have been received, if it were another incarnation.
+    return present_
+        && (confirmed_
+            || (present_->heartbeats >= confirmingHeartbeats && now - presentSince_ >= maxAge(1)
+                && now - lastOtherHeartbeatAt_ >= options_.silentAfter));
 }
 
 bool HostStatus::recordLeave(const std::string& id)
 {
-    if (known_ && !id_.empty() && id != id_)
+    if (present_ && !present_->id.empty() && id != present_->id)
         return false;
     reportedState_ = HostState::Gone;
-    known_ = true;
+    left_ = true;
     return true;
 }
 
+void HostStatus::recordPause(base::Duration gap)
+{
+    lastHeartbeatAt_ += gap;
+    lastOtherHeartbeatAt_ += gap;
+    presentSince_ += gap;
+}
+
 HostState HostStatus::state(base::TimePoint now) const
 {
     if (reportedState_ != HostState::Gone && now - lastHeartbeatAt_ >= options_.silentAfter)
@@ -62,7 +203,7 @@
 
 bool HostStatus::dead(base::TimePoint now) const
 {
-    return known_ && now - lastHeartbeatAt_ >= options_.deadAfter && now - lastActivityAt_ >= options_.deadAfter;
+    return known() && now - lastHeartbeatAt_ >= options_.deadAfter && now - lastActivityAt_ >= options_.deadAfter;
 }
 
 std::chrono::milliseconds HostStatus::coldLeft(base::TimePoint now) const
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -224,6 +224,7 @@
     expireOpening(now);
     meter_.expire(now);
     admitQueued(now);
+    resetPredecessorFlows(now);
     if (host_.dead(now) && table_.openFlows() > 0)
         resetFlowsUnseenSince(now, "the host is unresponsive", now);
     announceIfChanged(now);
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -66,10 +66,10 @@
 
 HeartbeatOutcome Sidecar::onHeartbeat(const HostReport& report, base::TimePoint now)
 {
-    const bool restarted = host_.known() && host_.born() != 0 && report.born > host_.born();
     const auto outcome = host_.recordHeartbeat(report, now);
-    if (restarted)
-        resetFlowsUnseenSince(now - host_.maxAge(), "the host has restarted", now);
+    if (outcome == HeartbeatOutcome::FirstOfIncarnation)
+        predecessorFlowsOpen_ = host_.replacedAnother();
+    resetPredecessorFlows(now);
     for (const auto& held : std::exchange(pendingHeldFlows_, {}))
         adoptHeldFlows(held, now);
     if (outcome == HeartbeatOutcome::FirstOfIncarnation || outcome == HeartbeatOutcome::Changed) {
@@ -144,7 +144,7 @@
 
 void Sidecar::onHeldFlows(const HeldFlows& held, base::TimePoint now)
 {
-    if (host_.known())
+    if (host_.heard())
         adoptHeldFlows(held, now);
     else
         pendingHeldFlows_.push_back(held);
@@ -282,6 +282,15 @@
         endFlow(key);
 }
 
+// Resets the callers of an ended incarnation as soon as it is certain that its successor is alive.
+void Sidecar::resetPredecessorFlows(base::TimePoint now)
+{
+    if (!predecessorFlowsOpen_ || !host_.confirmed(now))
+        return;
+    predecessorFlowsOpen_ = false;
+    resetFlowsUnseenSince(host_.earliestStart(), "the host has restarted", now);
+}
+
 HeldFlows Sidecar::checkpoint() const
 {
     HeldFlows held;
