Flows held before a sidecar's start are reset only when their host has certainly ended

Callers of a living host were reset with "the host has restarted" by a sidecar that had just started.

adoptHeldFlows compared the start time that a checkpoint or balancer named with that of the first heartbeat received. The comparison is wrong when the first heartbeat is a late one of an ended incarnation whose clock was ahead; when a balancer names an incarnation that is not the one that held the flow; and when the flow was opened by the next incarnation before its first heartbeat. After a restart with a lower start time it let the callers wait.

Flows of another incarnation are adopted, and their callers are reset when the present one is confirmed, unless the host has sent a packet on the flow or two sources name different incarnations. What a balancer names counts only if the host is too young to have held the flow. A host that has just started and is the only one heard still resets the callers with its first heartbeat. While two incarnations are in question a checkpoint names none, so that a successor adopts the flows.

--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -88,6 +88,12 @@
     /// @return whether the present incarnation has taken the place of one that was heard before, for the first time.
     bool replacedAnother() const { return replacedAnother_; }
 
+    /// @return whether the incarnation `born`, which held flows before this process started, has certainly ended.
+    bool hasEnded(std::uint64_t born, base::TimePoint now) const;
+
+    /// @return whether another incarnation was heard, and it is not certain yet which one is alive.
+    bool disputed(base::TimePoint now) const { return !others_.empty() && !confirmed(now); }
+
     /// @return the earliest time at which the present incarnation can have started, by the numbers of its heartbeats.
     base::TimePoint earliestStart() const { return present_ ? present_->earliestStart : start_; }
 
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -142,8 +142,9 @@
     /// @brief Handles a balancer's hello. A new epoch or `wantsFlows` starts a transfer of all flows to it.
     void onHello(const BalancerHello& hello, base::TimePoint now);
 
-    /// @brief Adopts flows held before the start, or resets their callers if the host has restarted since. Before the
-    /// first heartbeat the flows are only stored, because the host's incarnation is not known yet.
+    /// @brief Adopts flows held before the start, or resets their callers once it is certain that the host that held
+    /// them has ended. Before the first heartbeat the flows are only stored, because the host's incarnation is not
+    /// known yet.
     void onHeldFlows(const HeldFlows& held, base::TimePoint now);
 
     /// @brief Starts a planned restart: the sidecar accepts no new flow, and its reports carry `restarting`, so that
@@ -202,6 +203,13 @@
         bool mistaken = false; // holds the record of another process at this address as the newer one
     };
 
+    // A flow that another incarnation of the host held before the start.
+    struct UncertainFlow {
+        FlowClaim claim;
+        std::uint64_t born = 0; // that incarnation
+        bool adopted = false; // in the table; a flow of another instance is not
+    };
+
     using SavedForwards = boost::unordered_flat_map<core::FlowKey, SavedForward, core::FlowKeyHash>;
 
     void increment(SidecarCount which) { ++counts_[static_cast<std::size_t>(which)]; }
@@ -230,6 +238,7 @@
     bool checkpointWasComplete() const;
     bool allFlowsKnown() const;
     void adoptHeldFlows(const HeldFlows& held, base::TimePoint now);
+    void resolveUncertainFlows(base::TimePoint now);
     void resetCaller(const FlowClaim& claim, std::string_view reason);
     static FlowClaim claimOf(const core::FlowKey& key, const core::FlowRecord& record);
     void endFlow(const core::FlowKey& key);
@@ -276,6 +285,7 @@
     boost::unordered_flat_map<core::FlowKey, base::TimePoint, core::FlowKeyHash> lastTrialAt_;
     boost::unordered_flat_map<Endpoint, KnownBalancer, core::EndpointHash> balancers_;
     std::vector<HeldFlows> pendingHeldFlows_; // received before the first heartbeat
+    boost::unordered_flat_map<core::FlowKey, UncertainFlow, core::FlowKeyHash> uncertainFlows_;
     std::vector<core::FlowKey> heldSinceReport_;
     std::vector<FlowClaim> endedSinceReport_;
     boost::unordered_flat_map<Endpoint, std::vector<core::FlowKey>, core::EndpointHash>
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -178,6 +178,14 @@
                 && now - lastOtherHeartbeatAt_ >= options_.silentAfter));
 }
 
+// A higher start time is believed without a second heartbeat if the host has just started and no other one was heard.
+bool HostStatus::hasEnded(std::uint64_t born, base::TimePoint now) const
+{
+    if (!present_ || born == present_->born)
+        return false;
+    return confirmed(now) || (others_.empty() && !mayPredateProcess() && born < present_->born);
+}
+
 bool HostStatus::recordLeave(const std::string& id)
 {
     if (present_ && !present_->id.empty() && id != present_->id)
--- a/src/celerystile/fleet/host_status_test.cpp
+++ b/src/celerystile/fleet/host_status_test.cpp
@@ -131,6 +131,7 @@
     status.recordHeartbeat(heartbeat(1, 9'500), now += heartbeatInterval);
     for (std::uint64_t i = 2; i < 12; ++i) {
         status.recordHeartbeat(heartbeat(40 + i, 9'000), now += heartbeatInterval / 2);
+        CHECK(status.born() == 9'500);
         status.recordHeartbeat(heartbeat(i, 9'500), now += heartbeatInterval / 2);
         CHECK(status.born() == 9'500);
     }
@@ -166,6 +167,7 @@
                 [&](base::TimePoint now) { sidecar.onHeartbeat(heartbeat(arrival.sequence, arrival.born), now); });
         HeldFlows held;
         held.born = living.born;
+        held.sequence = *rc::gen::arbitrary<bool>() ? 1 : 0; // from a checkpoint or from a balancer
         std::set<core::FlowKey> ofLiving;
         for (int i = 1; i <= 6; ++i) {
             auto packet = dataOf(("100.64.0.7:" + std::to_string(i)).c_str(), 901);
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -142,6 +142,7 @@
         queue_.remove(key);
     endedSinceReport_.push_back(claimOf(key, *record));
     openingSyns_.erase(key);
+    uncertainFlows_.erase(key);
     table_.remove(key);
     increment(SidecarCount::FlowsEnded);
     ++checkpointVersion_;
@@ -152,6 +153,7 @@
     host_.recordActivity(now);
     lastUnansweredAt_ = {};
     trials_.erase(segment.key);
+    uncertainFlows_.erase(segment.key);
     auto* record = table_.find(segment.key);
     if (!record && !segment.rst) {
         adoptFlow(segment, now);
@@ -225,6 +227,7 @@
     meter_.expire(now);
     admitQueued(now);
     resetPredecessorFlows(now);
+    resolveUncertainFlows(now);
     if (host_.dead(now) && table_.openFlows() > 0)
         resetFlowsUnseenSince(now, "the host is unresponsive", now);
     announceIfChanged(now);
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -72,6 +72,7 @@
     resetPredecessorFlows(now);
     for (const auto& held : std::exchange(pendingHeldFlows_, {}))
         adoptHeldFlows(held, now);
+    resolveUncertainFlows(now);
     if (outcome == HeartbeatOutcome::FirstOfIncarnation || outcome == HeartbeatOutcome::Changed) {
         announcedState_ = host_.state(now);
         output_.announce(record(now));
@@ -160,8 +161,11 @@
 
 void Sidecar::adoptHeldFlows(const HeldFlows& held, base::TimePoint now)
 {
-    const bool otherIncarnation = held.born != 0 && held.born < host_.born();
+    const bool otherIncarnation = held.born != 0 && held.born != host_.born();
     const bool otherInstance = held.instance != options_.instance;
+    // A balancer names the incarnation that it knows at this address, which may not be the one that held the flows.
+    const bool certainlyOther = otherIncarnation && (held.sequence > 0 || otherInstance || !host_.mayPredateProcess());
+    const bool ended = certainlyOther && host_.hasEnded(held.born, now);
     if (otherInstance && !otherIncarnation)
         return; // without the incarnation it is not known whether their host has ended
     // A process that ran between the author of the checkpoint and this one would have received a heartbeat before it
@@ -170,12 +174,19 @@
     if (held.complete && held.born == host_.born() && noProcessBetween)
         completeIncarnation_ = held.born;
     for (const auto& claim : held.flows) {
+        const auto uncertain = uncertainFlows_.find(claim.key);
+        if (held.born != 0 && uncertain != uncertainFlows_.end() && uncertain->second.born != held.born)
+            uncertainFlows_.erase(uncertain); // the sources disagree
         if (table_.find(claim.key) || table_.size() >= options_.maxFlows)
             continue;
-        if (otherIncarnation) {
+        if (ended) {
             resetCaller(claim, "the host has restarted");
             continue;
         }
+        if (certainlyOther)
+            uncertainFlows_.insert_or_assign(claim.key, UncertainFlow { claim, held.born, !otherInstance });
+        if (otherInstance)
+            continue;
         core::FlowRecord record;
         record.state = claim.proven ? core::FlowState::Open : core::FlowState::Opening;
         record.hostIsn = claim.hostSequence;
@@ -189,6 +200,22 @@
     }
 }
 
+// Decides on flows that another incarnation held before the start, as soon as it is certain which one is alive. A flow
+// on which the host has sent a packet since is its own: it may open flows before its first heartbeat, while its sidecar
+// takes it for the earlier incarnation.
+void Sidecar::resolveUncertainFlows(base::TimePoint now)
+{
+    if (uncertainFlows_.empty() || !host_.confirmed(now))
+        return;
+    for (const auto& [key, flow] : std::exchange(uncertainFlows_, {})) {
+        const auto* record = table_.find(key);
+        if (flow.born == host_.born() || (record != nullptr) != flow.adopted)
+            continue;
+        resetCaller(record ? claimOf(key, *record) : flow.claim, "the host has restarted");
+        endFlow(key);
+    }
+}
+
 // With the reset the caller can reconnect at once; otherwise it would wait for its next request to time out.
 void Sidecar::resetCaller(const FlowClaim& claim, std::string_view reason)
 {
@@ -295,7 +322,7 @@
 {
     HeldFlows held;
     held.instance = options_.instance;
-    held.born = host_.born();
+    held.born = host_.disputed(lastTick_) ? 0 : host_.born();
     held.complete = restarting_ && allFlowsKnown();
     held.sequence = host_.sequence();
     for (const auto& [key, record] : table_.records()) {
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -339,6 +339,27 @@
         CHECK(fixture.output.resets.empty());
         CHECK(fixture.sidecar.flows().openFlows() == 1);
     }
+    SUBCASE("a balancer names the incarnation that it knows of, which may be the earlier one")
+    {
+        held.sequence = 0;
+        held.born = 500;
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        beat(40, 1'000);
+        CHECK(fixture.output.resets.empty());
+        CHECK(fixture.sidecar.flows().openFlows() == 1);
+    }
+    SUBCASE("a balancer and the checkpoint name different incarnations")
+    {
+        held.born = 500;
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        fixture.sidecar.onHeartbeat(report(40, 2'000), fixture.now);
+        held.sequence = 0;
+        held.born = 1'000;
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        beat(41, 2'000);
+        CHECK(fixture.output.resets.empty());
+        CHECK(fixture.sidecar.flows().openFlows() == 1);
+    }
     SUBCASE("the host has restarted: the callers are reset as soon as its next heartbeats show that it is alive")
     {
         SUBCASE("with a higher start time") { held.born = 500; }
@@ -497,6 +518,23 @@
     CHECK(!fixture.sidecar.checkpoint().complete);
 }
 
+// Guards against resets of a living host's flows by the next process, which would find them under another incarnation.
+TEST_CASE("a checkpoint names no incarnation while it is uncertain which one is alive")
+{
+    Fixture fixture(40);
+    fixture.open();
+    fixture.advance(milliseconds(300));
+    CHECK(fixture.sidecar.checkpoint().born == 1'000);
+    fixture.sidecar.onHeartbeat(report(12, 5'000), fixture.now);
+    CHECK(fixture.sidecar.checkpoint().born == 0);
+    for (int i = 0; i < 5; ++i) {
+        fixture.advance(milliseconds(400));
+        fixture.sidecar.onHeartbeat(report(++fixture.sequence), fixture.now);
+        fixture.advance(milliseconds(370));
+    }
+    CHECK(fixture.sidecar.checkpoint().born == 1'000);
+}
+
 // Guards against flows that are found by nobody: completeness is that of one incarnation.
 TEST_CASE("a complete checkpoint of an ended incarnation says nothing of the host that is alive")
 {
