--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -133,7 +133,8 @@
     /// @brief Handles a caller's packet that the host bounced because it does not hold the flow or refuses the SYN.
     void onBounced(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
 
-    /// @brief Handles a heartbeat. The first one of a later incarnation resets the callers of the earlier one's flows.
+    /// @brief Handles a heartbeat. The callers of an earlier incarnation's flows are reset once it is certain that the
+    /// present one is alive; usually its first heartbeat suffices.
     HeartbeatOutcome onHeartbeat(const HostReport& report, base::TimePoint now);
 
     /// @brief Handles the message that the host stops; ignored if `id` is that of another host.
@@ -143,8 +144,9 @@
     /// takes another process at this address for the latest raises this process's epoch.
     void onHello(const BalancerHello& hello, base::TimePoint now);
 
-    /// @brief Adopts flows held before the start, or resets their callers if the host has restarted since. Before the
-    /// first heartbeat the flows are only stored, because the host's incarnation is not known yet.
+    /// @brief Adopts flows held before the start, or resets their callers once it is certain that the host that held
+    /// them has ended. Before the first heartbeat the flows are only stored, because the host's incarnation is not
+    /// known yet.
     void onHeldFlows(const HeldFlows& held, base::TimePoint now);
 
     /// @brief Starts a planned restart: the sidecar accepts no new flow, and its reports carry `restarting`, so that
@@ -204,6 +206,13 @@
         bool mistaken = false; // holds the record of another process at this address as the newer one
     };
 
+    // A flow that another incarnation of the host held before the start.
+    struct UncertainFlow {
+        FlowClaim claim;
+        std::uint64_t born = 0; // that incarnation
+        bool adopted = false; // in the table; a flow of another instance is not
+    };
+
     using SavedForwards = boost::unordered_flat_map<core::FlowKey, SavedForward, core::FlowKeyHash>;
 
     void increment(SidecarCount which) { ++counts_[static_cast<std::size_t>(which)]; }
@@ -229,12 +238,15 @@
         core::FlowRecord& record, const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void deliver(core::FlowRecord& record, const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     void adoptFlow(const core::Segment& segment, base::TimePoint now);
+    bool checkpointWasComplete() const;
     bool allFlowsKnown() const;
     void adoptHeldFlows(const HeldFlows& held, base::TimePoint now);
+    void resolveUncertainFlows(base::TimePoint now);
     void resetCaller(const FlowClaim& claim, std::string_view reason);
     static FlowClaim claimOf(const core::FlowKey& key, const core::FlowRecord& record);
     void endFlow(const core::FlowKey& key);
     void closeIfFinished(core::FlowRecord& record, const core::FlowKey& key, base::TimePoint now);
+    void resetPredecessorFlows(base::TimePoint now);
     void resetFlowsUnseenSince(base::TimePoint since, std::string_view reason, base::TimePoint now);
 
     void sendClaim(const Endpoint& balancer, const core::FlowKey& key, base::TimePoint now);
@@ -264,7 +276,9 @@
     base::Duration helloRetryDelay_ { 0 };
     base::TimePoint nextHelloRetry_ {};
     bool restarting_ = false;
-    bool predecessorFlowsComplete_ = false; // after a planned stop, its checkpoint named all flows
+    bool predecessorFlowsOpen_ = false; // of an earlier incarnation of the host; their callers are still to be reset
+    std::optional<std::uint64_t>
+        completeIncarnation_; // of the host; a predecessor's last checkpoint named all flows that it held
     HostState announcedState_ = HostState::Gone;
     core::FlowTable table_;
     RequestMeter meter_;
@@ -279,6 +293,7 @@
     boost::unordered_flat_map<core::FlowKey, base::TimePoint, core::FlowKeyHash> lastTrialAt_;
     boost::unordered_flat_map<Endpoint, KnownBalancer, core::EndpointHash> balancers_;
     std::vector<HeldFlows> pendingHeldFlows_; // received before the first heartbeat
+    boost::unordered_flat_map<core::FlowKey, UncertainFlow, core::FlowKeyHash> uncertainFlows_;
     std::vector<core::FlowKey> heldSinceReport_;
     std::vector<FlowClaim> endedSinceReport_;
     boost::unordered_flat_map<Endpoint, std::vector<core::FlowKey>, core::EndpointHash>
