--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -79,12 +79,13 @@
 
 HeartbeatOutcome Sidecar::onHeartbeat(const HostReport& report, base::TimePoint now)
 {
-    const bool restarted = host_.known() && host_.born() != 0 && report.born > host_.born();
     const auto outcome = host_.recordHeartbeat(report, now);
-    if (restarted)
-        resetFlowsUnseenSince(now - host_.maxAge(), "the host has restarted", now);
+    if (outcome == HeartbeatOutcome::FirstOfIncarnation)
+        predecessorFlowsOpen_ = host_.replacedAnother();
+    resetPredecessorFlows(now);
     for (const auto& held : std::exchange(pendingHeldFlows_, {}))
         adoptHeldFlows(held, now);
+    resolveUncertainFlows(now);
     if (outcome == HeartbeatOutcome::FirstOfIncarnation || outcome == HeartbeatOutcome::Changed) {
         announcedState_ = host_.state(now);
         announceAndReport(now);
@@ -165,36 +166,48 @@
 
 void Sidecar::onHeldFlows(const HeldFlows& held, base::TimePoint now)
 {
-    if (host_.known())
+    if (host_.heard())
         adoptHeldFlows(held, now);
     else
         pendingHeldFlows_.push_back(held);
 }
 
+bool Sidecar::checkpointWasComplete() const { return host_.known() && completeIncarnation_ == host_.born(); }
+
 // Whether the table holds all flows of the host: no predecessor can have opened any, or its checkpoint named them all.
 bool Sidecar::allFlowsKnown() const
 {
-    return host_.known() && (predecessorFlowsComplete_ || host_.startedWithProcess());
+    return host_.known() && (checkpointWasComplete() || host_.startedAfterProcess());
 }
 
 void Sidecar::adoptHeldFlows(const HeldFlows& held, base::TimePoint now)
 {
-    const bool otherIncarnation = held.born != 0 && held.born < host_.born();
+    const bool otherIncarnation = held.born != 0 && held.born != host_.born();
     const bool otherInstance = held.instance != options_.instance;
+    // A balancer names the incarnation that it knows at this address, which may not be the one that held the flows.
+    const bool certainlyOther = otherIncarnation && (held.sequence > 0 || otherInstance || !host_.mayPredateProcess());
+    const bool ended = certainlyOther && host_.hasEnded(held.born, now);
     if (otherInstance && !otherIncarnation)
         return; // without the incarnation it is not known whether their host has ended
     // A process that ran between the author of the checkpoint and this one would have received a heartbeat before it
     // accepted a flow, so consecutive heartbeat numbers show that there was none.
     const bool noProcessBetween = host_.firstSequence() <= held.sequence + 1;
-    predecessorFlowsComplete_
-        = predecessorFlowsComplete_ || (held.complete && held.born == host_.born() && noProcessBetween);
+    if (held.complete && held.born == host_.born() && noProcessBetween)
+        completeIncarnation_ = held.born;
     for (const auto& claim : held.flows) {
+        const auto uncertain = uncertainFlows_.find(claim.key);
+        if (held.born != 0 && uncertain != uncertainFlows_.end() && uncertain->second.born != held.born)
+            uncertainFlows_.erase(uncertain); // the sources disagree
         if (table_.find(claim.key) || table_.size() >= options_.maxFlows)
             continue;
-        if (otherIncarnation) {
+        if (ended) {
             resetCaller(claim, "the host has restarted");
             continue;
         }
+        if (certainlyOther)
+            uncertainFlows_.insert_or_assign(claim.key, UncertainFlow { claim, held.born, !otherInstance });
+        if (otherInstance)
+            continue;
         core::FlowRecord record;
         record.state = claim.proven ? core::FlowState::Open : core::FlowState::Opening;
         record.hostIsn = claim.hostSequence;
@@ -208,6 +221,22 @@
     }
 }
 
+// Decides on flows that another incarnation held before the start, as soon as it is certain which one is alive. A flow
+// on which the host has sent a packet since is its own: it may open flows before its first heartbeat, while its sidecar
+// takes it for the earlier incarnation.
+void Sidecar::resolveUncertainFlows(base::TimePoint now)
+{
+    if (uncertainFlows_.empty() || !host_.confirmed(now))
+        return;
+    for (const auto& [key, flow] : std::exchange(uncertainFlows_, {})) {
+        const auto* record = table_.find(key);
+        if (flow.born == host_.born() || (record != nullptr) != flow.adopted)
+            continue;
+        resetCaller(record ? claimOf(key, *record) : flow.claim, "the host has restarted");
+        endFlow(key);
+    }
+}
+
 // With the reset the caller can reconnect at once; otherwise it would wait for its next request to time out.
 void Sidecar::resetCaller(const FlowClaim& claim, std::string_view reason)
 {
@@ -249,7 +278,7 @@
 // trial at one host is harmless; trials are limited because each packet would otherwise visit many hosts.
 bool Sidecar::startTrial(const Forward& forward, const core::Segment& segment, base::TimePoint now)
 {
-    if (segment.rst || predecessorFlowsComplete_ || !host_.mayPredateProcess())
+    if (segment.rst || checkpointWasComplete() || !host_.mayPredateProcess())
         return false; // the table holds every flow of this host
     const bool relearning = now - start_ < options_.relearnPeriod;
     if (!relearning && forward.purpose != ForwardPurpose::Owned)
@@ -301,11 +330,20 @@
         endFlow(key);
 }
 
+// Resets the callers of an ended incarnation as soon as it is certain that its successor is alive.
+void Sidecar::resetPredecessorFlows(base::TimePoint now)
+{
+    if (!predecessorFlowsOpen_ || !host_.confirmed(now))
+        return;
+    predecessorFlowsOpen_ = false;
+    resetFlowsUnseenSince(host_.earliestStart(), "the host has restarted", now);
+}
+
 HeldFlows Sidecar::checkpoint() const
 {
     HeldFlows held;
     held.instance = options_.instance;
-    held.born = host_.born();
+    held.born = host_.disputed(lastTick_) ? 0 : host_.born();
     held.complete = restarting_ && allFlowsKnown();
     held.sequence = host_.sequence();
     for (const auto& [key, record] : table_.records()) {
