--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -50,6 +50,10 @@
     constexpr milliseconds maxAbsence { 12'000 };
     constexpr milliseconds minReportLoss { 3'000 };
     constexpr milliseconds maxReportLoss { 8'000 };
+    constexpr milliseconds minReplacement { 5'000 };
+    constexpr milliseconds maxReplacement { 15'000 };
+    constexpr milliseconds minForwardLoss { 8'000 };
+    constexpr milliseconds maxForwardLoss { 18'000 };
     constexpr std::uint64_t unixStartMilliseconds = 1'700'000'000'000;
 
     // Packets on the simulated network are memory copies of Segment; the sidecars and balancers do not parse them.
@@ -165,7 +169,14 @@
                         + " new flows were served after the last fault");
         }
 
-        RunReport report() const { return report_; }
+        RunReport report()
+        {
+            for (const auto& [key, flow] : flows_) {
+                if (flow.awaitingAnswer())
+                    ++(slotHolding(key) ? report_.stalled : report_.abandoned);
+            }
+            return report_;
+        }
 
     private:
         struct Instance {
@@ -210,6 +221,7 @@
             std::optional<fleet::HostRecord> storedEntry;
             TimePoint nextWrite {};
             TimePoint nextCheckpoint {};
+            TimePoint lostUntil {}; // no instance has the address
             TimePoint lateReportsUntil {};
             std::array<TimePoint, balancerCount> loseReportsUntil {}; // by balancer
             std::optional<TimePoint> drainedAt; // when the sidecar received the first heartbeat with the draining state
@@ -223,8 +235,16 @@
             {
             }
 
-            void forward(const Endpoint& to, const fleet::Forward& forward) override { world.sendForward(to, forward); }
-            void send(const Endpoint& to, const Message& message) override { world.send(to, message); }
+            void forward(const Endpoint& to, const fleet::Forward& forward) override
+            {
+                if (!world.isLost(*this, to))
+                    world.sendForward(to, forward);
+            }
+            void send(const Endpoint& to, const Message& message) override
+            {
+                if (!world.isLost(*this, to))
+                    world.send(to, message);
+            }
             void reset(const Segment& about) override { world.resetCaller(about.key, *this, lastReason); }
             void recordDecision(const fleet::Decision& decision) override { lastReason = decision.reason; }
             void recordOutdated(const fleet::OutdatedRecord&) override { }
@@ -235,6 +255,7 @@
             std::string_view lastReason; // of the last decision; printed when it resets a flow wrongly
             std::uint64_t generation = 0;
             std::unique_ptr<fleet::Balancer> process;
+            std::array<TimePoint, slotCount> loseForwardsUntil {}; // by slot
             store::ListCompleteness completeness { store::ListCompletenessOptions {} };
             TimePoint nextList {};
             TimePoint nextPeerFetch {};
@@ -332,6 +353,12 @@
                 transmit([this, to, message] { receive(to, message); });
         }
 
+        bool isLost(const BalancerNode& sender, const Endpoint& to) const
+        {
+            const auto slot = slotAt(to);
+            return slot && now_ < sender.loseForwardsUntil[*slot];
+        }
+
         void sendFrom(const Slot& sender, const Endpoint& to, const Message& message)
         {
             if (const auto balancer = balancerAt(to); balancer && now_ < sender.loseReportsUntil[*balancer])
@@ -567,7 +594,7 @@
             slot.process.reset();
             const auto generation = ++slot.generation;
             scheduleAfter(after, [this, &slot, generation] {
-                if (slot.generation != generation)
+                if (slot.generation != generation || now_ < slot.lostUntil)
                     return;
                 fleet::SidecarOptions options;
                 options.self = slot.address;
@@ -575,7 +602,6 @@
                 options.process = base::mix(++startedSidecars_);
                 options.instance = slot.instanceNumber + 1;
                 options.relearnPeriod = contactBound;
-                options.process = ++lastProcess_;
                 slot.process = std::make_unique<fleet::Sidecar>(options, slot, now_);
                 slot.predecessorRead = false;
                 slot.readAttempts = 0;
@@ -599,7 +625,7 @@
                     return;
                 fleet::BalancerOptions options;
                 options.self = balancer.address;
-                options.epoch = unixNow(balancer);
+                options.epoch = base::mix(++startedBalancers_);
                 balancer.process = std::make_unique<fleet::Balancer>(options, *placement_, balancer, now_);
                 balancer.process->setRoutes(allRoutes());
                 balancer.completeness.recordFailure();
@@ -719,21 +745,49 @@
             lastFaultAt_ = std::max(lastFaultAt_, instance.frozenUntil);
         }
 
-        // The instance that gets the address has a clock of its own.
-        void takeOver(Slot& slot, milliseconds clockError)
+        // The instance that gets the address next has a clock of its own.
+        void endInstance(Slot& slot, milliseconds successorClockError)
         {
-            const std::string service = serviceNames[slot.host && slot.host->service() == serviceNames[0] ? 1 : 0];
             recordFault(slot);
             ++slot.instanceNumber;
-            slot.clockError = clockError;
+            slot.clockError = successorClockError;
             slot.lastHeartbeat.reset();
             slot.frozenUntil = {};
+            slot.lostUntil = {};
             slot.process.reset();
             ++slot.generation;
             slot.host.reset();
-            scheduleAfter(restartDelay(), [this, &slot, service] {
-                startHost(slot, service);
-                startSidecar(slot, milliseconds(random_.below(300)));
+        }
+
+        void startInstance(Slot& slot, const std::string& service)
+        {
+            startHost(slot, service);
+            startSidecar(slot, milliseconds(random_.below(300)));
+        }
+
+        void takeOver(Slot& slot, milliseconds clockError)
+        {
+            const std::string service = serviceNames[slot.host && slot.host->service() == serviceNames[0] ? 1 : 0];
+            endInstance(slot, clockError);
+            scheduleAfter(restartDelay(), [this, &slot, service] { startInstance(slot, service); });
+        }
+
+        void loseInstance(std::uint32_t target)
+        {
+            const auto [choice, absence] = decodeTarget(target, slotCount, minReplacement, maxReplacement);
+            auto& slot = *slots_[choice];
+            if (!slot.host)
+                return;
+            const auto service = slot.host->service();
+            endInstance(slot, 0ms);
+            slot.lostUntil = now_ + absence;
+            slot.lastFaultAt = slot.lostUntil;
+            lastFaultAt_ = std::max(lastFaultAt_, slot.lostUntil);
+            calmAt_ = std::max(calmAt_, slot.lostUntil);
+            const auto instanceNumber = slot.instanceNumber;
+            scheduleAfter(absence, [this, &slot, service, instanceNumber] {
+                if (slot.instanceNumber == instanceNumber)
+                    startInstance(slot, service);
             });
         }
 
@@ -809,6 +863,15 @@
             calmAt_ = std::max(calmAt_, now_ + duration);
         }
 
+        void loseForwards(std::uint32_t target)
+        {
+            const auto [choice, duration]
+                = decodeTarget(target, slotCount * balancerCount, minForwardLoss, maxForwardLoss);
+            recordFault(*slots_[choice % slotCount]);
+            balancers_[choice / slotCount]->loseForwardsUntil[choice % slotCount] = now_ + duration;
+            calmAt_ = std::max(calmAt_, now_ + duration);
+        }
+
         void suspendStore(bool expireLeases)
         {
             store_.available = false;
@@ -904,6 +967,10 @@
                 return endSidecar(step.target);
             case StepKind::LoseReports:
                 return loseReports(step.target);
+            case StepKind::LoseForwards:
+                return loseForwards(step.target);
+            case StepKind::LoseInstance:
+                return loseInstance(step.target);
             case StepKind::Wait:
             case StepKind::Count_:
                 return;
@@ -923,6 +990,7 @@
         TimePoint calmAt_ {}; // end of the faults that outlast their step by seconds
         std::uint64_t startedHosts_ = 0;
         std::uint64_t startedSidecars_ = 0;
+        std::uint64_t startedBalancers_ = 0;
         std::vector<std::unique_ptr<Slot>> slots_;
         std::vector<std::unique_ptr<BalancerNode>> balancers_;
         std::map<FlowKey, CallerFlow> flows_;
@@ -930,7 +998,6 @@
         std::map<std::pair<FlowKey, std::uint32_t>, std::uint64_t>
             executedRequests_; // request -> identity of the host that executed it
         std::uint16_t nextPort_ = 40'000;
-        std::uint64_t lastProcess_ = 0; // identities of sidecar processes
         RunReport report_;
     };
 
