Soak: steps of the time of day, series of restarts, resets judged by the instance

Callers of living hosts were reset on real processes; the soak never stepped a clock and excused every reset within 5 s of any fault anywhere.

Hosts take `born` from the time of day of their instance, which may go back. - A reset of an open flow counts when its host's instance has had no unplanned fault for 4 s, besides the check after the recovery time; so do packets at other hosts, when the balancers that took them had none either. Violations name sender and disturbed instances. - After the last fault every ready host must receive a new flow. Some callers pause longer than a sidecar takes to start. - A process that SIGTERM reaches before it can handle it may end with 143.

Balancers log 6203 for the reports of the present process, whose epoch or born is lower than the one they know, sidecars 6106, and resets follow with "the host is lost", 2 to 23 s after the last accepted report.

--- a/soak/callers.cpp
+++ b/soak/callers.cpp
@@ -33,7 +33,7 @@
     if (!socket)
         return tl::make_unexpected(socket.error());
     socket_ = std::move(*socket);
-    socket_->start([this](core::Bytes bytes, const base::Endpoint&) { onPacket(bytes); });
+    socket_->start([this](core::Bytes bytes, const base::Endpoint& from) { onPacket(bytes, from); });
     return true;
 }
 
@@ -102,7 +102,7 @@
     connection.nextAt = clock_.now() + reopenDelay;
 }
 
-void Caller::onPacket(core::Bytes bytes)
+void Caller::onPacket(core::Bytes bytes, const base::Endpoint& from)
 {
     const auto packet = platform::parsePacket(bytes, platform::PacketSource::Host);
     if (!packet)
@@ -118,7 +118,7 @@
         return;
     if (reset) {
         if (found->state != State::Opening)
-            checker_.recordFlowReset(segment.key);
+            checker_.recordFlowReset(segment.key, from);
         return fail(*found);
     }
     if (segment.syn && segment.ack) {
--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -61,7 +61,7 @@
         std::uint32_t received = 0;
     };
 
-    void onPacket(core::Bytes bytes);
+    void onPacket(core::Bytes bytes, const base::Endpoint& from);
     void onAnswer(Connection& connection, const platform::Packet& packet, core::Bytes payload);
     void openConnection(Connection& connection);
     void sendSyn(Connection& connection);
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -6,7 +6,9 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <unistd.h>
+#include <utility>
 
 namespace celerystile::soak {
 
@@ -29,7 +31,11 @@
     constexpr int firstHostAddressIndex = 60;
     constexpr int firstCallerAddressIndex = 200;
     constexpr auto stopTimeout = 6s;
+    constexpr auto signalsHandledAfter = 500ms; // from a process's launch; earlier signals end it
+    constexpr auto maxTickInterval = 250ms;
     constexpr int maxMissedProbes = 2;
+    constexpr auto patientRequestInterval = 3'500ms;
+    constexpr auto patientConnectionLifetime = 25s;
     constexpr const char* desk = "desk";
     constexpr const char* archive = "archive";
     const auto service = *base::Endpoint::parse("198.18.0.1:8443");
@@ -101,6 +107,7 @@
     if (auto opened = proxy_.start(); !opened)
         return opened;
     configure(0);
+    addInstances();
     for (int i = 0; i < plan_.hosts; ++i) {
         const auto addressIndex = firstHostAddressIndex + i;
         HostPlan host;
@@ -109,7 +116,8 @@
         host.packets = endpointOf(addressIndex, portApp);
         host.outbound = endpointOf(addressIndex, portOutbound);
         host.heartbeats = endpointOf(addressIndex, portControl);
-        hosts_.push_back(std::make_unique<Host>(context_, clock_, host, checker_));
+        const auto& instance = instances_[static_cast<std::size_t>(plan_.balancers + i)];
+        hosts_.push_back(std::make_unique<Host>(context_, clock_, *instance.timeOfDay, host, checker_));
         if (auto opened = hosts_.back()->start(); !opened)
             return opened;
     }
@@ -118,6 +126,10 @@
         caller.address = endpointOf(firstCallerAddressIndex + i, portPackets);
         caller.service = plan_.hosts > 4 && i % 4 == 3 ? archiveService : service;
         caller.seed = plan_.seed * 1'000 + static_cast<std::uint64_t>(i) + 1;
+        if (i % 3 == 1) {
+            caller.requestInterval = patientRequestInterval;
+            caller.connectionLifetime = patientConnectionLifetime;
+        }
         callers_.push_back(std::make_unique<Caller>(
             context_, clock_, caller,
             [this](base::DatagramSocket& from, const core::FlowKey& flow, core::Bytes packet) {
@@ -127,20 +139,30 @@
         if (auto opened = callers_.back()->start(); !opened)
             return opened;
     }
+    for (auto& instance : instances_) {
+        checker_.recordFault(instance.place());
+        launch(instance);
+    }
+    for (int i = 0; i < plan_.balancers; ++i) {
+        missedProbes_[i] = maxMissedProbes;
+        asio::co_spawn(context_, probe(i), asio::detached);
+    }
+    return true;
+}
+
+void Deployment::addInstances()
+{
     for (int i = 0; i < plan_.balancers + plan_.hosts; ++i) {
         Instance instance;
         instance.balancer = i < plan_.balancers;
         instance.index = instance.balancer ? i : i - plan_.balancers;
         instance.name = (instance.balancer ? "balancer-" : "sidecar-") + std::to_string(instance.index);
+        instance.timeOfDay = std::make_unique<SteppedClock>(folder_ + "/" + instance.name + ".clock");
+        const int addressIndex
+            = (instance.balancer ? firstBalancerAddressIndex : firstHostAddressIndex) + instance.index;
+        checker_.recordAddress(endpointOf(addressIndex, portPackets).address, instance.place());
         instances_.push_back(std::move(instance));
     }
-    for (auto& instance : instances_)
-        launch(instance);
-    for (int i = 0; i < plan_.balancers; ++i) {
-        missedProbes_[i] = maxMissedProbes;
-        asio::co_spawn(context_, probe(i), asio::detached);
-    }
-    return true;
 }
 
 void Deployment::launch(Instance& instance)
@@ -150,8 +172,9 @@
     instance.process = std::make_unique<tests::Process>(instance.name,
         std::vector<std::string> { std::string(CELERYSTILE_BINARY_DIR) + "/celerystiled",
             instance.balancer ? "balancer" : "sidecar", "--settings-file", file, "--key", "a passphrase for the soak" },
-        folder_ + "/" + instance.name + ".log");
-    instance.down = instance.stopping = instance.paused = false;
+        folder_ + "/" + instance.name + ".log", instance.timeOfDay->environment());
+    instance.launchedAt = clock_.now();
+    instance.down = instance.killed = instance.stopping = instance.paused = instance.stoppedAtStart = false;
 }
 
 void Deployment::configure(int extra)
@@ -186,6 +209,7 @@
     }
     if (link_.isolated.contains(chosen) || random_.unit() < link_.loss)
         return;
+    checker_.recordRouted(flow, chosen);
     const auto to = endpointOf(firstBalancerAddressIndex + chosen, portPackets);
     const auto copies = random_.unit() < link_.duplicate ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
@@ -226,19 +250,29 @@
         return;
     instance.process->signal(SIGKILL);
     instance.process->waitFor(1'000ms);
-    instance.down = true;
+    instance.down = instance.killed = true;
     instance.startAt = clock_.now() + down;
+    checker_.recordFault(instance.place());
 }
 
-void Deployment::stop(Instance& instance)
+void Deployment::stop(Instance& instance, std::chrono::milliseconds down)
 {
     if (instance.down || instance.stopping || instance.paused)
         return;
     instance.process->signal(SIGTERM);
     instance.stopping = true;
+    instance.stoppedAtStart = clock_.now() - instance.launchedAt < signalsHandledAfter;
+    instance.stopDown = down;
     instance.killAt = clock_.now() + stopTimeout;
 }
 
+void Deployment::reload(Instance& instance)
+{
+    const bool handled = clock_.now() - instance.launchedAt >= signalsHandledAfter;
+    if (handled && !instance.down && !instance.paused)
+        instance.process->signal(SIGHUP);
+}
+
 void Deployment::pause(Instance& instance)
 {
     if (instance.down || instance.stopping || instance.paused)
@@ -254,26 +288,83 @@
     instance.paused = false;
 }
 
+void Deployment::stepClock(Instance& instance, std::chrono::milliseconds step)
+{
+    instance.timeOfDay->step(step);
+    checker_.recordFault(instance.place());
+}
+
+void Deployment::crash(Host& host, std::chrono::milliseconds down)
+{
+    host.crash(down);
+    checker_.recordFault({ Place::Kind::Host, host.plan().index });
+}
+
+bool Deployment::allRunning() const
+{
+    return std::all_of(instances_.begin(), instances_.end(),
+        [](const Instance& instance) { return !instance.down && !instance.stopping && !instance.paused; });
+}
+
+// Hosts, callers and routers run in this process and stand still with it.
+void Deployment::recordSuspension(base::TimePoint now)
+{
+    const auto gap = now - std::exchange(lastTickAt_, now);
+    if (gap < maxTickInterval || gap == now.time_since_epoch())
+        return;
+    std::cout << checker_.elapsed().count() << " ms: the hosts stood still for "
+              << std::chrono::duration_cast<std::chrono::milliseconds>(gap).count() << " ms" << std::endl;
+    for (const auto& host : hosts_)
+        checker_.recordFault({ Place::Kind::Host, host->plan().index });
+}
+
+// Faults that last: they excuse until they end, and for the contact time after it.
+void Deployment::recordFaults()
+{
+    for (const auto& instance : instances_) {
+        const bool linkFault = instance.balancer
+            && (link_.isolated.contains(instance.index) || link_.loss > 0 || link_.duplicate > 0 || link_.delay > 0ms);
+        if ((instance.down && instance.killed) || instance.paused || linkFault)
+            checker_.recordFault(instance.place());
+        if (instance.down && instance.killed)
+            checker_.recordFault();
+    }
+    for (const auto& host : hosts_) {
+        if (!host->up() && !host->planned())
+            checker_.recordFault({ Place::Kind::Host, host->plan().index });
+    }
+    if (proxy_.fault() != ConnectionFault::None || store_.faults() != fakes::MetadataStoreFaults {})
+        checker_.recordFault({ Place::Kind::Store, 0 });
+}
+
 void Deployment::tick()
 {
     const auto now = clock_.now();
+    recordSuspension(now);
+    recordFaults();
     for (auto& instance : instances_) {
         if (instance.down && now >= instance.startAt) {
+            if (instance.killed)
+                checker_.recordFault(instance.place());
             launch(instance);
             continue;
         }
         if (instance.down)
             continue;
         const auto ended = instance.process->waitFor(0ms);
-        if (ended && (!instance.stopping || *ended != 0))
+        constexpr int endedBySigterm = 128 + SIGTERM;
+        const bool expected
+            = ended && instance.stopping && (*ended == 0 || (instance.stoppedAtStart && *ended == endedBySigterm));
+        if (ended && !expected)
             checker_.recordViolation(instance.name + " exited unexpectedly with code " + std::to_string(*ended));
         if (!ended && instance.stopping && now >= instance.killAt) {
             checker_.recordViolation(instance.name + " did not exit within the stop timeout");
             instance.process->signal(SIGKILL);
+            instance.killed = true;
         }
         if (ended) {
             instance.down = true;
-            instance.startAt = now + 50ms;
+            instance.startAt = now + instance.stopDown;
         }
     }
     for (auto& host : hosts_)
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -4,6 +4,7 @@
 #include "fleet.hpp"
 #include "hosts.hpp"
 #include "metadata_store.hpp"
+#include "stepped_clock.hpp"
 #include "store_proxy.hpp"
 
 #include <boost/asio/steady_timer.hpp>
@@ -38,12 +39,19 @@
     std::string name;
     bool balancer = true;
     int index = 0;
+    std::unique_ptr<SteppedClock> timeOfDay; ///< of the processes, and of the host on the same instance
     std::unique_ptr<tests::Process> process;
     base::TimePoint startAt {}; ///< when a process that is down is started again
+    base::TimePoint launchedAt {};
     base::TimePoint killAt {}; ///< when a process that received SIGTERM is killed
+    std::chrono::milliseconds stopDown { 50 }; ///< from the end of a stopped process to its next start
     bool down = false;
+    bool killed = false; ///< the process did not end by a planned stop
     bool stopping = false;
     bool paused = false;
+    bool stoppedAtStart = false; ///< SIGTERM was sent before the process can handle it
+
+    Place place() const { return { balancer ? Place::Kind::Balancer : Place::Kind::Host, index }; }
 };
 
 /// @brief The deployment. Not thread-safe; call tick() every few milliseconds.
@@ -61,11 +69,17 @@
     /// @brief Kills a process with SIGKILL and starts it again after `down`.
     void kill(Instance& instance, std::chrono::milliseconds down);
 
-    /// @brief Stops a process with SIGTERM and starts it again when it has exited.
-    void stop(Instance& instance);
+    /// @brief Stops a process with SIGTERM and starts it again `down` after it has exited.
+    void stop(Instance& instance, std::chrono::milliseconds down = std::chrono::milliseconds(50));
     void pause(Instance& instance);
     void resume(Instance& instance);
-    void reload(Instance& instance) { instance.process->signal(SIGHUP); }
+    void reload(Instance& instance);
+
+    /// @brief Steps the time of day of an instance.
+    void stepClock(Instance& instance, std::chrono::milliseconds step);
+
+    /// @brief Ends all flows of a host; its next incarnation starts after `down`.
+    void crash(Host& host, std::chrono::milliseconds down);
 
     /// @brief Writes a new version of the operator's configuration with `extra` additional routes to the desk.
     void configure(int extra);
@@ -73,6 +87,9 @@
     /// @brief Whether all balancers answer their readiness probes and the registry has an entry for every host.
     bool complete() const;
 
+    /// @brief Whether no process is down, stopping or suspended.
+    bool allRunning() const;
+
     std::vector<Instance>& instances() { return instances_; }
     std::vector<std::unique_ptr<Host>>& hosts() { return hosts_; }
     std::vector<std::unique_ptr<Caller>>& callers() { return callers_; }
@@ -84,7 +101,10 @@
 private:
     base::Endpoint endpointOf(int addressIndex, std::uint16_t port) const;
     std::string settingsOf(const Instance& instance) const;
+    void addInstances();
     void launch(Instance& instance);
+    void recordFaults();
+    void recordSuspension(base::TimePoint now);
     void routePacket(base::DatagramSocket& from, const core::FlowKey& flow, core::Bytes packet);
     boost::asio::awaitable<void> deliverLater(base::DatagramSocket& from, base::Endpoint to,
         std::vector<std::uint8_t> packet, std::chrono::milliseconds delay);
@@ -106,6 +126,7 @@
     std::vector<std::unique_ptr<Caller>> callers_;
     std::map<int, int> missedProbes_; ///< consecutive failed probes by balancer; two take it out of rotation
     std::uint64_t version_ = 0;
+    base::TimePoint lastTickAt_ {};
 };
 
 } // namespace celerystile::soak
--- a/soak/hosts.cpp
+++ b/soak/hosts.cpp
@@ -16,17 +16,19 @@
     constexpr int maxResends = 8;
     constexpr std::size_t maxQueuedJobs = 200;
 
-    std::uint64_t unixMilliseconds()
+    std::uint64_t unixMilliseconds(const base::WallClock& clock)
     {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
+        const auto now = clock.now().time_since_epoch();
         return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
     }
 
 } // namespace
 
-Host::Host(asio::io_context& context, const base::Clock& clock, HostPlan plan, InvariantChecker& checker)
+Host::Host(asio::io_context& context, const base::Clock& clock, const base::WallClock& timeOfDay, HostPlan plan,
+    InvariantChecker& checker)
     : context_(context)
     , clock_(clock)
+    , timeOfDay_(timeOfDay)
     , plan_(std::move(plan))
     , checker_(checker)
     , random_(static_cast<std::uint64_t>(plan_.index) + 1)
@@ -39,7 +41,7 @@
     up_ = true;
     draining_ = false;
     drainAcknowledgedAt_ = {};
-    born_ = std::max(born_ + 1, unixMilliseconds());
+    born_ = unixMilliseconds(timeOfDay_);
     sequence_ = 0;
 }
 
@@ -57,6 +59,7 @@
 void Host::crash(std::chrono::milliseconds down)
 {
     up_ = false;
+    planned_ = false;
     restartAt_ = clock_.now() + down;
     flows_.clear();
     runningJobs_.clear();
@@ -67,8 +70,10 @@
 void Host::replaceIfDraining()
 {
     // A drained host does not return to service; a new incarnation replaces it.
-    if (draining_)
-        crash(std::chrono::milliseconds(500));
+    if (!draining_)
+        return;
+    crash(std::chrono::milliseconds(500));
+    planned_ = true;
 }
 
 asio::awaitable<void> Host::sendHeartbeats()
--- a/soak/hosts.hpp
+++ b/soak/hosts.hpp
@@ -3,6 +3,7 @@
 #include "invariant_checker.hpp"
 #include "wire.hpp"
 
+#include "celerystile/base/clock_step.hpp"
 #include "celerystile/base/datagram_socket.hpp"
 #include "celerystile/base/http.hpp"
 #include "celerystile/base/random.hpp"
@@ -31,7 +32,8 @@
 /// @brief A host. Not thread-safe; call tick() every few milliseconds.
 class Host {
 public:
-    Host(boost::asio::io_context& context, const base::Clock& clock, HostPlan plan, InvariantChecker& checker);
+    Host(boost::asio::io_context& context, const base::Clock& clock, const base::WallClock& timeOfDay, HostPlan plan,
+        InvariantChecker& checker);
 
     base::Result<bool> start();
     void tick();
@@ -45,6 +47,11 @@
     /// @brief Replaces a draining host by a new incarnation.
     void replaceIfDraining();
     bool up() const { return up_; }
+
+    bool ready() const { return up_ && !draining_; }
+
+    /// @brief Whether the host is down because it is replaced as planned.
+    bool planned() const { return planned_; }
     const HostPlan& plan() const { return plan_; }
 
 private:
@@ -75,6 +82,7 @@
 
     boost::asio::io_context& context_;
     const base::Clock& clock_;
+    const base::WallClock& timeOfDay_;
     HostPlan plan_;
     InvariantChecker& checker_;
     base::Random random_;
@@ -84,6 +92,7 @@
     std::deque<Job> queuedJobs_;
     bool up_ = true;
     bool draining_ = false;
+    bool planned_ = false;
     std::uint64_t born_ = 0;
     std::uint64_t sequence_ = 0;
     base::TimePoint restartAt_ {};
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -1,22 +1,68 @@
 #include "invariant_checker.hpp"
 
+#include <algorithm>
+#include <array>
 #include <iostream>
 
 namespace celerystile::soak {
 
+std::string Place::toString() const
+{
+    constexpr std::array<const char*, 3> names { "balancer-", "host-", "store" };
+    const auto* name = names[static_cast<std::size_t>(kind)];
+    return kind == Kind::Store ? name : name + std::to_string(index);
+}
+
+std::chrono::milliseconds InvariantChecker::elapsed() const
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - startedAt_);
+}
+
 void InvariantChecker::recordViolation(const std::string& violation)
 {
-    std::cout << "VIOLATED: " << violation << std::endl;
+    std::cout << elapsed().count() << " ms: VIOLATED: " << violation << std::endl;
     violations_.push_back(violation);
 }
 
-void InvariantChecker::recordFlowOpened(const core::FlowKey& flow, int host) { flows_[flow] = { host, 0, {} }; }
+bool InvariantChecker::undisturbed(const Place& place) const
+{
+    const auto found = faultAt_.find(place);
+    return found == faultAt_.end() || clock_.now() - found->second >= options_.contactTime;
+}
+
+// The places that are disturbed, with the time since their last fault.
+std::string InvariantChecker::describeFaults(const std::set<Place>& concerned) const
+{
+    std::string text;
+    for (const auto& place : concerned) {
+        if (undisturbed(place))
+            continue;
+        const auto age
+            = std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - faultAt_.at(place)).count();
+        text += (text.empty() ? "" : ", ") + place.toString() + " " + std::to_string(age) + " ms ago";
+    }
+    return text.empty() ? "all concerned undisturbed" : "last faults: " + text;
+}
+
+void InvariantChecker::recordFlowOpened(const core::FlowKey& flow, int host)
+{
+    flows_[flow] = { host, 0, {}, {} };
+    hostsWithNewFlows_.insert(host);
+}
+
+void InvariantChecker::recordRouted(const core::FlowKey& flow, int balancer)
+{
+    if (const auto found = flows_.find(flow); found != flows_.end())
+        found->second.balancers.insert(balancer);
+}
 
 void InvariantChecker::recordArrival(const core::FlowKey& flow, int host)
 {
     const auto found = flows_.find(flow);
-    if (found != flows_.end() && found->second.host == host)
-        found->second.misrouted = 0;
+    if (found == flows_.end() || found->second.host != host)
+        return;
+    found->second.misrouted = 0;
+    found->second.balancers.clear();
 }
 
 void InvariantChecker::recordMisrouted(const core::FlowKey& flow, int host)
@@ -28,9 +74,14 @@
     if (state.misrouted++ == 0)
         state.misroutedSince = clock_.now();
     const bool tooLong = clock_.now() - state.misroutedSince >= options_.misroutedTime;
-    if (recovered() && tooLong && state.misrouted >= options_.misroutedPackets)
+    std::set<Place> concerned { { Place::Kind::Host, state.host } };
+    for (const auto balancer : state.balancers)
+        concerned.insert({ Place::Kind::Balancer, balancer });
+    const bool excused
+        = std::any_of(concerned.begin(), concerned.end(), [&](const Place& place) { return !undisturbed(place); });
+    if ((recovered() || !excused) && tooLong && state.misrouted >= options_.misroutedPackets)
         recordViolation("packets of flow " + flow.toString() + " reached host " + std::to_string(host)
-            + " and none reached its own host");
+            + " and none reached its own host " + std::to_string(state.host) + " (" + describeFaults(concerned) + ")");
 }
 
 void InvariantChecker::recordHostEnded(int host)
@@ -38,14 +89,23 @@
     boost::unordered::erase_if(flows_, [&](const auto& entry) { return entry.second.host == host; });
 }
 
-void InvariantChecker::recordFlowReset(const core::FlowKey& flow)
+void InvariantChecker::recordFlowReset(const core::FlowKey& flow, const base::Endpoint& sender)
 {
     const auto found = flows_.find(flow);
     if (found == flows_.end())
         return;
-    if (recovered())
-        recordViolation("flow " + flow.toString() + " was reset while its host " + std::to_string(found->second.host)
-            + " was running");
+    const Place host { Place::Kind::Host, found->second.host };
+    if (recovered() || undisturbed(host)) {
+        std::set<Place> concerned { host, { Place::Kind::Store, 0 } };
+        for (const auto balancer : found->second.balancers)
+            concerned.insert({ Place::Kind::Balancer, balancer });
+        const auto from = places_.find(sender.address);
+        if (from != places_.end())
+            concerned.insert(from->second);
+        recordViolation("flow " + flow.toString() + " was reset by "
+            + (from == places_.end() ? sender.toString() : from->second.toString()) + " while its host "
+            + std::to_string(found->second.host) + " was running (" + describeFaults(concerned) + ")");
+    }
     flows_.erase(found);
 }
 
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -1,9 +1,14 @@
 #pragma once
 
+#include "celerystile/base/address.hpp"
 #include "celerystile/base/clock.hpp"
 #include "celerystile/core/flow_key.hpp"
 
 #include <boost/unordered/unordered_flat_map.hpp>
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -12,10 +17,23 @@
 
 namespace celerystile::soak {
 
+/// @brief What can be disturbed on its own: an instance with its processes and links, or the store.
+struct Place {
+    enum class Kind : std::uint8_t { Balancer, Host, Store };
+
+    Kind kind = Kind::Store;
+    int index = 0;
+
+    auto operator<=>(const Place&) const = default;
+    std::string toString() const;
+};
+
 /// @brief Time bounds and limits of the invariants.
 struct InvariantOptions {
     base::Duration recoveryTime
         = std::chrono::seconds(5); ///< after an unplanned fault; guarantees with a time bound apply later
+    base::Duration contactTime
+        = std::chrono::seconds(4); ///< after an unplanned fault at a place; until then it excuses flows there
     base::Duration misroutedTime
         = std::chrono::seconds(2); ///< longest time for which all packets of a flow may reach other hosts
     int misroutedPackets = 3; ///< fewer packets than this at other hosts are tolerated
@@ -34,12 +52,27 @@
     {
     }
 
+    /// @brief Time since the start of the run, for the lines that are printed.
+    std::chrono::milliseconds elapsed() const;
+
     /// @brief Records that an unplanned fault occurred or continues.
     void recordFault() { lastFaultAt_ = clock_.now(); }
 
     /// @brief Whether the last unplanned fault is at least the recovery time ago.
     bool recovered() const { return clock_.now() - lastFaultAt_ >= options_.recoveryTime; }
 
+    /// @brief Records that an unplanned fault occurred or continues at a place.
+    void recordFault(const Place& place) { faultAt_[place] = clock_.now(); }
+
+    /// @brief Whether the last unplanned fault at a place is at least the contact time ago. Planned work is no fault.
+    bool undisturbed(const Place& place) const;
+
+    /// @brief Names the place that sends from an address.
+    void recordAddress(const base::IpAddress& address, const Place& place) { places_[address] = place; }
+
+    /// @brief Records the balancer that a packet of a flow is routed to.
+    void recordRouted(const core::FlowKey& flow, int balancer);
+
     /// @brief Records that the caller has acknowledged this host's SYN-ACK.
     void recordFlowOpened(const core::FlowKey& flow, int host);
 
@@ -56,7 +89,7 @@
     void recordHostEnded(int host);
 
     /// @brief Records that the caller of an open flow received a reset. Hosts of the soak test send none.
-    void recordFlowReset(const core::FlowKey& flow);
+    void recordFlowReset(const core::FlowKey& flow, const base::Endpoint& sender);
 
     /// @brief Records that a host starts to process a request.
     void recordExecution(std::uint64_t request, int host);
@@ -67,6 +100,12 @@
     /// @brief Starts the count of recentServedRatio() again.
     void resetCounts() { recent_ = {}; }
 
+    /// @brief Forgets which hosts have received new flows.
+    void resetHostsWithNewFlows() { hostsWithNewFlows_.clear(); }
+
+    /// @brief Whether a host has received a new flow since resetHostsWithNewFlows().
+    bool hasNewFlows(int host) const { return hostsWithNewFlows_.contains(host); }
+
     /// @brief Share of the requests that were served, 0 to 1: of all, and of those since resetCounts().
     double servedRatio() const { return ratio(all_); }
     double recentServedRatio() const { return ratio(recent_); }
@@ -81,6 +120,7 @@
         int host = 0;
         int misrouted = 0;
         base::TimePoint misroutedSince {};
+        std::set<int> balancers; // that took its packets since the last one that reached the host
     };
 
     struct Counts {
@@ -89,14 +129,19 @@
     };
 
     static double ratio(const Counts& counts);
+    std::string describeFaults(const std::set<Place>& concerned) const;
 
     const base::Clock& clock_;
     InvariantOptions options_;
+    base::TimePoint startedAt_ = clock_.now();
     base::TimePoint lastFaultAt_ {};
+    std::map<Place, base::TimePoint> faultAt_;
+    std::map<base::IpAddress, Place> places_;
     boost::unordered_flat_map<core::FlowKey, Flow, core::FlowKeyHash> flows_;
     boost::unordered_flat_map<std::uint64_t, int> executions_;
     Counts all_;
     Counts recent_;
+    std::set<int> hostsWithNewFlows_;
     std::vector<std::string> violations_;
 };
 
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -18,13 +18,26 @@
 
 constexpr auto startTimeout = 10s; ///< the deployment must be complete within this time
 constexpr auto recoveryTime = 6s; ///< from the last fault until requests are counted
+constexpr auto newFlowTimeout = 25s; ///< from the last fault until every host has received a new flow
 constexpr double minServedRatio = 0.95; ///< lowest share of the requests after the recovery time that must be served
 
 struct Run {
     soak::DeploymentPlan plan;
     std::chrono::seconds length { 40 };
+    std::vector<std::string> faults; ///< kinds; all if empty
 };
 
+// Ready hosts that have received no new flow since the last fault.
+std::vector<int> hostsWithoutNewFlows(soak::Deployment& deployment, const soak::InvariantChecker& checker)
+{
+    std::vector<int> hosts;
+    for (const auto& host : deployment.hosts()) {
+        if (host->ready() && !checker.hasNewFlows(host->plan().index))
+            hosts.push_back(host->plan().index);
+    }
+    return hosts;
+}
+
 boost::asio::awaitable<void> runDeployment(
     boost::asio::io_context& context, const base::Clock& clock, const Run& run, soak::InvariantChecker& checker)
 {
@@ -48,10 +61,15 @@
         checker.recordViolation("the deployment was not complete within the start timeout");
     soak::ScheduleOptions options;
     options.length = run.length;
+    options.faults = run.faults;
     soak::Schedule schedule(deployment, checker, clock, run.plan.seed, options);
     while (schedule.tick())
         co_await tickOnce();
+    const auto scheduleEndedAt = clock.now();
+    while (!deployment.allRunning() && clock.now() - scheduleEndedAt < startTimeout)
+        co_await tickOnce();
     const auto faultsEndedAt = clock.now();
+    checker.resetHostsWithNewFlows();
     while (clock.now() - faultsEndedAt < recoveryTime)
         co_await tickOnce();
     checker.resetCounts();
@@ -62,6 +80,10 @@
             + " of the requests was served");
     if (!deployment.complete())
         checker.recordViolation("the deployment was not complete after the last fault");
+    while (!hostsWithoutNewFlows(deployment, checker).empty() && clock.now() - faultsEndedAt < newFlowTimeout)
+        co_await tickOnce();
+    for (const auto host : hostsWithoutNewFlows(deployment, checker))
+        checker.recordViolation("after the last fault host " + std::to_string(host) + " received no new flow");
     if (!checker.violations().empty())
         std::cout << "logs: " << deployment.folder() << std::endl;
     context.stop();
@@ -95,6 +117,9 @@
     TCLAP::ValueArg<int> hosts("", "hosts", "number of hosts, each with a sidecar", false, 5, "1..130", line);
     TCLAP::ValueArg<int> callers(
         "", "callers", "number of callers, each with four connections", false, 6, "1..50", line);
+    auto names = soak::faultNames();
+    TCLAP::ValuesConstraint<std::string> known(names);
+    TCLAP::MultiArg<std::string> faults("", "fault", "only these kinds of faults (default: all)", false, &known, line);
     line.parse(argc, argv);
     base::startLogging();
     int failedSeeds = 0;
@@ -105,6 +130,7 @@
         run.plan.hosts = hosts.getValue();
         run.plan.callers = callers.getValue();
         run.length = std::chrono::seconds(seconds.getValue());
+        run.faults = faults.getValue();
         failedSeeds += runSeed(run) > 0 ? 1 : 0;
     }
     std::cout << seeds.getValue() - failedSeeds << " seeds passed, " << failedSeeds << " failed" << std::endl;
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -18,6 +18,31 @@
     , options_(options)
     , endsAt_(clock.now() + options.length)
 {
+    for (const auto& fault : allFaults()) {
+        if (options_.faults.empty()
+            || std::find(options_.faults.begin(), options_.faults.end(), fault.name) != options_.faults.end())
+            faults_.push_back(fault);
+    }
+}
+
+const std::vector<Schedule::Fault>& Schedule::allFaults()
+{
+    static const std::vector<Fault> faults { { "kill", &Schedule::killProcesses },
+        { "kill-for-long", &Schedule::killForLong }, { "pause", &Schedule::pauseInstance },
+        { "crash", &Schedule::crashHost }, { "clock", &Schedule::stepClocks },
+        { "restart-around-step", &Schedule::restartAroundStep }, { "crash-around-step", &Schedule::crashAroundStep },
+        { "series", &Schedule::seriesOfWork }, { "store-connections", &Schedule::disruptStoreConnections },
+        { "store-calls", &Schedule::failStoreCalls }, { "store-history", &Schedule::compactStore },
+        { "links", &Schedule::degradeLinks }, { "isolation", &Schedule::isolateBalancer } };
+    return faults;
+}
+
+std::vector<std::string> faultNames()
+{
+    std::vector<std::string> names;
+    for (const auto& fault : Schedule::allFaults())
+        names.emplace_back(fault.name);
+    return names;
 }
 
 base::Duration Schedule::randomDuration(int fromMilliseconds, int toMilliseconds)
@@ -36,32 +61,59 @@
     steps_.push_back({ at, std::move(name), true, std::move(action) });
 }
 
-Instance& Schedule::randomInstance(bool balancer)
+Instance& Schedule::randomInstance(bool balancer) { return *randomInstances(balancer, 1).front(); }
+
+// At least one and at most `most` different instances.
+Schedule::Instances Schedule::randomInstances(bool balancer, std::size_t most)
 {
-    std::vector<Instance*> fitting;
+    Instances fitting;
     for (auto& instance : deployment_.instances()) {
         if (instance.balancer == balancer)
             fitting.push_back(&instance);
     }
-    return *fitting[random_.below(fitting.size())];
+    const auto count = 1 + random_.below(std::min(most, fitting.size()));
+    for (std::size_t i = 0; i < count; ++i)
+        std::swap(fitting[i], fitting[i + random_.below(fitting.size() - i)]);
+    fitting.resize(count);
+    return fitting;
+}
+
+milliseconds Schedule::randomStep(int fromMilliseconds)
+{
+    constexpr int maxStep = 10'000;
+    return milliseconds(
+        fromMilliseconds + static_cast<int>(random_.below(static_cast<std::uint64_t>(maxStep - fromMilliseconds))));
+}
+
+void Schedule::addStep(base::TimePoint at, Instance& instance, milliseconds step)
+{
+    add(at, instance.name + ": the time of day steps by " + std::to_string(step.count()) + " ms",
+        [this, &instance, step] { deployment_.stepClock(instance, step); });
+}
+
+// A restart by SIGKILL or, one time in three, by SIGTERM.
+void Schedule::addRestart(base::TimePoint at, Instance& instance)
+{
+    const auto down = milliseconds(50 + random_.below(600));
+    if (random_.below(3) == 0)
+        add(at, instance.name + " is stopped", [this, &instance, down] { deployment_.stop(instance, down); });
+    else
+        add(at, instance.name + " is killed", [this, &instance, down] { deployment_.kill(instance, down); });
 }
 
 void Schedule::planRound(base::TimePoint from)
 {
-    constexpr std::array faults { &Schedule::killProcesses, &Schedule::pauseInstance, &Schedule::crashHost,
-        &Schedule::disruptStoreConnections, &Schedule::failStoreCalls, &Schedule::compactStore, &Schedule::degradeLinks,
-        &Schedule::isolateBalancer };
     constexpr std::array planned { &Schedule::rollingRestart, &Schedule::changeConfiguration, &Schedule::drainHost,
-        &Schedule::reloadSettings };
+        &Schedule::reloadSettings, &Schedule::lateRestart };
     steps_.clear();
     faultsEndAt_ = from + options_.faultPeriod;
-    roundEndsAt_ = faultsEndAt_ + options_.quietPeriod;
-    for (int i = 0; i < 4; ++i) {
-        const Fault fault = faults[random_.below(faults.size())];
-        (this->*fault)(from + randomDuration(0, static_cast<int>(options_.faultPeriod.count()) / 2));
+    for (int i = 0; i < options_.faultsPerRound; ++i) {
+        const auto plan = faults_[random_.below(faults_.size())].plan;
+        (this->*plan)(from + randomDuration(0, static_cast<int>(options_.faultPeriod.count()) / 2));
     }
     // Planned work runs during the faults, and again without faults afterwards, when every guarantee applies.
     (this->*planned[random_.below(planned.size())])(from + 1s);
+    roundEndsAt_ = faultsEndAt_ + options_.quietPeriod;
     add(faultsEndAt_, "end of the faults", [this] {
         deployment_.link() = {};
         deployment_.proxy().setFault(ConnectionFault::None);
@@ -87,8 +139,8 @@
     while (!steps_.empty() && steps_.front().at <= now) {
         const auto step = std::move(steps_.front());
         steps_.erase(steps_.begin());
-        std::cout << std::chrono::duration_cast<milliseconds>(now - (endsAt_ - options_.length)).count()
-                  << " ms: " << (step.planned ? "planned: " : "") << step.name << std::endl;
+        std::cout << checker_.elapsed().count() << " ms: " << (step.planned ? "planned: " : "") << step.name
+                  << std::endl;
         step.action();
     }
     return true;
@@ -107,6 +159,19 @@
     });
 }
 
+// Some sidecars come back late, while their hosts go on.
+void Schedule::killForLong(base::TimePoint at)
+{
+    constexpr std::size_t most = 3;
+    for (auto* instance : randomInstances(false, most)) {
+        const auto down = milliseconds(3'000 + random_.below(9'000));
+        add(at, instance->name + " is killed for " + std::to_string(down.count()) + " ms",
+            [this, instance, down] { deployment_.kill(*instance, down); });
+        extendFaults(at + down);
+        at += randomDuration(0, 400);
+    }
+}
+
 void Schedule::pauseInstance(base::TimePoint at)
 {
     auto& instance = randomInstance(random_.below(2) == 0);
@@ -119,7 +184,80 @@
 {
     auto& host = *deployment_.hosts()[random_.below(deployment_.hosts().size())];
     const auto down = milliseconds(200 + random_.below(2'000));
-    add(at, "host " + std::to_string(host.plan().index) + " crashes", [&host, down] { host.crash(down); });
+    add(at, "host " + std::to_string(host.plan().index) + " crashes",
+        [this, &host, down] { deployment_.crash(host, down); });
+}
+
+// A series of steps ahead and back. The offsets stay when the faults end.
+void Schedule::stepClocks(base::TimePoint at)
+{
+    constexpr int minStep = 500;
+    const auto steps = 1 + random_.below(3);
+    for (std::uint64_t i = 0; i < steps; ++i) {
+        const bool ahead = random_.below(2) == 0;
+        for (const bool balancer : { true, false }) {
+            for (auto* instance : randomInstances(balancer, deployment_.instances().size()))
+                addStep(at, *instance, ahead ? randomStep(minStep) : -randomStep(minStep));
+        }
+        at += randomDuration(300, 2'000);
+    }
+}
+
+// Sidecars start while the time of day is ahead, and once or twice more after it has stepped back.
+void Schedule::restartAroundStep(base::TimePoint at)
+{
+    constexpr std::size_t most = 3;
+    constexpr int minStep = 3'000;
+    for (auto* instance : randomInstances(false, most)) {
+        const auto ahead = randomStep(minStep);
+        auto next = at;
+        addStep(next, *instance, ahead);
+        addRestart(next += randomDuration(50, 400), *instance);
+        addStep(next += randomDuration(900, 1'800), *instance, -ahead);
+        addRestart(next += randomDuration(50, 500), *instance);
+        if (random_.below(2) == 0)
+            addRestart(next + randomDuration(700, 1'500), *instance);
+    }
+}
+
+// A host starts while the time of day is ahead, and once more after it has stepped back.
+void Schedule::crashAroundStep(base::TimePoint at)
+{
+    constexpr int minStep = 2'000;
+    auto& instance = randomInstance(false);
+    auto& host = *deployment_.hosts()[static_cast<std::size_t>(instance.index)];
+    const auto ahead = randomStep(minStep);
+    const auto addCrash = [&](base::TimePoint when) {
+        const auto down = milliseconds(200 + random_.below(800));
+        add(when, "host " + std::to_string(instance.index) + " crashes",
+            [this, &host, down] { deployment_.crash(host, down); });
+    };
+    addStep(at, instance, ahead);
+    addCrash(at += randomDuration(50, 400));
+    addStep(at += randomDuration(1'200, 2'000), instance, -ahead);
+    addCrash(at += randomDuration(50, 500));
+    if (random_.below(2) == 0)
+        addRestart(at + randomDuration(100, 800), instance);
+}
+
+// Reloads, changes of the configuration and restarts in quick succession.
+void Schedule::seriesOfWork(base::TimePoint at)
+{
+    const auto works = 3 + random_.below(6);
+    for (std::uint64_t i = 0; i < works; ++i) {
+        auto& instance = randomInstance(random_.below(2) == 0);
+        switch (random_.below(4)) {
+        case 0:
+            changeConfiguration(at);
+            break;
+        case 1:
+            addRestart(at, instance);
+            break;
+        default:
+            addReload(at, instance);
+        }
+        at += randomDuration(50, 500);
+    }
 }
 
 void Schedule::disruptStoreConnections(base::TimePoint at)
@@ -201,11 +339,22 @@
 {
     for (auto& instance : deployment_.instances()) {
         if (random_.below(2) == 0)
-            addPlanned(at, instance.name + " reloads its settings", [this, &instance] {
-                if (!instance.down && !instance.paused)
-                    deployment_.reload(instance);
-            });
+            addReload(at, instance);
     }
 }
 
+void Schedule::addReload(base::TimePoint at, Instance& instance)
+{
+    addPlanned(at, instance.name + " reloads its settings", [this, &instance] { deployment_.reload(instance); });
+}
+
+// A sidecar is stopped and comes back late, while its host goes on.
+void Schedule::lateRestart(base::TimePoint at)
+{
+    auto& instance = randomInstance(false);
+    const auto down = milliseconds(1'000 + random_.below(2'000));
+    addPlanned(at, instance.name + " is stopped for " + std::to_string(down.count()) + " ms",
+        [this, &instance, down] { deployment_.stop(instance, down); });
+}
+
 } // namespace celerystile::soak
--- a/soak/schedule.hpp
+++ b/soak/schedule.hpp
@@ -2,6 +2,7 @@
 
 #include "deployment.hpp"
 
+#include <algorithm>
 #include <functional>
 #include <string>
 
@@ -15,8 +16,13 @@
     std::chrono::milliseconds length { 40'000 };
     std::chrono::milliseconds faultPeriod { 8'000 }; ///< per round: faults occur
     std::chrono::milliseconds quietPeriod { 13'000 }; ///< per round: recovery, then planned work
+    int faultsPerRound = 6;
+    std::vector<std::string> faults; ///< names of the kinds of faults that occur; all if empty
 };
 
+/// @brief Names of all kinds of faults.
+std::vector<std::string> faultNames();
+
 /// @brief Generates and runs the schedule. Not thread-safe.
 class Schedule {
 public:
@@ -35,17 +41,37 @@
         std::function<void()> action;
     };
 
-    using Fault = void (Schedule::*)(base::TimePoint);
+    using Work = void (Schedule::*)(base::TimePoint);
+    using Instances = std::vector<Instance*>;
+
+    struct Fault {
+        const char* name;
+        Work plan;
+    };
+
+    friend std::vector<std::string> faultNames();
+    static const std::vector<Fault>& allFaults();
 
     void planRound(base::TimePoint from);
     void add(base::TimePoint at, std::string name, std::function<void()> action);
     void addPlanned(base::TimePoint at, std::string name, std::function<void()> action);
     Instance& randomInstance(bool balancer);
+    Instances randomInstances(bool balancer, std::size_t most);
+    std::chrono::milliseconds randomStep(int fromMilliseconds);
+    void addStep(base::TimePoint at, Instance& instance, std::chrono::milliseconds step);
+    void addRestart(base::TimePoint at, Instance& instance);
+    void addReload(base::TimePoint at, Instance& instance);
+    void extendFaults(base::TimePoint until) { faultsEndAt_ = std::max(faultsEndAt_, until); }
     base::Duration randomDuration(int fromMilliseconds, int toMilliseconds);
 
     void killProcesses(base::TimePoint at);
+    void killForLong(base::TimePoint at);
     void pauseInstance(base::TimePoint at);
     void crashHost(base::TimePoint at);
+    void stepClocks(base::TimePoint at);
+    void restartAroundStep(base::TimePoint at);
+    void crashAroundStep(base::TimePoint at);
+    void seriesOfWork(base::TimePoint at);
     void disruptStoreConnections(base::TimePoint at);
     void failStoreCalls(base::TimePoint at);
     void compactStore(base::TimePoint at);
@@ -55,6 +81,7 @@
     void changeConfiguration(base::TimePoint at);
     void drainHost(base::TimePoint at);
     void reloadSettings(base::TimePoint at);
+    void lateRestart(base::TimePoint at);
 
     Deployment& deployment_;
     InvariantChecker& checker_;
@@ -64,6 +91,7 @@
     base::TimePoint endsAt_;
     base::TimePoint roundEndsAt_ {};
     base::TimePoint faultsEndAt_ {};
+    std::vector<Fault> faults_;
     std::vector<Step> steps_;
 };
 
--- a/soak/store_proxy.hpp
+++ b/soak/store_proxy.hpp
@@ -33,6 +33,7 @@
     /// @brief Sets the fault of open and new connections. Blackhole and DropAnswers stay on a connection until it
     /// closes, as after a network failure without a reset.
     void setFault(ConnectionFault fault, std::chrono::milliseconds delay = std::chrono::milliseconds(0));
+    ConnectionFault fault() const { return fault_; }
 
 private:
     struct Connection;
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -53,7 +53,8 @@
 
 } // namespace
 
-Process::Process(const std::string& name, std::vector<std::string> command, std::string logFile)
+Process::Process(const std::string& name, std::vector<std::string> command, std::string logFile,
+    std::vector<std::string> environment)
     : name_(name)
     , logFile_(std::move(logFile))
     , pid_(0)
@@ -67,7 +68,13 @@
     for (auto& argument : command)
         arguments.push_back(argument.data());
     arguments.push_back(nullptr);
-    if (posix_spawn(&pid_, arguments[0], &actions, nullptr, arguments.data(), environ) != 0)
+    std::vector<char*> variables;
+    for (auto& variable : environment)
+        variables.push_back(variable.data());
+    for (char** variable = environ; *variable; ++variable)
+        variables.push_back(*variable);
+    variables.push_back(nullptr);
+    if (posix_spawn(&pid_, arguments[0], &actions, nullptr, arguments.data(), variables.data()) != 0)
         exitCode_ = 127;
     posix_spawn_file_actions_destroy(&actions);
 }
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -19,7 +19,9 @@
 /// @brief A child process that writes its output to a file. The destructor kills it if it still runs.
 class Process {
 public:
-    Process(const std::string& name, std::vector<std::string> command, std::string logFile);
+    /// @brief Starts the process; `environment` holds NAME=VALUE and is added to the environment of this one.
+    Process(const std::string& name, std::vector<std::string> command, std::string logFile,
+        std::vector<std::string> environment = {});
     ~Process();
     Process(const Process&) = delete;
     Process& operator=(const Process&) = delete;
