Soak: killed processes are waited for without holding up hosts and callers

Waiting up to 1 s for each killed process held up the soak's own hosts on a busy machine; their sidecars then took them for unresponsive. A process that ended with another code just before it was killed is reported now.

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -41,6 +41,15 @@
     const auto service = *base::Endpoint::parse("198.18.0.1:8443");
     const auto archiveService = *base::Endpoint::parse("198.18.0.2:8443");
 
+    bool exitExpected(const Instance& instance, int code)
+    {
+        constexpr int endedBySigterm = 128 + SIGTERM;
+        constexpr int endedBySigkill = 128 + SIGKILL;
+        if (instance.killed && code == endedBySigkill)
+            return true;
+        return instance.stopping && (code == 0 || (instance.stoppedAtStart && code == endedBySigterm));
+    }
+
     bool isArchive(int host) { return host % 5 == 4; }
 
 } // namespace
@@ -246,36 +255,35 @@
 
 void Deployment::kill(Instance& instance, std::chrono::milliseconds down)
 {
-    if (instance.down)
+    if (instance.down || instance.killed)
         return;
     instance.process->signal(SIGKILL);
-    instance.process->waitFor(1'000ms);
-    instance.down = instance.killed = true;
-    instance.startAt = clock_.now() + down;
+    instance.killed = true;
+    instance.restartDelay = down;
     checker_.recordFault(instance.place());
 }
 
 void Deployment::stop(Instance& instance, std::chrono::milliseconds down)
 {
-    if (instance.down || instance.stopping || instance.paused)
+    if (instance.down || instance.killed || instance.stopping || instance.paused)
         return;
     instance.process->signal(SIGTERM);
     instance.stopping = true;
     instance.stoppedAtStart = clock_.now() - instance.launchedAt < signalsHandledAfter;
-    instance.stopDown = down;
+    instance.restartDelay = down;
     instance.killAt = clock_.now() + stopTimeout;
 }
 
 void Deployment::reload(Instance& instance)
 {
     const bool handled = clock_.now() - instance.launchedAt >= signalsHandledAfter;
-    if (handled && !instance.down && !instance.paused)
+    if (handled && !instance.down && !instance.killed && !instance.paused)
         instance.process->signal(SIGHUP);
 }
 
 void Deployment::pause(Instance& instance)
 {
-    if (instance.down || instance.stopping || instance.paused)
+    if (instance.down || instance.killed || instance.stopping || instance.paused)
         return;
     instance.process->signal(SIGSTOP);
     instance.paused = true;
@@ -302,8 +310,9 @@
 
 bool Deployment::allRunning() const
 {
-    return std::all_of(instances_.begin(), instances_.end(),
-        [](const Instance& instance) { return !instance.down && !instance.stopping && !instance.paused; });
+    return std::all_of(instances_.begin(), instances_.end(), [](const Instance& instance) {
+        return !instance.down && !instance.killed && !instance.stopping && !instance.paused;
+    });
 }
 
 // Hosts, callers and routers run in this process and stand still with it.
@@ -324,9 +333,9 @@
     for (const auto& instance : instances_) {
         const bool linkFault = instance.balancer
             && (link_.isolated.contains(instance.index) || link_.loss > 0 || link_.duplicate > 0 || link_.delay > 0ms);
-        if ((instance.down && instance.killed) || instance.paused || linkFault)
+        if (instance.killed || instance.paused || linkFault)
             checker_.recordFault(instance.place());
-        if (instance.down && instance.killed)
+        if (instance.killed)
             checker_.recordFault();
     }
     for (const auto& host : hosts_) {
@@ -352,19 +361,16 @@
         if (instance.down)
             continue;
         const auto ended = instance.process->waitFor(0ms);
-        constexpr int endedBySigterm = 128 + SIGTERM;
-        const bool expected
-            = ended && instance.stopping && (*ended == 0 || (instance.stoppedAtStart && *ended == endedBySigterm));
-        if (ended && !expected)
+        if (ended && !exitExpected(instance, *ended))
             checker_.recordViolation(instance.name + " exited unexpectedly with code " + std::to_string(*ended));
-        if (!ended && instance.stopping && now >= instance.killAt) {
+        if (!ended && instance.stopping && !instance.killed && now >= instance.killAt) {
             checker_.recordViolation(instance.name + " did not exit within the stop timeout");
             instance.process->signal(SIGKILL);
             instance.killed = true;
         }
         if (ended) {
             instance.down = true;
-            instance.startAt = now + instance.stopDown;
+            instance.startAt = now + instance.restartDelay;
         }
     }
     for (auto& host : hosts_)
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -44,9 +44,9 @@
     base::TimePoint startAt {}; ///< when a process that is down is started again
     base::TimePoint launchedAt {};
     base::TimePoint killAt {}; ///< when a process that received SIGTERM is killed
-    std::chrono::milliseconds stopDown { 50 }; ///< from the end of a stopped process to its next start
+    std::chrono::milliseconds restartDelay { 50 }; ///< from the end of a process to its next start
     bool down = false;
-    bool killed = false; ///< the process did not end by a planned stop
+    bool killed = false; ///< SIGKILL was sent; until the next start
     bool stopping = false;
     bool paused = false;
     bool stoppedAtStart = false; ///< SIGTERM was sent before the process can handle it
