--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -69,7 +69,8 @@
     bool operator==(const FlowReport&) const = default;
 };
 
-/// @brief The sidecar process at an address that a balancer holds the newest record of.
+/// @brief The sidecar process at an address that a balancer takes for the latest one. An address has one process at a
+/// time, so a process that receives another one's identity raises its own epoch above that one's.
 struct KnownProcess {
     std::uint64_t process = 0; ///< 0: none
     std::uint64_t epoch = 0;
@@ -80,7 +81,7 @@
 /// @brief Announces a balancer. A restarted one has another epoch and receives all open flows.
 struct BalancerHello {
     Endpoint balancer;
-    std::uint64_t epoch = 0;
+    std::uint64_t epoch = 0; ///< random identity of the balancer's process
     std::uint32_t hosts = 0; ///< number of known hosts, by which shared budgets are divided
     std::uint32_t intervalMilliseconds = 0; ///< maximum interval of its hellos; 0: unknown
     bool wantsFlows = false; ///< requests all claims of the receiver, because some were missed
