A host's silence resets no caller

What callers saw: flows of a living host that sent no packet and whose heartbeats were late or lost for 2.6 s were reset with "the host is unresponsive". The soak saw it on a busy machine, where its hosts were held up.

HostStatus::dead took 3.4 missing heartbeats without a packet for the end of the host.

Change: HostStatus::dead and its settings are gone. Callers are reset when the host's successor sends heartbeats, or when the host returns a packet of a flow that it does not hold. New flows go elsewhere while the host is silent, as before.

--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -65,11 +65,9 @@
             options.process = process;
             options.relearnPeriod = settings.node.warmUpTime;
             constexpr double silentHeartbeats = 2.3; // two lost heartbeats and some delay
-            constexpr double deadHeartbeats = 3.4;
             const auto interval = std::chrono::duration<double, std::milli>(settings.node.heartbeatInterval);
             options.host.heartbeatInterval = settings.node.heartbeatInterval;
             options.host.silentAfter = std::chrono::duration_cast<base::Duration>(interval * silentHeartbeats);
-            options.host.deadAfter = std::chrono::duration_cast<base::Duration>(interval * deadHeartbeats);
             return options;
         }
 
--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -37,7 +37,6 @@
 struct HostStatusOptions {
     base::Duration heartbeatInterval = std::chrono::milliseconds(770); ///< approximate time between heartbeats
     base::Duration silentAfter = std::chrono::milliseconds(1800); ///< a little over two heartbeats
-    base::Duration deadAfter = std::chrono::milliseconds(2600); ///< three heartbeats and a margin
     base::Duration maxHeartbeatDelay = std::chrono::seconds(4); ///< of a heartbeat whose sender has ended
 };
 
@@ -62,19 +61,13 @@
     /// @brief Records that the host stops. @return false if `id` is that of another host.
     bool recordLeave(const std::string& id);
 
-    /// @brief Records a packet from the host, which postpones dead().
-    void recordActivity(base::TimePoint now) { lastActivityAt_ = now; }
-
     /// @brief Excludes a pause of this process from the time without heartbeats.
     void recordPause(base::Duration gap);
 
-    /// @return the state of the last heartbeat or leave message; Silent after silentAfter without a heartbeat.
+    /// @return the state of the last heartbeat or leave message; Silent after silentAfter without a heartbeat. A silent
+    /// host may be alive: its heartbeats may be late or lost.
     HostState state(base::TimePoint now) const;
 
-    /// @return whether neither a heartbeat nor a packet has been received for deadAfter, so that the host must have
-    /// ended.
-    bool dead(base::TimePoint now) const;
-
     /// @return whether a heartbeat or a leave message of the host has been received.
     bool known() const { return present_ || left_; }
 
@@ -154,7 +147,6 @@
     base::TimePoint coldUntil_ {};
     base::TimePoint lastHeartbeatAt_;
     base::TimePoint lastOtherHeartbeatAt_ {};
-    base::TimePoint lastActivityAt_ {};
 };
 
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -89,7 +89,6 @@
     const bool firstHeard = !other.sequence;
     if (!recordSequence(other, report, now))
         return HeartbeatOutcome::Stale;
-    lastActivityAt_ = now;
     if (!isSuccessor(other, firstHeard, now)) {
         lastOtherHeartbeatAt_ = now;
         confirmed_ = false;
@@ -104,7 +103,6 @@
 {
     if (!recordSequence(*present_, report, now))
         return HeartbeatOutcome::Stale;
-    lastActivityAt_ = now;
     forgetRivals();
     return applyState(report, now) ? HeartbeatOutcome::Changed : HeartbeatOutcome::Unchanged;
 }
@@ -209,11 +207,6 @@
     return reportedState_;
 }
 
-bool HostStatus::dead(base::TimePoint now) const
-{
-    return known() && now - lastHeartbeatAt_ >= options_.deadAfter && now - lastActivityAt_ >= options_.deadAfter;
-}
-
 std::chrono::milliseconds HostStatus::coldLeft(base::TimePoint now) const
 {
     return now >= coldUntil_ ? std::chrono::milliseconds(0)
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -153,7 +153,6 @@
 
 void Sidecar::onHostPacket(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
 {
-    host_.recordActivity(now);
     lastUnansweredAt_ = {};
     trials_.erase(segment.key);
     uncertainFlows_.erase(segment.key);
@@ -193,7 +192,6 @@
 
 void Sidecar::onBounced(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
 {
-    host_.recordActivity(now);
     lastUnansweredAt_ = {};
     if (segment.isInitialSyn()) {
         const auto saved = openingSyns_.find(segment.key);
@@ -231,8 +229,6 @@
     admitQueued(now);
     resetPredecessorFlows(now);
     resolveUncertainFlows(now);
-    if (host_.dead(now) && table_.openFlows() > 0)
-        resetFlowsUnseenSince(now, "the host is unresponsive", now);
     announceIfChanged(now);
     retryHello(now);
     continueTransfers(now);
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -273,6 +273,33 @@
     CHECK(fixture.sidecar.host().born() == 1'000);
 }
 
+// Guards against callers of a living host being reset because it is idle and its heartbeats are late or lost.
+TEST_CASE("a host's silence resets no caller: its flows stay open until its successor sends heartbeats")
+{
+    Fixture fixture;
+    fixture.advanceWithHeartbeats(milliseconds(5'000));
+    fixture.open();
+    for (int i = 0; i < 100; ++i)
+        fixture.advance(milliseconds(100));
+    CHECK((fixture.sidecar.host().state(fixture.now) == HostState::Silent));
+    CHECK(fixture.output.resets.empty());
+    fixture.output.delivered.clear();
+    fixture.sidecar.onForward(owned(), dataOf(caller, 901), fixture.now);
+    CHECK(fixture.output.delivered.size() == 1);
+    SUBCASE("its heartbeats arrive again")
+    {
+        fixture.advanceWithHeartbeats(milliseconds(1'000));
+        CHECK((fixture.sidecar.host().state(fixture.now) == HostState::Ready));
+        CHECK(fixture.output.resets.empty());
+        CHECK(fixture.sidecar.flows().openFlows() == 1);
+    }
+    SUBCASE("it has restarted")
+    {
+        fixture.sidecar.onHeartbeat(report(1, 2'000), fixture.now);
+        CHECK(fixture.output.resets.size() == 1);
+    }
+}
+
 TEST_CASE("a paused process does not treat the missing heartbeats as a failure of the host")
 {
     Fixture fixture;
