--- a/bench/interleaving_schedule.hpp
+++ b/bench/interleaving_schedule.hpp
@@ -44,6 +44,7 @@
     LoseReports, ///< a sidecar's messages to one of the balancers are lost for 3 to 8 s
     LoseForwards, ///< a balancer's messages and packets to one of the sidecars are lost for 8 to 18 s
     LoseInstance, ///< the instance fails; one with a host of the same service gets its address 5 to 15 s later
+    LoseHeartbeats, ///< a host's heartbeats do not arrive for 3 to 8 s, though it serves its flows
     Count_,
 };
 
--- a/bench/interleaving_test.cpp
+++ b/bench/interleaving_test.cpp
@@ -170,6 +170,15 @@
                       "request:2:0");
 }
 
+// Guards against a sidecar that takes a host without heartbeats for an ended one and resets its callers.
+TEST_CASE("interleavings: the flows of a host whose heartbeats are lost stay open")
+{
+    checkNoViolations("open-flow:1:500 lose-heartbeats:152:4000");
+    checkRandomSchedules(200,
+        { StepKind::OpenFlow, StepKind::Request, StepKind::KillSidecar, StepKind::StopSidecar, StepKind::KillBalancer,
+            StepKind::LoseHeartbeats });
+}
+
 // Guards against a table that takes a datagram of an ended process for news of its successor.
 TEST_CASE("interleavings: late datagrams of sidecars that have ended violate no invariant")
 {
@@ -207,7 +216,8 @@
 TEST_CASE("interleavings: random schedules with absent sidecars and lost messages violate no invariant")
 {
     auto kinds = kindsWithOneClock();
-    kinds.insert(kinds.end(), { StepKind::EndSidecar, StepKind::LoseReports, StepKind::LoseForwards });
+    kinds.insert(
+        kinds.end(), { StepKind::EndSidecar, StepKind::LoseReports, StepKind::LoseForwards, StepKind::LoseHeartbeats });
     checkRandomSchedules(1'000, kinds);
 }
 
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -53,6 +53,8 @@
     constexpr milliseconds maxReportLoss { 8'000 };
     constexpr milliseconds minReplacement { 5'000 };
     constexpr milliseconds maxReplacement { 15'000 };
+    constexpr milliseconds minHeartbeatLoss { 3'000 };
+    constexpr milliseconds maxHeartbeatLoss { 8'000 };
     constexpr milliseconds minForwardLoss { 8'000 };
     constexpr milliseconds maxForwardLoss { 18'000 };
     constexpr std::uint64_t unixStartMilliseconds = 1'700'000'000'000;
@@ -223,6 +225,7 @@
             TimePoint nextWrite {};
             TimePoint nextCheckpoint {};
             TimePoint lostUntil {}; // no instance has the address
+            TimePoint loseHeartbeatsUntil {};
             TimePoint lateReportsUntil {};
             std::array<TimePoint, balancerCount> loseReportsUntil {}; // by balancer
             std::optional<TimePoint> drainedAt; // when the sidecar received the first heartbeat with the draining state
@@ -441,7 +444,7 @@
         {
             slot.nextHeartbeat = now_ + heartbeatInterval;
             const auto heartbeat = slot.host->heartbeat(); // numbered whether or not a sidecar receives it
-            if (!slot.process)
+            if (!slot.process || now_ < slot.loseHeartbeatsUntil)
                 return;
             slot.lastHeartbeat = heartbeat;
             slot.process->onHeartbeat(*slot.lastHeartbeat, now_);
@@ -881,6 +884,14 @@
             calmAt_ = std::max(calmAt_, now_ + duration);
         }
 
+        // No disruption: a host on a busy machine may be late.
+        void loseHeartbeats(std::uint32_t target)
+        {
+            const auto [choice, duration] = decodeTarget(target, slotCount, minHeartbeatLoss, maxHeartbeatLoss);
+            slots_[choice]->loseHeartbeatsUntil = now_ + duration;
+            calmAt_ = std::max(calmAt_, now_ + duration);
+        }
+
         void suspendStore(bool expireLeases)
         {
             store_.available = false;
@@ -980,6 +991,8 @@
                 return loseForwards(step.target);
             case StepKind::LoseInstance:
                 return loseInstance(step.target);
+            case StepKind::LoseHeartbeats:
+                return loseHeartbeats(step.target);
             case StepKind::Wait:
             case StepKind::Count_:
                 return;
