--- a/bench/interleaving_test.cpp
+++ b/bench/interleaving_test.cpp
@@ -201,6 +201,14 @@
         "kill-balancer:351:0 late-heartbeat:601:76 take-over:968:4 open-flow:782:127 request:414:34 lose:969:0 "
         "revoke-entry:776:40 open-flow:298:446 stop-sidecar:124:34 restart-host:250:1 lose-heartbeats:292:42",
         308606);
+    checkNoViolations("open-flow:773:137 open-flow:63:1279 open-flow:973:0 open-flow:579:4 late-heartbeat:997:307 "
+                      "open-flow:329:5 open-flow:193:0 open-flow:55:35 restart-host:207:2 open-flow:103:0 "
+                      "request:451:4 clock-ahead:333:68 open-flow:36:0 open-flow:113:428 request:909:55 "
+                      "stop-sidecar:981:59 wait:62:134 restart-host:833:363 end-sidecar:837:5",
+        405364);
+    checkNoViolations("restart-host:53:37 open-flow:495:4 wait:330:39 open-flow:724:0 restart-host:369:376 "
+                      "open-flow:14:33 stop-sidecar:144:43 clock-back:448:1460 end-sidecar:234:187",
+        410227);
 }
 
 // Guards against a balancer that refuses a flow because some hosts decline the SYN, though another has accepted it and
