Membership: identities at random, incarnations learned from whoever knows the predecessor, no clock

What was seen: a process whose clock gave it the incarnation of its predecessor was never known to the other members if they hadn't missed it: they kept the predecessor's traffic address, and its epoch, so that no pointers were published again to the new process.

Cause: incarnation and epoch were Unix milliseconds at the start, unique and rising only while the time of day is. Where two processes had one incarnation, nothing told their records apart: updates of state did not say which process they described, so that one of the successor changed the incarnation of the predecessor's record, and digests left the process out, so that such records were never compared.

Now the process is a random identity without an order (Member::process, field 10 on the wire as before), and named by updates of state (a new field; updates of older versions, without it, are applied as before) and digests. Each process starts at incarnation 1. The answer to a join holds the predecessor's record; a member that hears of its predecessor in any way announces its whole record above that incarnation, as SWIM refutes. An update of state doesn't apply to the record of another process. Digests of older versions differ from the new ones, so that during an update members exchange more records, within their rate.

--- a/apps/celerystiled/control_status.cpp
+++ b/apps/celerystiled/control_status.cpp
@@ -18,8 +18,9 @@
     {
         return { { "id", std::to_string(member.id) }, { "role", toString(member.role) },
             { "state", toString(member.state) }, { "incarnation", member.incarnation },
-            { "control", member.control.toString() }, { "traffic", member.traffic.toString() },
-            { "failure_domain", member.failureDomain }, { "place", member.place }, { "capacity", member.capacity } };
+            { "process", std::to_string(member.process) }, { "control", member.control.toString() },
+            { "traffic", member.traffic.toString() }, { "failure_domain", member.failureDomain },
+            { "place", member.place }, { "capacity", member.capacity } };
     }
 
     double seconds(const timeval& value)
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -1,13 +1,12 @@
 #include "fleet_process.hpp"
 
+#include "celerystile/base/process_id.hpp"
 #include "fleet_transport.hpp"
-
 #include "platform/host_api.hpp"
 
 #include <boost/asio/detached.hpp>
 #include <boost/json/serialize.hpp>
 #include <iostream>
-#include <random>
 
 namespace celerystile::daemon {
 
@@ -31,15 +30,6 @@
         return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
     }
 
-    // The time is mixed in for platforms whose random numbers repeat after a restart.
-    std::uint64_t makeProcessId(base::TimePoint now)
-    {
-        std::random_device random;
-        const auto bits = static_cast<std::uint64_t>(random()) << 32 | random();
-        const auto id = base::mix(bits ^ base::mix(static_cast<std::uint64_t>(now.time_since_epoch().count())));
-        return std::max<std::uint64_t>(1, id);
-    }
-
     // One line per number; strings and nested objects appear only in the dump.
     std::string metricsText(const boost::json::object& state)
     {
@@ -56,7 +46,7 @@
 FleetProcess::FleetProcess(const FleetSettings& settings)
     : settings_(settings)
     , epoch_(unixMilliseconds(wallClock_))
-    , processId_(makeProcessId(clock_.now()))
+    , processId_(base::makeProcessId(clock_.now()))
     , store_(settings.node.storeEndpoint, clock_, storeTimeout, core::hashName(settings.node.name) ^ processId_)
     , stopSignals_(controlContext_, SIGTERM, SIGINT)
     , reloadSignals_(controlContext_, SIGHUP)
--- a/apps/celerystiled/options.cpp
+++ b/apps/celerystiled/options.cpp
@@ -1,5 +1,7 @@
 #include "options.hpp"
 
+#include "celerystile/base/process_id.hpp"
+
 #include <array>
 #include <unistd.h>
 
@@ -40,7 +42,7 @@
         Option                                                                                                         \
     {                                                                                                                  \
         "seed", "CELERYSTILE_SEED", OptionKind::Number, "0", false, 0, 9007199254740991.0, "",                         \
-            "Seed of random choices; 0 derives one from the id and the start time."                                    \
+            "Seed of random choices; 0 chooses one at random."                                                         \
     }
 
     constexpr std::array balancerOptionTable {
@@ -100,13 +102,6 @@
         return endpoint(settings, flag);
     }
 
-    // Wall-clock milliseconds: a restarted process must have a higher incarnation than before its restart.
-    core::Incarnation makeIncarnation()
-    {
-        const auto now = std::chrono::system_clock::now().time_since_epoch();
-        return static_cast<core::Incarnation>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-    }
-
     base::Result<CommonSettings> readCommonSettings(const base::Settings& settings, core::Role role)
     {
         CommonSettings common;
@@ -116,8 +111,8 @@
         common.keyring = *keyring;
         common.self.id = core::hashName(settings.text("id"));
         common.self.role = role;
-        common.self.incarnation = makeIncarnation();
-        common.self.epoch = common.self.incarnation;
+        common.self.incarnation = core::firstIncarnation;
+        common.self.process = base::makeProcessId(base::SteadyClock().now());
         common.self.control = endpoint(settings, "control");
         common.self.failureDomain = settings.text("failure-domain");
         common.self.place = settings.text("place");
@@ -130,7 +125,7 @@
         common.controlBytesPerSecond = settings.number("control-rate");
         common.seed = static_cast<std::uint64_t>(settings.number("seed"));
         if (common.seed == 0)
-            common.seed = common.self.id ^ common.self.incarnation;
+            common.seed = common.self.id ^ common.self.process;
         common.raw = settings;
         if (common.peers.empty() && !common.platform)
             return base::failure(base::ErrorCode::Invalid,
--- a/bench/gossip_net.cpp
+++ b/bench/gossip_net.cpp
@@ -52,7 +52,7 @@
     std::size_t index;
     std::unique_ptr<core::Gossip> gossip;
     core::Incarnation firstIncarnation = 1000;
-    std::uint64_t epoch = 1000;
+    core::ProcessId process = 1000;
     std::uint16_t trafficPort = 7400;
     base::TimePoint pausedUntil;
     bool crashed = false;
@@ -84,7 +84,7 @@
     member.id = base::mix(index + 1);
     member.role = index % 6 == 0 ? core::Role::Balancer : core::Role::Sidecar;
     member.incarnation = nodes_[index]->firstIncarnation;
-    member.epoch = nodes_[index]->epoch;
+    member.process = nodes_[index]->process;
     member.control = addressOf(index);
     member.traffic = { addressOf(index).address, nodes_[index]->trafficPort };
     member.failureDomain = "domain-" + std::to_string(index % failureDomains);
@@ -178,7 +178,7 @@
     auto& node = *nodes_[index];
     node.crashed = false;
     node.firstIncarnation += 1000;
-    node.epoch += 1000;
+    node.process += 1000;
     createGossip(index, { addressOf(entryPoint) });
     node.gossip->setOwnState(core::MemberState::Ready);
 }
@@ -188,7 +188,7 @@
     auto& node = *nodes_[index];
     node.crashed = false;
     node.firstIncarnation = firstIncarnation;
-    node.epoch = base::mix(node.epoch);
+    node.process = base::mix(node.process);
     ++node.trafficPort;
     createGossip(index, { addressOf(entryPoint) });
     node.gossip->setOwnState(core::MemberState::Ready);
@@ -236,7 +236,7 @@
         const auto members = nodes_[i]->gossip->allMembers();
         count += std::any_of(members.begin(), members.end(),
                      [&](const core::Member& member) {
-                         return member.id == expected.id && member.epoch == expected.epoch
+                         return member.id == expected.id && member.process == expected.process
                              && member.traffic == expected.traffic && member.state == state;
                      })
             ? 1
--- a/bench/gossip_test.cpp
+++ b/bench/gossip_test.cpp
@@ -185,7 +185,7 @@
         CHECK(net.nodesSeeing(node, MemberState::Ready) == 20);
 }
 
-// After a restart with a lower or repeated clock reading, members kept the predecessor's address and epoch for ever.
+// After a restart with a lower or repeated clock reading, members kept the predecessor's address and identity for ever.
 TEST_CASE("a successor is known within 13 s, whatever its first incarnation is")
 {
     constexpr core::Incarnation predecessor = 1000;
--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -122,9 +122,9 @@
             actualHosts_.erase(known);
     } else if (known != actualHosts_.end()) {
         known->state = state;
-        known->epoch = host.epoch;
+        known->process = host.process;
     } else {
-        actualHosts_.push_back({ id, host.traffic, options_.capacity, state, host.domain, host.epoch });
+        actualHosts_.push_back({ id, host.traffic, options_.capacity, state, host.domain, host.process });
     }
     propagateChange();
 }
@@ -164,7 +164,7 @@
         member.state = host.state;
         member.traffic = host.traffic;
         member.failureDomain = host.failureDomain;
-        member.epoch = host.epoch;
+        member.process = host.process;
         member.services = { configuration_.services.front().id };
         member.capacity = host.capacity;
         view.members.push_back(member);
@@ -202,7 +202,7 @@
         auto& restarted = *hosts_.at(id);
         restarted.sidecarDown = false;
         startSidecar(restarted, true, {}, {});
-        ++restarted.epoch;
+        ++restarted.process;
         announce(id, restarted.state);
     });
 }
@@ -224,7 +224,7 @@
             successor.sidecar->adopt(held, now_);
         if (leaving)
             successor.sidecar->beginLeaving();
-        ++successor.epoch;
+        ++successor.process;
         announce(id, successor.state);
     });
 }
--- a/bench/world_test.cpp
+++ b/bench/world_test.cpp
@@ -157,7 +157,7 @@
             world.runFor(5s);
         }
         world.runFor(15min);
-        CHECK(world.counts().broken() == 0); // owners publish again when the epoch changes, in either case
+        CHECK(world.counts().broken() == 0); // owners publish again when the process changes, in either case
         checkInvariants(world);
     }
 }
--- a/bench/world_types.hpp
+++ b/bench/world_types.hpp
@@ -48,7 +48,7 @@
     std::unique_ptr<core::Sidecar> sidecar;
     std::array<std::uint64_t, core::sidecarCounts> countsBefore {}; // sums over the earlier sidecars of this host
     std::uint64_t version = 0;
-    core::Incarnation epoch = 1;
+    core::ProcessId process = 1;
     core::MemberState state = core::MemberState::Joining;
     base::TimePoint leavingSince;
     base::TimePoint pausedUntil;
--- a/include/celerystile/core/candidates.hpp
+++ b/include/celerystile/core/candidates.hpp
@@ -25,7 +25,7 @@
     std::uint32_t capacity = 1; ///< weight, at least 1
     MemberState state = MemberState::Ready;
     std::string failureDomain;
-    Incarnation epoch = 0; ///< identifies the sidecar process; after a restart with another epoch it holds no pointers
+    ProcessId process = 0; ///< of the sidecar: a process that replaces it holds no pointers
 
     bool operator==(const ServiceHost&) const = default;
 };
--- a/include/celerystile/core/gossip.hpp
+++ b/include/celerystile/core/gossip.hpp
@@ -27,13 +27,17 @@
     News, ///< membership updates only, sent between probes
 };
 
-/// @brief State update of a member whose full record the receiver already has.
+/// @brief State update of a member whose full record the receiver already has. It is of no use to a receiver that has
+/// the record of another process.
 struct StateNews {
     MemberId id = 0;
+    ProcessId process = 0; ///< 0 in updates of versions that do not name it
     Incarnation incarnation = 0;
     MemberState state = MemberState::Ready;
     bool suspected = false;
 
+    bool concerns(ProcessId known) const { return process == 0 || process == known; }
+
     bool operator==(const StateNews&) const = default;
 };
 
@@ -119,7 +123,7 @@
 /// @brief The membership state machine. Not thread-safe.
 class Gossip {
 public:
-    /// @param self this process's record; its incarnation must exceed those used before a restart
+    /// @param self this process's record; its incarnation need not exceed that of a predecessor under the same id
     Gossip(GossipOptions options, Member self, std::vector<Endpoint> entryPoints, GossipOutput& output,
         std::uint64_t seed, base::TimePoint start);
 
@@ -197,8 +201,9 @@
     bool isLive(const Entry& entry) const;
     void mergeMember(const Member& member, base::TimePoint now);
     void mergeState(const StateNews& news, base::TimePoint now);
-    void onReportAboutSelf(Incarnation incarnation, MemberState state, bool suspected);
+    void onReportAboutSelf(const StateNews& news);
     void refute(Incarnation minimumIncarnation);
+    void announceAbove(const StateNews& predecessor);
     void applyState(Entry& entry, Incarnation incarnation, MemberState state, bool suspected, base::TimePoint now);
     void queueNews(MemberId id, bool fullRecord);
     int transmissionLimit() const;
--- a/include/celerystile/core/view.hpp
+++ b/include/celerystile/core/view.hpp
@@ -19,9 +19,16 @@
 /// @brief Id of a service: hashName() of its name.
 using ServiceId = std::uint64_t;
 
-/// @brief SWIM incarnation number. A member increments its own to refute a wrong state held by others.
+/// @brief SWIM incarnation number. A member raises its own to refute a wrong state, or the record of its predecessor,
+/// that others hold. The order of two incarnations says nothing about times.
 using Incarnation = std::uint64_t;
 
+/// @brief Incarnation of a member that has learned of no predecessor.
+inline constexpr Incarnation firstIncarnation = 1;
+
+/// @brief Random identity of one run of a process: two of them are the same or not, without an order.
+using ProcessId = std::uint64_t;
+
 /// @brief Role of a process.
 enum class Role : std::uint8_t {
     Balancer,
@@ -51,7 +58,7 @@
     Role role = Role::Sidecar;
     MemberState state = MemberState::Joining;
     Incarnation incarnation = 0;
-    Incarnation epoch = 0; ///< incarnation at the start of the process; constant while it runs
+    ProcessId process = 0; ///< tells it from its predecessors under the same id
     Endpoint control; ///< gossip over UDP and fetches over TCP
     Endpoint traffic; ///< packets from balancers and other sidecars
     std::string failureDomain;
--- a/src/celerystile/core/gossip.cpp
+++ b/src/celerystile/core/gossip.cpp
@@ -10,7 +10,7 @@
 namespace {
 
     constexpr std::size_t envelopeBytes = 256; // keyed hash, message header, UDP and IP headers
-    constexpr std::size_t stateNewsBytes = 24;
+    constexpr std::size_t stateNewsBytes = 32;
     constexpr std::size_t memberBytes = 152; // without strings and services
 
     // Of two states with the same incarnation the one with the higher precedence wins. States that a member announces
@@ -36,7 +36,8 @@
 
     std::uint64_t digestOf(const Member& member)
     {
-        return base::mix(base::mix(member.id) + member.incarnation * 8 + static_cast<std::uint64_t>(member.state));
+        return base::mix(base::mix(member.id ^ base::mix(member.process)) + member.incarnation * 8
+            + static_cast<std::uint64_t>(member.state));
     }
 
     std::size_t wireBytesOf(const Member& member)
@@ -44,6 +45,25 @@
         return memberBytes + member.failureDomain.size() + member.place.size() + member.services.size() * 8;
     }
 
+    StateNews stateOfRecord(const Member& member, bool suspected)
+    {
+        return { member.id, member.process, member.incarnation, member.state, suspected };
+    }
+
+    // Two processes under one id may have the same incarnation until the living one has learned of it. The identity
+    // then decides, so that the others agree meanwhile.
+    bool replaces(const Member& received, const Member& known)
+    {
+        return received.incarnation > known.incarnation
+            || (received.incarnation == known.incarnation && received.process > known.process);
+    }
+
+    bool containsProcess(const std::vector<Member>& members, ProcessId process)
+    {
+        return std::any_of(
+            members.begin(), members.end(), [&](const Member& member) { return member.process == process; });
+    }
+
     bool isFailedOrUnreachable(MemberState state)
     {
         return state == MemberState::Failed || state == MemberState::Unreachable;
@@ -177,7 +197,7 @@
 void Gossip::mergeMember(const Member& member, base::TimePoint now)
 {
     if (member.id == self_.id)
-        return onReportAboutSelf(member.incarnation, member.state, false);
+        return onReportAboutSelf(stateOfRecord(member, false));
     const auto found = entries_.find(member.id);
     if (found == entries_.end()) {
         entries_[member.id] = { member, false, {}, now, 0 };
@@ -187,7 +207,7 @@
         return invalidateView();
     }
     auto& entry = found->second;
-    if (member.incarnation > entry.member.incarnation) {
+    if (replaces(member, entry.member)) {
         toggleInDigest(entry.member);
         if (entry.suspected)
             --suspectCount_;
@@ -198,15 +218,16 @@
         queueNews(member.id, true);
         return invalidateView();
     }
-    applyState(entry, member.incarnation, member.state, false, now);
+    if (member.process == entry.member.process)
+        applyState(entry, member.incarnation, member.state, false, now);
 }
 
 void Gossip::mergeState(const StateNews& news, base::TimePoint now)
 {
     if (news.id == self_.id)
-        return onReportAboutSelf(news.incarnation, news.state, news.suspected);
+        return onReportAboutSelf(news);
     const auto found = entries_.find(news.id);
-    if (found != entries_.end())
+    if (found != entries_.end() && news.concerns(found->second.member.process))
         applyState(found->second, news.incarnation, news.state, news.suspected, now);
 }
 
@@ -233,13 +254,23 @@
         invalidateView();
 }
 
-void Gossip::onReportAboutSelf(Incarnation incarnation, MemberState state, bool suspected)
+void Gossip::onReportAboutSelf(const StateNews& news)
 {
     if (self_.state == MemberState::Left || !options_.refutationEnabled)
         return;
-    const bool contradicts = suspected || isFailedOrUnreachable(state) || state == MemberState::Left;
-    if (incarnation > self_.incarnation || (incarnation == self_.incarnation && contradicts))
-        refute(incarnation);
+    if (!news.concerns(self_.process))
+        return announceAbove(news);
+    const bool contradicts = news.suspected || isFailedOrUnreachable(news.state) || news.state == MemberState::Left;
+    if (news.incarnation > self_.incarnation || (news.incarnation == self_.incarnation && contradicts))
+        refute(news.incarnation);
+}
+
+// Whoever holds the predecessor's record needs the whole record of this process, at a higher incarnation.
+void Gossip::announceAbove(const StateNews& predecessor)
+{
+    if (predecessor.incarnation >= self_.incarnation)
+        refute(predecessor.incarnation);
+    queueNews(self_.id, true);
 }
 
 void Gossip::refute(Incarnation minimumIncarnation)
@@ -293,7 +324,7 @@
             bytes += wireBytesOf(member);
         }
         if (!news.fullRecord || suspected) {
-            message.states.push_back({ member.id, member.incarnation, member.state, suspected });
+            message.states.push_back(stateOfRecord(member, suspected));
             bytes += stateNewsBytes;
         }
         if (--news.transmissionsLeft > 0)
@@ -408,6 +439,10 @@
     case GossipKind::Join: {
         auto ack = makeMessage(GossipKind::Ack);
         ack.members.push_back(self_);
+        // If its predecessor is known, the joining process learns here which incarnation it has to exceed.
+        if (const auto known = entries_.find(message.from);
+            known != entries_.end() && !containsProcess(message.members, known->second.member.process))
+            ack.members.push_back(known->second.member);
         sendWithNews(from, std::move(ack));
         break;
     }
--- a/src/celerystile/core/gossip_probe.cpp
+++ b/src/celerystile/core/gossip_probe.cpp
@@ -145,7 +145,7 @@
     probe_ = Probe { target, ping.sequence, now };
     probe_->misses = retry.misses;
     if (entry.suspected) // notifies the suspected member so that it can refute
-        ping.states.push_back({ target, entry.member.incarnation, entry.member.state, true });
+        ping.states.push_back({ target, entry.member.process, entry.member.incarnation, entry.member.state, true });
     sendWithNews(entry.member.control, std::move(ping));
 }
 
@@ -213,7 +213,8 @@
     std::sort(failed.begin(), failed.end());
     const auto& entry = entries_[failed[random_.below(failed.size())]];
     auto ping = makeMessage(GossipKind::Ping);
-    ping.states.push_back({ entry.member.id, entry.member.incarnation, entry.member.state, false });
+    ping.states.push_back(
+        { entry.member.id, entry.member.process, entry.member.incarnation, entry.member.state, false });
     ping.members.push_back(self_);
     sendWithNews(entry.member.control, std::move(ping));
 }
--- a/src/celerystile/core/routing.cpp
+++ b/src/celerystile/core/routing.cpp
@@ -24,7 +24,7 @@
                     continue;
                 const auto weight = std::max<std::uint32_t>(1, member.capacity);
                 hosts[service].push_back(
-                    { member.id, member.traffic, weight, member.state, member.failureDomain, member.epoch });
+                    { member.id, member.traffic, weight, member.state, member.failureDomain, member.process });
             }
         }
         return hosts;
--- a/src/celerystile/core/sidecar_directory.cpp
+++ b/src/celerystile/core/sidecar_directory.cpp
@@ -61,7 +61,7 @@
         return;
     for (const auto& candidate : route->table.bucket(bucket)) {
         if (!wasDisplaced || !previous || !previous->contains(bucket, candidate.host)
-            || previous->find(candidate.host)->epoch != route->table.find(candidate.host)->epoch)
+            || previous->find(candidate.host)->process != route->table.find(candidate.host)->process)
             publisher_.enqueue(candidate, hash);
     }
 }
--- a/src/celerystile/peer/message_test.cpp
+++ b/src/celerystile/peer/message_test.cpp
@@ -34,7 +34,7 @@
         member.id = 5;
         member.state = core::MemberState::Leaving;
         member.incarnation = 99;
-        member.epoch = 98;
+        member.process = 98;
         member.control = *base::Endpoint::parse("127.0.0.1:7400");
         member.traffic = *base::Endpoint::parse("127.0.0.1:7500");
         member.failureDomain = "ploce";
@@ -53,7 +53,7 @@
         message.digest = 77;
         message.groupDigests = { 1, 2, 3 };
         message.members = { makeMember() };
-        message.states = { { 8, 9, core::MemberState::Failed, true } };
+        message.states = { { 8, 7, 9, core::MemberState::Failed, true } };
         return message;
     }
 
--- a/src/celerystile/peer/schema/message.capnp
+++ b/src/celerystile/peer/schema/message.capnp
@@ -56,7 +56,7 @@
   place @7 :Text;
   services @8 :List(UInt64);
   capacity @9 :UInt32;
-  epoch @10 :UInt64;
+  process @10 :UInt64;
 }
 
 struct StateNews {            # only the state changed; for members that the receiver already has
@@ -64,6 +64,7 @@
   incarnation @1 :UInt64;
   state @2 :UInt8;
   suspected @3 :Bool;
+  process @4 :UInt64;
 }
 
 struct Gossip {
--- a/src/celerystile/peer/schema/message.capnp.h
+++ b/src/celerystile/peer/schema/message.capnp.h
@@ -147,7 +147,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(b40f1b9283788c13, 3, 0)
+    CAPNP_DECLARE_STRUCT_HEADER(b40f1b9283788c13, 4, 0)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -842,7 +842,7 @@
 
   inline  ::uint32_t getCapacity() const;
 
-  inline  ::uint64_t getEpoch() const;
+  inline  ::uint64_t getProcess() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -923,8 +923,8 @@
   inline  ::uint32_t getCapacity();
   inline void setCapacity( ::uint32_t value);
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -979,6 +979,8 @@
 
   inline bool getSuspected() const;
 
+  inline  ::uint64_t getProcess() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1019,6 +1021,9 @@
   inline bool getSuspected();
   inline void setSuspected(bool value);
 
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2576,16 +2581,16 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
-inline  ::uint64_t MemberNews::Reader::getEpoch() const {
+inline  ::uint64_t MemberNews::Reader::getProcess() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t MemberNews::Builder::getEpoch() {
+inline  ::uint64_t MemberNews::Builder::getProcess() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS);
 }
-inline void MemberNews::Builder::setEpoch( ::uint64_t value) {
+inline void MemberNews::Builder::setProcess( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
@@ -2646,6 +2651,20 @@
       ::capnp::bounded<136>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t StateNews::Reader::getProcess() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t StateNews::Builder::getProcess() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS);
+}
+inline void StateNews::Builder::setProcess( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Gossip::Reader::getFrom() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
--- a/src/celerystile/peer/wire_values.cpp
+++ b/src/celerystile/peer/wire_values.cpp
@@ -17,8 +17,8 @@
     {
         if (from.getState() > lastState)
             return failure(ErrorCode::Malformed, "unknown member state");
-        return core::StateNews { from.getId(), from.getIncarnation(), static_cast<core::MemberState>(from.getState()),
-            from.getSuspected() };
+        return core::StateNews { from.getId(), from.getProcess(), from.getIncarnation(),
+            static_cast<core::MemberState>(from.getState()), from.getSuspected() };
     }
 
 } // namespace
@@ -37,7 +37,7 @@
     for (unsigned i = 0; i < services.size(); ++i)
         services.set(i, value.services[i]);
     to.setCapacity(value.capacity);
-    to.setEpoch(value.epoch);
+    to.setProcess(value.process);
 }
 
 base::Result<core::Member> read(schema::MemberNews::Reader from)
@@ -59,7 +59,7 @@
     for (const auto service : from.getServices())
         member.services.push_back(service);
     member.capacity = from.getCapacity();
-    member.epoch = from.getEpoch();
+    member.process = from.getProcess();
     return member;
 }
 
@@ -82,6 +82,7 @@
     auto states = to.initStates(static_cast<unsigned>(value.states.size()));
     for (unsigned i = 0; i < states.size(); ++i) {
         states[i].setId(value.states[i].id);
+        states[i].setProcess(value.states[i].process);
         states[i].setIncarnation(value.states[i].incarnation);
         states[i].setState(static_cast<std::uint8_t>(value.states[i].state));
         states[i].setSuspected(value.states[i].suspected);
