Missing heartbeats alone reset no caller at a sidecar

Callers of a living host were reset with "the host is unresponsive" 2.6 s after its last heartbeat and packet, idle flows too.

Heartbeats take a way of their own (HTTP, the control thread). When they do not arrive, nothing shows that the host has ended: a host with idle flows sends no packets either.

The sidecar gives the host up only if it has also left a caller's data unanswered for a second, or has announced that it stops. A living host acknowledges data; callers that wait for an ended one retransmit, so they are still reset about a second later. A host that starts again resets them with its first heartbeat, as before.

The new case failed before: 1 reset after 6 s without heartbeats, none expected.

--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -38,6 +38,7 @@
     base::Duration heartbeatInterval = std::chrono::milliseconds(770); ///< approximate time between heartbeats
     base::Duration silentAfter = std::chrono::milliseconds(1800); ///< a little over two heartbeats
     base::Duration deadAfter = std::chrono::milliseconds(2600); ///< three heartbeats and a margin
+    base::Duration unansweredAfter = std::chrono::seconds(1); ///< three copies of an unanswered packet
     base::Duration maxHeartbeatDelay = std::chrono::seconds(4); ///< of a heartbeat whose sender has ended
 };
 
@@ -62,8 +63,11 @@
     /// @brief Records that the host stops. @return false if `id` is that of another host.
     bool recordLeave(const std::string& id);
 
-    /// @brief Records a packet from the host, which postpones dead().
-    void recordActivity(base::TimePoint now) { lastActivityAt_ = now; }
+    /// @brief Records a sign of life of the host, which postpones dead().
+    void recordActivity(base::TimePoint now);
+
+    /// @brief Records the delivery of a packet that a living host answers.
+    void recordDelivery(base::TimePoint now);
 
     /// @brief Excludes a pause of this process from the time without heartbeats.
     void recordPause(base::Duration gap);
@@ -71,8 +75,9 @@
     /// @return the state of the last heartbeat or leave message; Silent after silentAfter without a heartbeat.
     HostState state(base::TimePoint now) const;
 
-    /// @return whether neither a heartbeat nor a packet has been received for deadAfter, so that the host must have
-    /// ended.
+    /// @return whether the host must have ended: neither a heartbeat nor a packet has been received for deadAfter, and
+    /// packets were left unanswered or the host has announced that it stops. Missing heartbeats alone may be a fault on
+    /// their way.
     bool dead(base::TimePoint now) const;
 
     /// @return whether a heartbeat or a leave message of the host has been received.
@@ -155,6 +160,7 @@
     base::TimePoint lastHeartbeatAt_;
     base::TimePoint lastOtherHeartbeatAt_ {};
     base::TimePoint lastActivityAt_ {};
+    std::optional<base::TimePoint> unansweredSince_;
 };
 
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -89,7 +89,7 @@
     const bool firstHeard = !other.sequence;
     if (!recordSequence(other, report, now))
         return HeartbeatOutcome::Stale;
-    lastActivityAt_ = now;
+    recordActivity(now);
     if (!isSuccessor(other, firstHeard, now)) {
         lastOtherHeartbeatAt_ = now;
         confirmed_ = false;
@@ -104,7 +104,7 @@
 {
     if (!recordSequence(*present_, report, now))
         return HeartbeatOutcome::Stale;
-    lastActivityAt_ = now;
+    recordActivity(now);
     forgetRivals();
     return applyState(report, now) ? HeartbeatOutcome::Changed : HeartbeatOutcome::Unchanged;
 }
@@ -195,6 +195,18 @@
     return true;
 }
 
+void HostStatus::recordActivity(base::TimePoint now)
+{
+    lastActivityAt_ = now;
+    unansweredSince_.reset();
+}
+
+void HostStatus::recordDelivery(base::TimePoint now)
+{
+    if (!unansweredSince_)
+        unansweredSince_ = now;
+}
+
 void HostStatus::recordPause(base::Duration gap)
 {
     lastHeartbeatAt_ += gap;
@@ -211,7 +223,9 @@
 
 bool HostStatus::dead(base::TimePoint now) const
 {
-    return known() && now - lastHeartbeatAt_ >= options_.deadAfter && now - lastActivityAt_ >= options_.deadAfter;
+    const bool silent = now - lastHeartbeatAt_ >= options_.deadAfter && now - lastActivityAt_ >= options_.deadAfter;
+    const bool unanswering = unansweredSince_ && now - *unansweredSince_ >= options_.unansweredAfter;
+    return known() && silent && (unanswering || reportedState_ == HostState::Gone);
 }
 
 std::chrono::milliseconds HostStatus::coldLeft(base::TimePoint now) const
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -116,6 +116,8 @@
     else if (segment.payloadBytes > 0)
         meter_.begin(segment.key, now);
     record.callerFinSeen = record.callerFinSeen || segment.fin;
+    if (segment.payloadBytes > 0)
+        host_.recordDelivery(now);
     output_.deliver(packet);
     increment(SidecarCount::Delivered);
     closeIfFinished(record, segment.key, now);
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -221,6 +221,37 @@
     CHECK(fixture.sidecar.flows().size() == 0);
 }
 
+// Guards against resets of a living host's flows whose heartbeats do not reach its sidecar.
+TEST_CASE("missing heartbeats alone reset no caller; a host that leaves packets unanswered too has ended")
+{
+    Fixture fixture;
+    fixture.open();
+    fixture.sidecar.onHostPacket(dataOf(caller, 1, 500), packetBytes, fixture.now);
+    const auto advance = [&](milliseconds time) {
+        for (milliseconds at { 0 }; at < time; at += milliseconds(100))
+            fixture.advance(milliseconds(100));
+    };
+    advance(milliseconds(6'000));
+    CHECK(fixture.output.resets.empty());
+    CHECK((fixture.sidecar.host().state(fixture.now) == HostState::Silent));
+    fixture.sidecar.onForward(owned(), dataOf(caller, 1'401, 0), fixture.now); // needs no answer
+    advance(milliseconds(3'000));
+    CHECK(fixture.output.resets.empty());
+    fixture.sidecar.onForward(owned(), dataOf(caller, 1'401), fixture.now);
+    SUBCASE("the host answers")
+    {
+        fixture.advance(milliseconds(300));
+        fixture.sidecar.onHostPacket(dataOf(caller, 41, 0), packetBytes, fixture.now);
+        advance(milliseconds(4'000));
+        CHECK(fixture.output.resets.empty());
+    }
+    SUBCASE("the host does not answer")
+    {
+        advance(milliseconds(1'200));
+        CHECK(fixture.output.resets.size() == 1);
+    }
+}
+
 // Guards against resets of flows that a living host holds, whose clock was set back before it started.
 TEST_CASE("callers of a host that has restarted with a lower start time are not reset while it sends heartbeats")
 {
