--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -24,14 +24,14 @@
     FlowsPlaced, ///< SYNs sent to a host
     SynRetried, ///< SYNs sent to another host because one did not answer
     SynRefused, ///< resets in answer to a SYN
-    FlowsReset, ///< resets to callers of open flows whose host is lost
+    FlowsReset, ///< resets to callers of open flows whose host's address another instance has
     DropNoRoute, ///< packets of open flows for an address that has no route
     DropNoHost, ///< packets for a service without a known host
     DropUnsettled, ///< SYNs without a known configuration or above maxPendingSyns
     SynHeld, ///< SYNs without a host while the host list is incomplete
     ClaimsAsked, ///< requests to sidecars for all their claims
-    ReportsOutdated, ///< reports of a process or incarnation that the host table holds a later one of
-    HostsOutdated, ///< the same for records of the registry or of another balancer's snapshot
+    ReportsOutdated, ///< reports that were not applied, because the host table holds a later one
+    HostsOutdated, ///< records of other processes in the registry or a snapshot that were not applied for that reason
     Count_,
 };
 
@@ -64,7 +64,7 @@
 struct BalancerOptions {
     Endpoint self;
     std::uint64_t failureDomain = 0;
-    std::uint64_t epoch = 0; ///< start of this process, Unix milliseconds
+    std::uint64_t epoch = 0; ///< random identity of this process; not 0
     HostTableOptions hostTable;
     ClaimRepairOptions repair;
     LookupTrackerOptions lookup;
@@ -153,8 +153,7 @@
     void sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void retry(PendingSyn& pending, base::TimePoint now);
     void refuse(const core::Segment& segment, std::string_view reason);
-    bool isOwnerLost(const Owner& owner, base::TimePoint now) const;
-    void resetLostFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now);
+    void resetReplacedFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now);
     void setUrgency(Forward& forward, const core::Segment& segment) const;
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     BalancerHello makeHello(const Endpoint& sidecar, bool wantsFlows = false) const;
--- a/include/celerystile/fleet/host_table.hpp
+++ b/include/celerystile/fleet/host_table.hpp
@@ -26,7 +26,7 @@
 
 std::string_view toString(RecordSource source);
 
-/// @brief A record that was not applied, because the table holds one of a later process or incarnation.
+/// @brief A record that was not applied, because the table holds a later one.
 struct OutdatedRecord {
     HostRecord received;
     HostRecord known;
@@ -39,7 +39,8 @@
 struct HostTableOptions {
     base::Duration reportLifetime
         = std::chrono::seconds(3); ///< minimum validity of a report after the registry entry is removed
-    base::Duration retention = std::chrono::seconds(60); ///< of a lost host; equals the longest lifetime of a flow
+    base::Duration retention
+        = std::chrono::seconds(60); ///< of a host without entry and reports; equals the longest lifetime of a flow
     base::Duration minReportTimeout
         = std::chrono::milliseconds(2'000); ///< time without a report after which a sidecar is unresponsive
     double missedReportLimit = 3.5; ///< the same timeout in announced report intervals; the longer one counts
@@ -71,7 +72,7 @@
 
     /// @brief Applies the registry's entries. Hosts missing from a complete list stay only while their sidecars report;
     /// a partial list removes none.
-    /// @return the records that were not applied.
+    /// @return the records of other processes that were not applied.
     std::vector<OutdatedRecord> applyRegistry(
         const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
 
@@ -93,15 +94,15 @@
     /// @return the hosts of a service that may hold open flows.
     std::vector<const KnownHost*> possibleOwners(ServiceId service) const;
 
-    /// @return whether a sidecar's reports are overdue without an announced restart while those of most others are not,
-    /// so that the sidecar is lost rather than this balancer cut off.
-    bool lost(const Endpoint& sidecar, base::TimePoint now) const;
+    /// @return whether a sidecar's reports are overdue without an announced restart while those of most others are not.
+    /// That is no proof that its host has ended: the sidecar may be away, slow or unable to reach this balancer.
+    bool silent(const Endpoint& sidecar, base::TimePoint now) const;
 
     /// @return whether the reports of at least 90 % of the registered sidecars that have reported are overdue, so that
     /// this balancer itself is cut off.
     bool cutOff(base::TimePoint now) const;
 
-    /// @return whether another instance has this address now, so that the earlier one and its host have ended.
+    /// @return whether another instance reports from this address now, so that the earlier one and its host have ended.
     bool replaced(const Endpoint& sidecar, InstanceId instance) const;
 
     /// @return whether the host is registered or its sidecar has reported recently.
