An unproven claim from before a sidecar's start resets no caller

A caller's open flow was reset although the host that held it was running: another host had answered a copy of its SYN, and that host's sidecar had kept the claim over a restart of both.

The caller has not acknowledged the SYN+ACK of an unproven claim, so another host may hold the flow. adoptHeldFlows reset the callers of such claims too when their host had ended, unlike a sidecar that goes on running.

The test failed before, in both subcases.

--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -201,7 +201,8 @@
         if (table_.find(claim.key) || table_.size() >= options_.maxFlows)
             continue;
         if (ended) {
-            resetCaller(claim, "the host has restarted");
+            if (claim.proven)
+                resetCaller(claim, "the host has restarted");
             continue;
         }
         if (certainlyOther)
@@ -232,7 +233,9 @@
         const auto* record = table_.find(key);
         if (flow.born == host_.born() || (record != nullptr) != flow.adopted)
             continue;
-        resetCaller(record ? claimOf(key, *record) : flow.claim, "the host has restarted");
+        const auto claim = record ? claimOf(key, *record) : flow.claim;
+        if (claim.proven) // otherwise another host may hold the flow
+            resetCaller(claim, "the host has restarted");
         endFlow(key);
     }
 }
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -402,6 +402,23 @@
     }
 }
 
+// Guards against resets of a flow that another host holds: the caller may have accepted that host's SYN+ACK.
+TEST_CASE("an unproven claim from before the start resets no caller when its host has ended")
+{
+    Fixture fixture(0);
+    fixture.sidecar.onHeldFlows({ 0, 500, false, 7, { { synOf(caller).key, 900, 4'901, false } } }, fixture.now);
+    SUBCASE("its successor has just started") { fixture.sidecar.onHeartbeat(report(1, 1'000), fixture.now); }
+    SUBCASE("its successor may be older than the process")
+    {
+        for (std::uint64_t i = 2; i < 6; ++i) {
+            fixture.sidecar.onHeartbeat(report(i, 1'000), fixture.now);
+            fixture.advance(milliseconds(600));
+        }
+    }
+    CHECK(fixture.output.resets.empty());
+    CHECK(fixture.sidecar.flows().size() == 0);
+}
+
 TEST_CASE("after a start no new flow is accepted before the first heartbeat")
 {
     Fixture fixture(0);
