A sidecar opens no flow while two incarnations of different services are in question

A host got a flow for another service: its sidecar had started at an address that a host of that service had before, and took a late heartbeat of it, with a higher start time, for the present one.

A start time is a hint and no proof. While it is uncertain which incarnation is alive and they do not have the same service, SYNs go to the next candidate; a change of service is always confirmed by a second heartbeat.

The test failed before. A late heartbeat that a new process receives before any of its own host remains; nothing tells it apart.

--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -99,6 +99,9 @@
     /// @return whether another incarnation was heard, and it is not certain yet which one is alive.
     bool disputed(base::TimePoint now) const { return !others_.empty() && !confirmed(now); }
 
+    /// @return whether it is uncertain which service the host has, because incarnations of several were heard.
+    bool serviceDisputed(base::TimePoint now) const;
+
     /// @return the earliest time at which the present incarnation can have started, by the numbers of its heartbeats.
     base::TimePoint earliestStart() const { return present_ ? present_->earliestStart : start_; }
 
@@ -127,6 +130,7 @@
         std::uint64_t born = 0;
         std::optional<std::uint64_t> sequence; // of the last heartbeat
         std::uint64_t firstSequence = 0;
+        ServiceId service = 0;
         base::TimePoint firstHeardAt {};
         base::TimePoint earliestStart {};
         unsigned heartbeats = 0; // since the last heartbeat of the present one, or since it became the present one
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -76,6 +76,7 @@
     if (report.sequence <= incarnation.firstSequence + correcting)
         incarnation.earliestStart = std::min(incarnation.earliestStart, now - maxAge(report.sequence));
     incarnation.sequence = report.sequence;
+    incarnation.service = core::hashName(report.service);
     ++incarnation.heartbeats;
     return true;
 }
@@ -142,7 +143,7 @@
     if (other.heartbeats >= confirmingHeartbeats)
         return std::all_of(others_.begin(), others_.end(),
             [&](const Incarnation& rival) { return &rival == &other || rival.heartbeats == 0; });
-    return now - present_->firstHeardAt >= options_.maxHeartbeatDelay
+    return other.service == present_->service && now - present_->firstHeardAt >= options_.maxHeartbeatDelay
         && now - lastHeartbeatAt_ >= minAge(other.sequence.value_or(0));
 }
 
@@ -186,6 +187,13 @@
     return confirmed(now) || (others_.empty() && !mayPredateProcess() && born < present_->born);
 }
 
+bool HostStatus::serviceDisputed(base::TimePoint now) const
+{
+    return disputed(now) && std::any_of(others_.begin(), others_.end(), [&](const Incarnation& other) {
+        return other.service != present_->service;
+    });
+}
+
 bool HostStatus::recordLeave(const std::string& id)
 {
     if (present_ && !present_->id.empty() && id != present_->id)
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -45,6 +45,8 @@
     // The balancer's record may predate this host, if a host of another service had the address before.
     if (forward.service != host_.service())
         return "the host serves another service";
+    if (host_.serviceDisputed(now))
+        return "it is uncertain which service the host has";
     switch (host_.state(now)) {
     case HostState::Ready:
         break;
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -419,6 +419,32 @@
     CHECK(fixture.sidecar.flows().size() == 0);
 }
 
+// Guards against flows that reach a host of another service.
+TEST_CASE("a late heartbeat of a host that had the address before opens no flow for its service")
+{
+    Fixture fixture(40);
+    fixture.advance(milliseconds(300));
+    auto late = report(12, 5'000);
+    late.service = "archive";
+    fixture.sidecar.onHeartbeat(late, fixture.now);
+    auto forArchive = opening();
+    forArchive.service = core::hashName("archive");
+    const auto accepted = [&](const Forward& forward, const char* from) {
+        fixture.output.delivered.clear();
+        fixture.sidecar.onForward(forward, synOf(from), fixture.now);
+        return !fixture.output.delivered.empty();
+    };
+    for (int i = 0; i < 5; ++i) {
+        CHECK(!accepted(forArchive, caller));
+        fixture.advance(milliseconds(400));
+        fixture.sidecar.onHeartbeat(report(++fixture.sequence), fixture.now);
+        CHECK(!accepted(forArchive, caller));
+        fixture.advance(milliseconds(370));
+    }
+    fixture.advanceWithHeartbeats(milliseconds(2'000));
+    CHECK(accepted(opening(), "100.64.0.8:1"));
+}
+
 TEST_CASE("after a start no new flow is accepted before the first heartbeat")
 {
     Fixture fixture(0);
