Explorer: DRAIN is left out only for a sidecar that has just started and then received a late heartbeat

The exemption covered every instance with a fault and a late heartbeat within contactBound; now only the first seconds of a process that received the late heartbeat itself.

--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -225,6 +225,7 @@
             TimePoint nextWrite {};
             TimePoint nextCheckpoint {};
             TimePoint lostUntil {}; // no instance has the address
+            TimePoint processStartedAt {};
             TimePoint lateHeartbeatAt {};
             TimePoint loseHeartbeatsUntil {};
             TimePoint lateReportsUntil {};
@@ -488,7 +489,8 @@
                         "ROUTE", "a host of " + slot.host->service() + " accepted a flow for " + serviceNames[i]);
             }
             // A sidecar that has just started cannot know that the first heartbeat is that of a former incarnation.
-            const bool misled = !faultFree(slot) && now_ - slot.lateHeartbeatAt < contactBound;
+            const bool justStarted = now_ - slot.processStartedAt < contactBound;
+            const bool misled = justStarted && slot.lateHeartbeatAt >= slot.processStartedAt;
             if (slot.drainedAt && now_ - *slot.drainedAt > drainBound && !misled)
                 recordViolation("DRAIN", "a draining host accepted a new flow later than the bound");
         }
@@ -611,6 +613,7 @@
                 options.instance = slot.instanceNumber + 1;
                 options.relearnPeriod = contactBound;
                 slot.process = std::make_unique<fleet::Sidecar>(options, slot, now_);
+                slot.processStartedAt = now_;
                 slot.predecessorRead = false;
                 slot.readAttempts = 0;
                 slot.nextRead = now_ + milliseconds(4 + random_.below(8));
