A successor is not certain while a third incarnation sends heartbeats

Callers of a living host could be reset with "the host has restarted" by a late heartbeat: the host had a lower start time than its predecessor and had sent a heartbeat, but was not the present one yet; a late heartbeat of an incarnation between the two, with the highest start time, was then taken for that of the predecessor's successor.

Rivals ruled out certainty only for a successor with two heartbeats, not for one with a higher start time. They do for both.

--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -140,9 +140,12 @@
 // present incarnation started.
 bool HostStatus::isSuccessorCertain(const Incarnation& other, base::TimePoint now) const
 {
+    const bool rivalled = std::any_of(others_.begin(), others_.end(),
+        [&](const Incarnation& rival) { return &rival != &other && rival.heartbeats > 0; });
+    if (rivalled)
+        return false;
     if (other.heartbeats >= confirmingHeartbeats)
-        return std::all_of(others_.begin(), others_.end(),
-            [&](const Incarnation& rival) { return &rival == &other || rival.heartbeats == 0; });
+        return true;
     return other.service == present_->service && now - present_->firstHeardAt >= options_.maxHeartbeatDelay
         && now - lastHeartbeatAt_ >= minAge(other.sequence.value_or(0));
 }
--- a/src/celerystile/fleet/host_status_test.cpp
+++ b/src/celerystile/fleet/host_status_test.cpp
@@ -137,6 +137,18 @@
     }
 }
 
+// Guards against resets of flows of a host that is heard already, but is not the present one yet.
+TEST_CASE("a late heartbeat with a higher start time confirms nothing while a third incarnation sends heartbeats")
+{
+    HostStatus status({}, start);
+    status.recordHeartbeat(heartbeat(2, 2'000), start);
+    status.recordHeartbeat(heartbeat(3, 2'000), start + milliseconds(2'600));
+    const auto now = start + milliseconds(4'000);
+    status.recordHeartbeat(heartbeat(1, 1'000), now - milliseconds(300)); // the living host
+    status.recordHeartbeat(heartbeat(1, 3'000), now);
+    CHECK(!status.confirmed(now));
+}
+
 // Guards against lost flows of a living host whose sidecar took a late heartbeat for the host's.
 TEST_CASE("a host that was first heard after another one may be older than the process")
 {
