--- a/soak/callers.hpp
+++ b/soak/callers.hpp
@@ -39,6 +39,9 @@
     base::Result<bool> start();
     void tick();
 
+    /// @brief Keeps this many more connections open.
+    void addConnections(int count) { connections_.resize(connections_.size() + static_cast<std::size_t>(count)); }
+
     /// @brief Opens no more connections and sends no more requests; pending requests are completed.
     void stop() { stopped_ = true; }
 
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -32,7 +32,6 @@
     constexpr int firstCallerAddressIndex = 200;
     constexpr auto stopTimeout = 6s;
     constexpr auto signalsHandledAfter = 500ms; // from a process's launch; earlier signals end it
-    constexpr auto maxTickInterval = 250ms;
     constexpr int maxMissedProbes = 2;
     constexpr auto patientRequestInterval = 3'500ms;
     constexpr auto patientConnectionLifetime = 25s;
@@ -315,18 +314,6 @@
     });
 }
 
-// Hosts, callers and routers run in this process and stand still with it.
-void Deployment::recordSuspension(base::TimePoint now)
-{
-    const auto gap = now - std::exchange(lastTickAt_, now);
-    if (gap < maxTickInterval || gap == now.time_since_epoch())
-        return;
-    std::cout << checker_.elapsed().count() << " ms: the hosts stood still for "
-              << std::chrono::duration_cast<std::chrono::milliseconds>(gap).count() << " ms" << std::endl;
-    for (const auto& host : hosts_)
-        checker_.recordFault({ Place::Kind::Host, host->plan().index });
-}
-
 // Faults that last: they excuse until they end, and for the contact time after it.
 void Deployment::recordFaults()
 {
@@ -349,7 +336,7 @@
 void Deployment::tick()
 {
     const auto now = clock_.now();
-    recordSuspension(now);
+    checker_.recordRunning(plan_.hosts);
     recordFaults();
     for (auto& instance : instances_) {
         if (instance.down && now >= instance.startAt) {
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -104,7 +104,6 @@
     void addInstances();
     void launch(Instance& instance);
     void recordFaults();
-    void recordSuspension(base::TimePoint now);
     void routePacket(base::DatagramSocket& from, const core::FlowKey& flow, core::Bytes packet);
     boost::asio::awaitable<void> deliverLater(base::DatagramSocket& from, base::Endpoint to,
         std::vector<std::uint8_t> packet, std::chrono::milliseconds delay);
@@ -126,7 +125,6 @@
     std::vector<std::unique_ptr<Caller>> callers_;
     std::map<int, int> missedProbes_; ///< consecutive failed probes by balancer; two take it out of rotation
     std::uint64_t version_ = 0;
-    base::TimePoint lastTickAt_ {};
 };
 
 } // namespace celerystile::soak
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <iostream>
+#include <utility>
 
 namespace celerystile::soak {
 
@@ -24,8 +25,21 @@
     violations_.push_back(violation);
 }
 
+void InvariantChecker::recordRunning(int hosts)
+{
+    const auto gap = clock_.now() - std::exchange(runningAt_, clock_.now());
+    if (gap < options_.standstillTime)
+        return;
+    std::cout << elapsed().count() << " ms: the hosts stood still for "
+              << std::chrono::duration_cast<std::chrono::milliseconds>(gap).count() << " ms" << std::endl;
+    for (int i = 0; i < hosts; ++i)
+        recordFault({ Place::Kind::Host, i });
+}
+
 bool InvariantChecker::undisturbed(const Place& place) const
 {
+    if (place.kind == Place::Kind::Host && clock_.now() - runningAt_ >= options_.standstillTime)
+        return false;
     const auto found = faultAt_.find(place);
     return found == faultAt_.end() || clock_.now() - found->second >= options_.contactTime;
 }
@@ -37,6 +51,10 @@
     for (const auto& place : concerned) {
         if (undisturbed(place))
             continue;
+        if (!faultAt_.contains(place)) {
+            text += (text.empty() ? "" : ", ") + place.toString() + " stood still";
+            continue;
+        }
         const auto age
             = std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - faultAt_.at(place)).count();
         text += (text.empty() ? "" : ", ") + place.toString() + " " + std::to_string(age) + " ms ago";
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -34,6 +34,8 @@
         = std::chrono::seconds(5); ///< after an unplanned fault; guarantees with a time bound apply later
     base::Duration contactTime
         = std::chrono::seconds(4); ///< after an unplanned fault at a place; until then it excuses flows there
+    base::Duration standstillTime
+        = std::chrono::milliseconds(250); ///< longest time between two calls of recordRunning() without a fault
     base::Duration misroutedTime
         = std::chrono::seconds(2); ///< longest time for which all packets of a flow may reach other hosts
     int misroutedPackets = 3; ///< fewer packets than this at other hosts are tolerated
@@ -64,6 +66,10 @@
     /// @brief Records that an unplanned fault occurred or continues at a place.
     void recordFault(const Place& place) { faultAt_[place] = clock_.now(); }
 
+    /// @brief Records that this process runs, as every few milliseconds. Its hosts stand still with it: a gap is a
+    /// fault at each of them.
+    void recordRunning(int hosts);
+
     /// @brief Whether the last unplanned fault at a place is at least the contact time ago. Planned work is no fault.
     bool undisturbed(const Place& place) const;
 
@@ -134,6 +140,7 @@
     const base::Clock& clock_;
     InvariantOptions options_;
     base::TimePoint startedAt_ = clock_.now();
+    base::TimePoint runningAt_ = clock_.now();
     base::TimePoint lastFaultAt_ {};
     std::map<Place, base::TimePoint> faultAt_;
     std::map<base::IpAddress, Place> places_;
--- a/soak/main.cpp
+++ b/soak/main.cpp
@@ -18,7 +18,8 @@
 
 constexpr auto startTimeout = 10s; ///< the deployment must be complete within this time
 constexpr auto recoveryTime = 6s; ///< from the last fault until requests are counted
-constexpr auto newFlowTimeout = 50s; ///< from the last fault; by then every flow that was open before has closed
+constexpr int probeConnections = 12; ///< by each caller, more than sidecars count of flows that have ended unseen
+constexpr auto newFlowTimeout = 15s; ///< until one of these has been opened at every host
 constexpr double minServedRatio = 0.95; ///< lowest share of the requests after the recovery time that must be served
 
 struct Run {
@@ -69,7 +70,6 @@
     while (!deployment.allRunning() && clock.now() - scheduleEndedAt < startTimeout)
         co_await tickOnce();
     const auto faultsEndedAt = clock.now();
-    checker.resetHostsWithNewFlows();
     while (clock.now() - faultsEndedAt < recoveryTime)
         co_await tickOnce();
     checker.resetCounts();
@@ -80,7 +80,11 @@
             + " of the requests was served");
     if (!deployment.complete())
         checker.recordViolation("the deployment was not complete after the last fault");
-    while (!hostsWithoutNewFlows(deployment, checker).empty() && clock.now() - faultsEndedAt < newFlowTimeout)
+    checker.resetHostsWithNewFlows();
+    for (auto& caller : deployment.callers())
+        caller->addConnections(probeConnections);
+    const auto probedAt = clock.now();
+    while (!hostsWithoutNewFlows(deployment, checker).empty() && clock.now() - probedAt < newFlowTimeout)
         co_await tickOnce();
     for (const auto host : hostsWithoutNewFlows(deployment, checker))
         checker.recordViolation("after the last fault host " + std::to_string(host) + " received no new flow");
