--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -33,12 +33,6 @@
         "epoch_raised",
     };
 
-    HostStatusOptions withEpoch(HostStatusOptions options, std::uint64_t epoch)
-    {
-        options.epoch = epoch;
-        return options;
-    }
-
 } // namespace
 
 std::string_view toString(SidecarCount count) { return countNames[static_cast<std::size_t>(count)]; }
@@ -48,7 +42,7 @@
     , output_(output)
     , start_(start)
     , epoch_(options.epoch)
-    , host_(withEpoch(options.host, options.epoch), start)
+    , host_(options.host, start)
     , meter_(options.meter)
     , queue_(options.maxQueued)
     , lastReportAt_(start)
@@ -151,6 +145,7 @@
         queue_.remove(key);
     endedSinceReport_.push_back(claimOf(key, *record));
     openingSyns_.erase(key);
+    uncertainFlows_.erase(key);
     table_.remove(key);
     increment(SidecarCount::FlowsEnded);
     ++checkpointVersion_;
@@ -161,6 +156,7 @@
     host_.recordActivity(now);
     lastUnansweredAt_ = {};
     trials_.erase(segment.key);
+    uncertainFlows_.erase(segment.key);
     auto* record = table_.find(segment.key);
     if (!record && !segment.rst) {
         adoptFlow(segment, now);
@@ -233,6 +229,8 @@
     expireOpening(now);
     meter_.expire(now);
     admitQueued(now);
+    resetPredecessorFlows(now);
+    resolveUncertainFlows(now);
     if (host_.dead(now) && table_.openFlows() > 0)
         resetFlowsUnseenSince(now, "the host is unresponsive", now);
     announceIfChanged(now);
