--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -76,6 +76,7 @@
     if (report.sequence <= incarnation.firstSequence + correcting)
         incarnation.earliestStart = std::min(incarnation.earliestStart, now - maxAge(report.sequence));
     incarnation.sequence = report.sequence;
+    incarnation.service = core::hashName(report.service);
     ++incarnation.heartbeats;
     return true;
 }
@@ -89,7 +90,6 @@
     const bool firstHeard = !other.sequence;
     if (!recordSequence(other, report, now))
         return HeartbeatOutcome::Stale;
-    lastActivityAt_ = now;
     if (!isSuccessor(other, firstHeard, now)) {
         lastOtherHeartbeatAt_ = now;
         confirmed_ = false;
@@ -104,7 +104,6 @@
 {
     if (!recordSequence(*present_, report, now))
         return HeartbeatOutcome::Stale;
-    lastActivityAt_ = now;
     forgetRivals();
     return applyState(report, now) ? HeartbeatOutcome::Changed : HeartbeatOutcome::Unchanged;
 }
@@ -142,7 +141,7 @@
     if (other.heartbeats >= confirmingHeartbeats)
         return std::all_of(others_.begin(), others_.end(),
             [&](const Incarnation& rival) { return &rival == &other || rival.heartbeats == 0; });
-    return now - present_->firstHeardAt >= options_.maxHeartbeatDelay
+    return other.service == present_->service && now - present_->firstHeardAt >= options_.maxHeartbeatDelay
         && now - lastHeartbeatAt_ >= minAge(other.sequence.value_or(0));
 }
 
@@ -186,6 +185,13 @@
     return confirmed(now) || (others_.empty() && !mayPredateProcess() && born < present_->born);
 }
 
+bool HostStatus::serviceDisputed(base::TimePoint now) const
+{
+    return disputed(now) && std::any_of(others_.begin(), others_.end(), [&](const Incarnation& other) {
+        return other.service != present_->service;
+    });
+}
+
 bool HostStatus::recordLeave(const std::string& id)
 {
     if (present_ && !present_->id.empty() && id != present_->id)
@@ -209,11 +215,6 @@
     return reportedState_;
 }
 
-bool HostStatus::dead(base::TimePoint now) const
-{
-    return known() && now - lastHeartbeatAt_ >= options_.deadAfter && now - lastActivityAt_ >= options_.deadAfter;
-}
-
 std::chrono::milliseconds HostStatus::coldLeft(base::TimePoint now) const
 {
     return now >= coldUntil_ ? std::chrono::milliseconds(0)
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -273,6 +273,36 @@
     CHECK(fixture.sidecar.host().born() == 1'000);
 }
 
+// Guards against callers of a living host being reset because it is idle and its heartbeats are late or lost.
+TEST_CASE("a host's silence resets no caller: its flows stay open until its successor sends heartbeats")
+{
+    Fixture fixture;
+    fixture.advanceWithHeartbeats(milliseconds(5'000));
+    fixture.open();
+    for (int i = 0; i < 100; ++i)
+        fixture.advance(milliseconds(100));
+    CHECK((fixture.sidecar.host().state(fixture.now) == HostState::Silent));
+    CHECK(fixture.output.resets.empty());
+    fixture.output.delivered.clear();
+    fixture.sidecar.onForward(owned(), dataOf(caller, 901), fixture.now);
+    CHECK(fixture.output.delivered.size() == 1);
+    for (int i = 0; i < 30; ++i)
+        fixture.advance(milliseconds(100)); // a host that is held up answers nothing either
+    CHECK(fixture.output.resets.empty());
+    SUBCASE("its heartbeats arrive again")
+    {
+        fixture.advanceWithHeartbeats(milliseconds(1'000));
+        CHECK((fixture.sidecar.host().state(fixture.now) == HostState::Ready));
+        CHECK(fixture.output.resets.empty());
+        CHECK(fixture.sidecar.flows().openFlows() == 1);
+    }
+    SUBCASE("it has restarted")
+    {
+        fixture.sidecar.onHeartbeat(report(1, 2'000), fixture.now);
+        CHECK(fixture.output.resets.size() == 1);
+    }
+}
+
 TEST_CASE("a paused process does not treat the missing heartbeats as a failure of the host")
 {
     Fixture fixture;
@@ -371,6 +401,49 @@
     }
 }
 
+// Guards against resets of a flow that another host holds: the caller may have accepted that host's SYN+ACK.
+TEST_CASE("an unproven claim from before the start resets no caller when its host has ended")
+{
+    Fixture fixture(0);
+    fixture.sidecar.onHeldFlows({ 0, 500, false, 7, { { synOf(caller).key, 900, 4'901, false } } }, fixture.now);
+    SUBCASE("its successor has just started") { fixture.sidecar.onHeartbeat(report(1, 1'000), fixture.now); }
+    SUBCASE("its successor may be older than the process")
+    {
+        for (std::uint64_t i = 2; i < 6; ++i) {
+            fixture.sidecar.onHeartbeat(report(i, 1'000), fixture.now);
+            fixture.advance(milliseconds(600));
+        }
+    }
+    CHECK(fixture.output.resets.empty());
+    CHECK(fixture.sidecar.flows().size() == 0);
+}
+
+// Guards against flows that reach a host of another service.
+TEST_CASE("a late heartbeat of a host that had the address before opens no flow for its service")
+{
+    Fixture fixture(40);
+    fixture.advance(milliseconds(300));
+    auto late = report(12, 5'000);
+    late.service = "archive";
+    fixture.sidecar.onHeartbeat(late, fixture.now);
+    auto forArchive = opening();
+    forArchive.service = core::hashName("archive");
+    const auto accepted = [&](const Forward& forward, const char* from) {
+        fixture.output.delivered.clear();
+        fixture.sidecar.onForward(forward, synOf(from), fixture.now);
+        return !fixture.output.delivered.empty();
+    };
+    for (int i = 0; i < 5; ++i) {
+        CHECK(!accepted(forArchive, caller));
+        fixture.advance(milliseconds(400));
+        fixture.sidecar.onHeartbeat(report(++fixture.sequence), fixture.now);
+        CHECK(!accepted(forArchive, caller));
+        fixture.advance(milliseconds(370));
+    }
+    fixture.advanceWithHeartbeats(milliseconds(2'000));
+    CHECK(accepted(opening(), "100.64.0.8:1"));
+}
+
 TEST_CASE("after a start no new flow is accepted before the first heartbeat")
 {
     Fixture fixture(0);
