The soak's daemon takes its wall clock as an interface

The soak stepped the time of day with a library that it preloaded into the daemons. The daemon's code is a library now, whose wall clock is passed in; celerystiled passes the system's, and celerystile-soak-daemon one with an offset from a file, which the soak changes while the process runs.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -32,8 +32,8 @@
 
     class FleetBalancer final : public FleetProcess, private fleet::BalancerOutput {
     public:
-        explicit FleetBalancer(const FleetSettings& settings)
-            : FleetProcess(settings)
+        FleetBalancer(const FleetSettings& settings, const base::WallClock& wallClock)
+            : FleetProcess(settings, wallClock)
             , placement_(fleet::makePlacement(settings.placement))
             , transport_(trafficContext_, settings_.keyring)
             , balancer_(makeOptions(settings, processId_), *placement_, *this, clock_.now())
@@ -348,6 +348,9 @@
 
 } // namespace
 
-int runFleetBalancer(const FleetSettings& settings) { return FleetBalancer(settings).run(); }
+int runFleetBalancer(const FleetSettings& settings, const base::WallClock& wallClock)
+{
+    return FleetBalancer(settings, wallClock).run();
+}
 
 } // namespace celerystile::daemon
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -43,14 +43,15 @@
 
 } // namespace
 
-FleetProcess::FleetProcess(const FleetSettings& settings)
+FleetProcess::FleetProcess(const FleetSettings& settings, const base::WallClock& wallClock)
     : settings_(settings)
-    , epoch_(unixMilliseconds(wallClock_))
+    , epoch_(unixMilliseconds(wallClock))
     , processId_(base::makeProcessId(clock_.now()))
     , store_(settings.node.storeEndpoint, clock_, storeTimeout, core::hashName(settings.node.name) ^ processId_)
     , stopSignals_(controlContext_, SIGTERM, SIGINT)
     , reloadSignals_(controlContext_, SIGHUP)
     , tickTimer_(trafficContext_)
+    , clockSteps_(clock_, wallClock)
 {
 }
 
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -30,7 +30,7 @@
 public:
     using Task = boost::asio::awaitable<void>;
 
-    explicit FleetProcess(const FleetSettings& settings);
+    FleetProcess(const FleetSettings& settings, const base::WallClock& wallClock);
     virtual ~FleetProcess() = default;
 
     /// @brief Runs until a stop signal has been handled. @return exit code of the process
@@ -90,7 +90,6 @@
 
     const FleetSettings settings_;
     const base::SteadyClock clock_;
-    const base::SystemClock wallClock_;
     const std::uint64_t epoch_; ///< first guess of a number above those of earlier processes: Unix milliseconds
     const std::uint64_t processId_; ///< random identity of this process; not 0
     boost::asio::io_context controlContext_;
@@ -112,12 +111,12 @@
     base::TimePoint nextTick_ = base::TimePoint::max();
     std::function<base::TimePoint(base::TimePoint)> tick_;
     std::vector<std::unique_ptr<boost::asio::ip::tcp::acceptor>> acceptors_;
-    base::ClockStepDetector clockSteps_ { clock_, wallClock_ };
+    base::ClockStepDetector clockSteps_;
     std::uint64_t clockStepCount_ = 0;
 };
 
 /// @brief Run a process of each role until it has been stopped. @return exit code of the process
-int runFleetBalancer(const FleetSettings& settings);
-int runFleetSidecar(const FleetSettings& settings);
+int runFleetBalancer(const FleetSettings& settings, const base::WallClock& wallClock);
+int runFleetSidecar(const FleetSettings& settings, const base::WallClock& wallClock);
 
 } // namespace celerystile::daemon
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -41,8 +41,8 @@
 
     class FleetSidecar final : public FleetProcess, private fleet::SidecarOutput {
     public:
-        explicit FleetSidecar(const FleetSettings& settings)
-            : FleetProcess(settings)
+        FleetSidecar(const FleetSettings& settings, const base::WallClock& wallClock)
+            : FleetProcess(settings, wallClock)
             , transport_(trafficContext_, settings_.keyring)
             , sidecar_(makeOptions(settings, epoch_, processId_), *this, clock_.now())
             , registryEntry_(store_, clock_, controlContext_,
@@ -384,6 +384,9 @@
 
 } // namespace
 
-int runFleetSidecar(const FleetSettings& settings) { return FleetSidecar(settings).run(); }
+int runFleetSidecar(const FleetSettings& settings, const base::WallClock& wallClock)
+{
+    return FleetSidecar(settings, wallClock).run();
+}
 
 } // namespace celerystile::daemon
--- a/apps/celerystiled/main.cpp
+++ b/apps/celerystiled/main.cpp
@@ -1,77 +1,10 @@
-#include "balancer_daemon.hpp"
-#include "celerystile/base/events.hpp"
-#include "fleet_process.hpp"
-#include "sidecar_daemon.hpp"
-
-#include <algorithm>
-#include <cstdlib>
-#include <iostream>
+#include "daemon.hpp"
 
 /// @file
-/// @brief celerystiled: the daemon; each process runs one role, balancer or sidecar.
-
-namespace {
-
-using namespace celerystile;
-
-constexpr const char* usage
-    = "usage: celerystiled balancer|sidecar [flags]\n"
-      "       celerystiled balancer --help | sidecar --help | --version\n"
-      "With --settings-file or CELERYSTILE_NODE_FILE the hosts are read from the registry in the store.\n";
-
-// A settings file selects the mode in which a registry in the store lists the hosts.
-bool usesRegistry(const std::vector<std::string>& arguments)
-{
-    return std::getenv(platform::settingsPathVariable)
-        || std::any_of(arguments.begin(), arguments.end(),
-            [](const std::string& argument) { return argument.starts_with("--settings-file"); });
-}
-
-int reportErrors(const base::SettingsFailure& failure)
-{
-    for (const auto& error : failure.errors)
-        std::cerr << "celerystiled: " << error << '\n';
-    return failure.exitCode;
-}
-
-template <typename Read, typename Run>
-int runRole(const std::string& role, std::span<const base::Option> options, std::vector<std::string> arguments,
-    Read readSettings, Run run)
-{
-    arguments.front() = "celerystiled " + role;
-    const auto settings
-        = base::parseSettings("celerystiled " + role, "the " + role + " of celerystile", options, arguments);
-    if (!settings)
-        return reportErrors(settings.error());
-    const auto read = readSettings(*settings);
-    if (!read)
-        return reportErrors({ base::exitUsage, { read.error().detail } });
-    base::startLogging();
-    return run(*read);
-}
-
-} // namespace
+/// @brief celerystiled: the daemon with the time of day of the operating system.
 
 int main(int argc, char** argv)
 {
-    std::vector<std::string> arguments(argv, argv + argc);
-    const std::string role = arguments.size() > 1 ? arguments[1] : "";
-    if (role == "--version") {
-        std::cout << "celerystiled " << base::version << '\n';
-        return 0;
-    }
-    if (arguments.size() > 1)
-        arguments.erase(arguments.begin() + 1);
-    const bool registry = usesRegistry(arguments);
-    if (role == "balancer" && registry)
-        return runRole(role, daemon::fleetOptions(), arguments, daemon::readFleetSettings, daemon::runFleetBalancer);
-    if (role == "sidecar" && registry)
-        return runRole(role, daemon::fleetOptions(), arguments, daemon::readFleetSettings, daemon::runFleetSidecar);
-    if (role == "balancer")
-        return runRole(role, daemon::balancerOptions(), arguments, daemon::readBalancerSettings, daemon::runBalancer);
-    if (role == "sidecar")
-        return runRole(role, daemon::sidecarOptions(), arguments, daemon::readSidecarSettings, daemon::runSidecar);
-    const bool help = role == "--help" || role == "-h";
-    (help ? std::cout : std::cerr) << usage;
-    return help ? 0 : base::exitUsage;
+    const celerystile::base::SystemClock wallClock;
+    return celerystile::daemon::runDaemon(argc, argv, wallClock);
 }
--- a/soak/clock_shim.hpp
+++ b/soak/clock_offset.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 /// @file
-/// @brief What the soak test and the library that it preloads into the daemons agree on.
+/// @brief What the soak test and its daemons agree on.
 
 namespace celerystile::soak {
 
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -178,7 +178,7 @@
     const auto file = folder_ + "/" + instance.name + ".json";
     std::ofstream(file) << settingsOf(instance);
     instance.process = std::make_unique<tests::Process>(instance.name,
-        std::vector<std::string> { std::string(CELERYSTILE_BINARY_DIR) + "/celerystiled",
+        std::vector<std::string> { std::string(CELERYSTILE_BINARY_DIR) + "/celerystile-soak-daemon",
             instance.balancer ? "balancer" : "sidecar", "--settings-file", file, "--key", "a passphrase for the soak" },
         folder_ + "/" + instance.name + ".log", instance.timeOfDay->environment());
     instance.launchedAt = clock_.now();
--- a/soak/stepped_clock.cpp
+++ b/soak/stepped_clock.cpp
@@ -1,6 +1,6 @@
 #include "stepped_clock.hpp"
 
-#include "clock_shim.hpp"
+#include "clock_offset.hpp"
 
 #include <fcntl.h>
 #include <stdexcept>
@@ -32,8 +32,7 @@
 
 std::vector<std::string> SteppedClock::environment() const
 {
-    return { std::string("LD_PRELOAD=") + CELERYSTILE_BINARY_DIR "/libcelerystile_soak_clock.so",
-        std::string(clockOffsetVariable) + "=" + offsetFile_ };
+    return { std::string(clockOffsetVariable) + "=" + offsetFile_ };
 }
 
 } // namespace celerystile::soak
--- a/soak/stepped_clock.hpp
+++ b/soak/stepped_clock.hpp
@@ -10,7 +10,7 @@
 
 namespace celerystile::soak {
 
-/// @brief The time of day of the operating system plus an offset in a file, which the instance's processes map.
+/// @brief The time of day of the operating system plus an offset in a file, which the instance's processes read.
 class SteppedClock final : public base::WallClock {
 public:
     /// @brief Creates the file, with an offset of zero.
