A sidecar behind a predecessor of an earlier version is heard

Cause: the sidecar ignored hellos that name no identity, and two records without one counted as those of one process.

Found by a review of the order without clocks.

--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -72,8 +72,8 @@
 /// @brief The sidecar process at an address that a balancer takes for the latest one. An address has one process at a
 /// time, so a process that receives another one's identity raises its own epoch above that one's.
 struct KnownProcess {
-    std::uint64_t process = 0; ///< 0: none
-    std::uint64_t epoch = 0;
+    std::uint64_t process = 0; ///< 0: unknown
+    std::uint64_t epoch = 0; ///< 0: no process is known
 
     bool operator==(const KnownProcess&) const = default;
 };
--- a/src/celerystile/fleet/host_table.cpp
+++ b/src/celerystile/fleet/host_table.cpp
@@ -25,9 +25,10 @@
 
 bool isOutdated(const HostRecord& record, const HostRecord& known)
 {
-    if (record.process == known.process)
-        return record.sequence < known.sequence;
-    return record.epoch <= known.epoch;
+    if (record.process != known.process)
+        return record.epoch <= known.epoch;
+    // Processes of earlier versions have neither identity nor sequence; their epochs are start times.
+    return record.process != 0 ? record.sequence < known.sequence : record.epoch < known.epoch;
 }
 
 bool isSuccessor(const HostRecord& record, const HostRecord& known)
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -135,7 +135,7 @@
         hello.intervalMilliseconds * options_.missedHelloLimit);
     known.lifetime = std::max(options_.minBalancerLifetime, std::chrono::duration_cast<base::Duration>(helloTimeout));
     const bool mistaken
-        = hello.known.process != 0 && hello.known.process != options_.process && hello.known.epoch >= epoch_;
+        = hello.known.epoch != 0 && hello.known.process != options_.process && hello.known.epoch >= epoch_;
     if (mistaken && !known.mistaken)
         output_.recordMistaken(hello.balancer, hello.known);
     known.mistaken = mistaken;
--- a/src/celerystile/fleet/succession_test.cpp
+++ b/src/celerystile/fleet/succession_test.cpp
@@ -231,4 +231,43 @@
     CHECK(fleet.output.resets.empty());
 }
 
+// Guards against a live process never being heard after one of the previous version, which has no identity.
+TEST_CASE("succession: a sidecar that starts behind a predecessor of the previous version is heard")
+{
+    Fleet fleet(3);
+    auto& node = *fleet.nodes.front();
+    auto former = node.process->record(fleet.now);
+    former.process = 0;
+    former.sequence = 0;
+    former.epoch = startEpoch + 8'000;
+    fleet.balancer.onReport({ former, {}, {} }, fleet.now);
+    fleet.startSidecar(node, startEpoch + 3'000);
+    for (int second = 0; second < 90; ++second) {
+        fleet.balancer.setRegistry(
+            { fleet.nodes[0]->process->record(fleet.now), fleet.nodes[1]->process->record(fleet.now),
+                fleet.nodes[2]->process->record(fleet.now) },
+            ListExtent::Complete, fleet.now);
+        fleet.run(std::chrono::seconds(1));
+    }
+    CHECK((fleet.reportAge(node) < maxReportAge));
+}
+
+// Guards against a late report of a predecessor of the previous version counting as news of its successor.
+TEST_CASE("succession: late reports of a process of the previous version do not displace its successor's")
+{
+    Fleet fleet(3);
+    auto& node = *fleet.nodes.front();
+    auto former = node.process->record(fleet.now);
+    former.sidecar = endpoint("10.0.0.9:80");
+    former.process = 0;
+    former.sequence = 0;
+    auto present = former;
+    present.epoch += 5'000;
+    present.instance = former.instance + 1;
+    fleet.balancer.onReport({ former, {}, {} }, fleet.now);
+    fleet.balancer.onReport({ present, {}, {} }, fleet.now + milliseconds(100));
+    fleet.balancer.onReport({ former, {}, {} }, fleet.now + milliseconds(200));
+    CHECK(fleet.balancer.hostTable().find(former.sidecar)->record.instance == present.instance);
+}
+
 } // namespace celerystile::fleet
