One late report of an ended instance resets no caller

What was seen: a report of an instance that had the address earlier, with an epoch that this balancer never heard, displaced the living one's record, and every packet of a proven flow was answered with a reset until the next report.

Cause: 'replaced' took a single report for the proof that the earlier instance has ended.

Three tests expected the reset after one report; they expect none then, and the reset after the second. "succession: a late report of an ended instance…" failed before. Found by a review.

--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -188,6 +188,10 @@
         CHECK(fixture.balancer.hostTable().silent(endpoint(silent), fixture.now));
         CHECK(fixture.output.resets.empty());
 
+        fixture.balancer.onReport({ report(silent, 2), {}, {} }, fixture.now);
+        fixture.packet(dataOf(caller, 901));
+        CHECK(fixture.output.resets.empty()); // a single report may be a late one
+        fixture.advance(milliseconds(600));
         fixture.balancer.onReport({ report(silent, 2), {}, {} }, fixture.now);
         fixture.packet(dataOf(caller, 901));
         REQUIRE(fixture.output.resets.size() == 1);
@@ -249,6 +253,10 @@
     }
     SUBCASE("the caller sends another packet")
     {
+        fixture.packet(dataOf(caller, 4'901));
+        CHECK(fixture.output.resets.empty()); // a single report may be a late one
+        fixture.advance(milliseconds(600));
+        fixture.balancer.onReport({ record, {}, {} }, fixture.now);
         const auto before = fixture.output.forwards.size();
         fixture.packet(dataOf(caller, 4'901));
         CHECK(fixture.output.forwards.size() == before);
@@ -280,6 +288,8 @@
     record.process = 12;
     record.epoch = 3'000;
     fixture.balancer.onReport({ record, {}, {} }, fixture.now);
+    fixture.advance(milliseconds(600));
+    fixture.balancer.onReport({ record, {}, {} }, fixture.now);
     fixture.packet(dataOf(caller, 901));
     REQUIRE(fixture.output.resets.size() == 1);
     CHECK(fixture.output.decisions.back().evidence == HostEvidence { 2, record.born, 12, 3'000, true });
@@ -293,7 +303,10 @@
     fixture.balancer.onReport({ record, { { synOf(caller).key, 900 } }, {} }, fixture.now);
     record.instance = 2;
     record.born = 2'000;
-    fixture.balancer.onReport({ record, {}, {} }, fixture.now);
+    for (int i = 0; i < 2; ++i) {
+        fixture.balancer.onReport({ record, {}, {} }, fixture.now);
+        fixture.advance(milliseconds(600));
+    }
     fixture.packet(dataOf(caller, 7'001)); // acknowledges a SYN+ACK without a known claim
     CHECK(fixture.output.resets.empty());
     REQUIRE(!fixture.output.forwards.empty());
--- a/src/celerystile/fleet/host_table.cpp
+++ b/src/celerystile/fleet/host_table.cpp
@@ -66,8 +66,10 @@
         if (added || successor || (!reportIsNewer && !isOld))
             update(host, record, now);
         // No report of the successor can be overdue before its first one.
-        if (successor)
+        if (successor) {
             host.lastReportAt = {};
+            host.firstReportAt = {};
+        }
     }
     expire(now);
     return outdated;
@@ -79,6 +81,8 @@
     auto& host = entry->second;
     if (!added && isOutdated(record, host.record))
         return OutdatedRecord { record, host.record, RecordSource::Report };
+    if (added || record.instance != host.record.instance || host.firstReportAt == base::TimePoint {})
+        host.firstReportAt = now;
     update(host, record, now);
     host.lastReportAt = now;
     host.suspectedUntil = {};
@@ -164,9 +168,9 @@
 bool HostTable::replaced(const Endpoint& sidecar, InstanceId instance) const
 {
     const auto* host = find(sidecar);
-    // A record from the registry or another balancer may be that of an instance that had the address earlier.
-    const bool reported = host && host->lastReportAt != base::TimePoint {};
-    return reported && instance != 0 && host->record.instance != 0 && host->record.instance != instance;
+    const bool reporting = host && host->firstReportAt != base::TimePoint {}
+        && host->lastReportAt - host->firstReportAt >= options_.replacementTime;
+    return reporting && instance != 0 && host->record.instance != 0 && host->record.instance != instance;
 }
 
 bool HostTable::cutOff(base::TimePoint now) const
--- a/src/celerystile/fleet/succession_test.cpp
+++ b/src/celerystile/fleet/succession_test.cpp
@@ -270,4 +270,33 @@
     CHECK(fleet.balancer.hostTable().find(former.sidecar)->record.instance == present.instance);
 }
 
+// Guards against callers of a living host being reset on a late report of the instance that had its address before.
+TEST_CASE("succession: a late report of an ended instance that this balancer never heard resets no caller")
+{
+    Fleet fleet(3);
+    auto& node = *fleet.nodes.front();
+    fleet.startSidecar(node, startEpoch + 8'000);
+    fleet.run(std::chrono::seconds(1));
+    auto late = node.process->record(fleet.now);
+    // The first report with an epoch that another balancer has made this process raise; all copies to this one are
+    // late.
+    late.epoch = startEpoch + 60'000;
+    ++late.sequence;
+    ++node.instance;
+    fleet.startHost(node, startEpoch + 9'000);
+    fleet.startSidecar(node, startEpoch + 9'000);
+    fleet.run(std::chrono::seconds(1));
+    REQUIRE(fleet.balancer.hostTable().find(node.address)->record.instance == node.instance);
+    fleet.openFlow(node);
+    fleet.callerSends = true;
+    fleet.run(std::chrono::seconds(1));
+    REQUIRE(fleet.output.resets.empty());
+    fleet.balancer.onReport({ late, {}, {} }, fleet.now);
+    fleet.balancer.onPacket(Fleet::callerData(), packetBytes, fleet.now);
+    CHECK(fleet.output.resets.empty());
+    fleet.run(std::chrono::seconds(1));
+    CHECK(fleet.output.resets.empty());
+    CHECK(fleet.balancer.hostTable().find(node.address)->record.instance == node.instance);
+}
+
 } // namespace celerystile::fleet
