A SYN is not refused while a host may have accepted it

Cause: a host accepted the SYN, its claim was lost or later than 40 ms, the next candidates declined, and the balancer counted the silent host among those that had.

Change: if a host left the SYN unanswered, the balancer stays silent, and the caller's next copy starts over; a packet of the caller that is no SYN shows that a host has accepted the flow and ends the attempt.

--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -136,6 +136,7 @@
         CandidateList candidates;
         std::vector<Endpoint> tried;
         std::uint8_t position = 0;
+        bool unanswered = false; // a host may have accepted it: it left the SYN unanswered
         base::TimePoint firstCopyAt {};
         base::TimePoint retryAt {};
         base::TimePoint expiresAt {};
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -61,8 +61,10 @@
     if (segment.isInitialSyn())
         return onSyn(segment, packet, now);
     const auto owner = owners_.resolve(segment, now);
-    if (!owner)
+    if (!owner) {
+        pending_.erase(segment.key); // a host has accepted the flow; its claim is late or lost
         return lookUp(segment, packet, now);
+    }
     const bool replaced = hostTable_.replaced(owner->owner.sidecar, owner->owner.instance);
     if (replaced && owner->proven && !segment.rst)
         return resetReplacedFlow(segment, owner->owner, now);
@@ -154,7 +156,8 @@
     }
 }
 
-// Sends the SYN to the best of the hosts that have not been tried; refuses the caller at once if there is none.
+// Sends the SYN to the best of the hosts that have not been tried. If there is none, the caller is refused at once,
+// unless a host may have accepted the flow, whose claim is late or lost.
 void Balancer::place(PendingSyn& pending, std::string_view reason, base::TimePoint now)
 {
     const auto untried = [&](std::vector<const KnownHost*> hosts) {
@@ -170,6 +173,11 @@
         hosts = untried(usable); // ejected hosts are used if no other is left
     if (hosts.empty() && holdForHosts(pending, now))
         return;
+    if (hosts.empty() && pending.unanswered) {
+        increment(BalancerCount::DropNoHost);
+        pending.retryAt = pending.expiresAt;
+        return;
+    }
     if (hosts.empty()) {
         increment(BalancerCount::DropNoHost);
         const auto segment = pending.segment;
@@ -224,6 +232,7 @@
     increment(BalancerCount::SynRetried);
     const auto& unanswered = pending.candidates[pending.position];
     hostTable_.recordUnanswered(unanswered, now);
+    pending.unanswered = true;
     if (pending.position + 1U < pending.candidates.size()) {
         ++pending.position;
         return sendSyn(pending, "no answer from the previous host", now);
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -313,6 +313,19 @@
     CHECK(fixture.output.forwards.back().forward.purpose == ForwardPurpose::Lookup);
 }
 
+// Guards against a reset of a flow whose host accepted the SYN while its sidecar's claim was late or lost.
+TEST_CASE("a SYN is not refused while a host that received it may have accepted it")
+{
+    Fixture fixture;
+    fixture.packet(synOf(caller)); // accepted; the claim to this balancer is lost
+    fixture.advance(milliseconds(45));
+    REQUIRE(fixture.output.forwards.size() == 2); // the next candidate, which declines, as does the last one
+    SUBCASE("no packet of the caller yet") { }
+    SUBCASE("the caller has used the flow") { fixture.packet(dataOf(caller, 901)); }
+    fixture.balancer.onDeclined({ synOf(caller).key }, fixture.now);
+    CHECK(fixture.output.resets.empty());
+}
+
 TEST_CASE("load: hosts of a large list that missed a balancer's first hello soon receive another")
 {
     BalancerRecorder output;
