A sidecar's pause does not make a late heartbeat certain

What was seen: after a pause of 5 s a sidecar read a waiting heartbeat of an ended host, with a higher start time, and reset the callers of the living one.

Cause: the time since the present incarnation was first heard, which bounds how late a heartbeat can be, included the pause.

"a late heartbeat that is read after a pause…" failed before. Found by a review.

--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -209,6 +209,8 @@
     lastHeartbeatAt_ += gap;
     lastOtherHeartbeatAt_ += gap;
     presentSince_ += gap;
+    if (present_)
+        present_->firstHeardAt += gap;
 }
 
 HostState HostStatus::state(base::TimePoint now) const
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1027,4 +1027,16 @@
     CHECK(transfer(true) == 120); // it requests all claims
 }
 
+// Guards against resets after a pause of this process, which does not make an ended host's heartbeat newer.
+TEST_CASE("a late heartbeat that is read after a pause of the sidecar resets no caller of the living host")
+{
+    Fixture fixture;
+    fixture.open();
+    fixture.advanceWithHeartbeats(std::chrono::seconds(1));
+    fixture.advance(std::chrono::seconds(5)); // the process was stopped; the heartbeat of the ended host waited
+    fixture.sidecar.onHeartbeat(report(1, 9'000), fixture.now);
+    fixture.advanceWithHeartbeats(std::chrono::seconds(5));
+    CHECK(fixture.output.resets.empty());
+}
+
 } // namespace celerystile::fleet
