--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -90,6 +90,9 @@
     /// @return whether it is uncertain which service the host has, because incarnations of several were heard.
     bool serviceDisputed(base::TimePoint now) const;
 
+    /// @return whether another incarnation has said that it drains since the present one sent its last heartbeat.
+    bool drainDisputed() const;
+
     /// @return the earliest time at which the present incarnation can have started, by the numbers of its heartbeats.
     base::TimePoint earliestStart() const { return present_ ? present_->earliestStart : start_; }
 
@@ -119,6 +122,7 @@
         std::optional<std::uint64_t> sequence; // of the last heartbeat
         std::uint64_t firstSequence = 0;
         ServiceId service = 0;
+        bool draining = false;
         base::TimePoint firstHeardAt {};
         base::TimePoint earliestStart {};
         unsigned heartbeats = 0; // since the last heartbeat of the present one, or since it became the present one
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -77,6 +77,7 @@
         incarnation.earliestStart = std::min(incarnation.earliestStart, now - maxAge(report.sequence));
     incarnation.sequence = report.sequence;
     incarnation.service = core::hashName(report.service);
+    incarnation.draining = report.draining;
     ++incarnation.heartbeats;
     return true;
 }
@@ -195,6 +196,12 @@
     });
 }
 
+bool HostStatus::drainDisputed() const
+{
+    return std::any_of(others_.begin(), others_.end(),
+        [](const Incarnation& other) { return other.draining && other.heartbeats > 0; });
+}
+
 bool HostStatus::recordLeave(const std::string& id)
 {
     if (present_ && !present_->id.empty() && id != present_->id)
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1039,4 +1039,23 @@
     CHECK(fixture.output.resets.empty());
 }
 
+// Guards against DRAIN: a draining heartbeat that was acknowledged must take effect.
+TEST_CASE("a host that drains after a late heartbeat with a higher start time gets no new flow")
+{
+    Fixture fixture;
+    fixture.advanceWithHeartbeats(std::chrono::seconds(6));
+    auto late = report(4, 9'000);
+    late.id = "i-0";
+    fixture.sidecar.onHeartbeat(late, fixture.now);
+    for (int i = 0; i < 2; ++i) {
+        auto draining = report(++fixture.sequence);
+        draining.draining = true;
+        fixture.sidecar.onHeartbeat(draining, fixture.now);
+        fixture.advance(milliseconds(400));
+    }
+    fixture.output.delivered.clear();
+    fixture.sidecar.onForward(opening(), synOf(caller), fixture.now);
+    CHECK(fixture.output.delivered.empty());
+}
+
 } // namespace celerystile::fleet
