--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -247,9 +247,9 @@
     about.key = claim.key;
     about.ack = true;
     about.acknowledgement = claim.callerAck;
-    output_.reset(about);
     increment(SidecarCount::FlowsReset);
     recordDecision(DecisionKind::FlowReset, claim.key, reason);
+    output_.reset(about);
 }
 
 // A packet from the host on an unknown flow shows that the host holds the flow.
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1058,4 +1058,67 @@
     CHECK(fixture.output.delivered.empty());
 }
 
+// Guards against resets of all flows of the checkpoint by one late heartbeat that a successor reads first.
+TEST_CASE("a late first heartbeat of an ended host resets none of the flows that the living host holds")
+{
+    Fixture fixture(0);
+    HeldFlows held;
+    held.born = 1'000;
+    held.sequence = 12;
+    held.flows.push_back({ synOf(caller).key, 900, 901, true });
+    fixture.sidecar.onHeldFlows(held, fixture.now);
+    SUBCASE("its first heartbeat") { fixture.sidecar.onHeartbeat(report(1, 9'000), fixture.now); }
+    SUBCASE("its second one, some time after the start")
+    {
+        fixture.advance(milliseconds(500));
+        fixture.advance(milliseconds(500));
+        fixture.advance(milliseconds(500));
+        fixture.advance(milliseconds(500));
+        fixture.sidecar.onHeartbeat(report(2, 9'000), fixture.now);
+    }
+    fixture.sequence = 12;
+    fixture.advanceWithHeartbeats(std::chrono::seconds(6));
+    CHECK(fixture.output.resets.empty());
+    CHECK(fixture.sidecar.flows().openFlows() == 1);
+}
+
+// Guards against a living host being kept out because its start shows the same millisecond as its predecessor's.
+TEST_CASE("a host of the same id and start time whose count starts anew is heard")
+{
+    Fixture fixture;
+    fixture.advanceWithHeartbeats(std::chrono::seconds(6));
+    for (int i = 0; i < 20; ++i)
+        fixture.advance(milliseconds(100));
+    bool ready = false;
+    for (std::uint64_t i = 1; i <= 10; ++i) {
+        fixture.sidecar.onHeartbeat(report(i), fixture.now);
+        for (int step = 0; step < 7; ++step)
+            fixture.advance(milliseconds(100));
+        ready = ready || fixture.sidecar.host().state(fixture.now) == HostState::Ready;
+    }
+    CHECK(ready);
+}
+
+// Guards against resets of flows that a restarted host accepted before its first heartbeat, while the checkpoint named
+// its predecessor.
+TEST_CASE("a flow opened before a restarted host's first heartbeat survives two starts of its sidecar")
+{
+    Fixture before(5);
+    before.open(); // the host has just restarted with a start time of 2'000; its first heartbeat is still to come
+    before.sidecar.announceRestart(before.now);
+    const auto checkpoint = before.sidecar.checkpoint();
+    REQUIRE(checkpoint.flows.size() == 1);
+
+    Fixture after(0);
+    after.sidecar.onHeldFlows(checkpoint, after.now);
+    std::uint64_t sequence = 8; // the sidecar was away for six seconds
+    for (int i = 0; i < 8; ++i) {
+        after.sidecar.onHeartbeat(report(sequence++, 2'000), after.now);
+        for (int step = 0; step < 7; ++step)
+            after.advance(milliseconds(110));
+    }
+    CHECK(after.output.resets.empty());
+    CHECK(after.sidecar.flows().openFlows() == 1);
+}
+
 } // namespace celerystile::fleet
