--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -444,6 +444,19 @@
     CHECK(accepted(opening(), "100.64.0.8:1"));
 }
 
+// Guards against flows that reach a host of another service, at an address that a host of that service had before.
+TEST_CASE("a late heartbeat that a new process receives first opens no flow for its service")
+{
+    Fixture fixture(0);
+    auto late = report(12, 5'000);
+    late.service = "archive";
+    fixture.sidecar.onHeartbeat(late, fixture.now);
+    auto forArchive = opening();
+    forArchive.service = core::hashName("archive");
+    fixture.sidecar.onForward(forArchive, synOf(caller), fixture.now);
+    CHECK(fixture.output.delivered.empty());
+}
+
 TEST_CASE("after a start no new flow is accepted before the first heartbeat")
 {
     Fixture fixture(0);
