One word for one thing: a balancer's hello names its process, an epoch orders

BalancerHello, BalancerOptions and the sidecar's list of balancers called a random identity epoch, which orders elsewhere.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -57,7 +57,7 @@
             fleet::BalancerOptions options;
             options.self = settings.node.statusEndpoint; // messages use the status endpoint over UDP
             options.failureDomain = core::hashName(settings.node.failureDomain);
-            options.epoch = process;
+            options.process = process;
             return options;
         }
 
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -636,7 +636,7 @@
                     return;
                 fleet::BalancerOptions options;
                 options.self = balancer.address;
-                options.epoch = base::mix(++startedBalancers_);
+                options.process = base::mix(++startedBalancers_);
                 balancer.process = std::make_unique<fleet::Balancer>(options, *placement_, balancer, now_);
                 balancer.process->setRoutes(allRoutes());
                 balancer.completeness.recordFailure();
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -64,7 +64,7 @@
 struct BalancerOptions {
     Endpoint self;
     std::uint64_t failureDomain = 0;
-    std::uint64_t epoch = 0; ///< random identity of this process; not 0
+    std::uint64_t process = 0; ///< random identity of this process; not 0
     HostTableOptions hostTable;
     ClaimRepairOptions repair;
     LookupTrackerOptions lookup;
--- a/include/celerystile/fleet/host_record.hpp
+++ b/include/celerystile/fleet/host_record.hpp
@@ -40,8 +40,7 @@
     std::uint64_t failureDomain = 0; ///< hash of its name
     std::uint64_t born = 0; ///< identity of the host's incarnation: its start by its own clock, Unix milliseconds
     std::uint64_t process = 0; ///< random identity of the sidecar's process; 0: unknown
-    std::uint64_t epoch
-        = 0; ///< orders the processes at an address; a process raises it above those of its predecessors
+    std::uint64_t epoch = 0; ///< orders the processes at an address; raised above that of predecessors
     std::uint64_t sequence = 0; ///< orders the records of one process
     std::uint32_t slots = 1; ///< requests that the host serves concurrently
     HostState state = HostState::Ready;
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -78,10 +78,10 @@
     bool operator==(const KnownProcess&) const = default;
 };
 
-/// @brief Announces a balancer. A restarted one has another epoch and receives all open flows.
+/// @brief Announces a balancer. A restarted one is another process and receives all open flows.
 struct BalancerHello {
     Endpoint balancer;
-    std::uint64_t epoch = 0; ///< random identity of the balancer's process
+    std::uint64_t process = 0; ///< random identity of the balancer's process; not 0
     std::uint32_t hosts = 0; ///< number of known hosts, by which shared budgets are divided
     std::uint32_t intervalMilliseconds = 0; ///< maximum interval of its hellos; 0: unknown
     bool wantsFlows = false; ///< requests all claims of the receiver, because some were missed
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -140,7 +140,7 @@
     /// @brief Handles the message that the host stops; ignored if `id` is that of another host.
     void onLeave(const std::string& id, base::TimePoint now);
 
-    /// @brief Handles a balancer's hello. A new epoch or `wantsFlows` starts a transfer of all flows to it; one that
+    /// @brief Handles a balancer's hello. A new process or `wantsFlows` starts a transfer of all flows to it; one that
     /// takes another process at this address for the latest raises this process's epoch.
     void onHello(const BalancerHello& hello, base::TimePoint now);
 
@@ -200,7 +200,7 @@
     };
 
     struct KnownBalancer {
-        std::uint64_t epoch = 0;
+        std::uint64_t process = 0; // 0: no hello yet
         base::TimePoint lastReceivedAt {};
         base::Duration lifetime { 0 };
         bool mistaken = false; // holds the record of another process at this address as the newer one
--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -56,7 +56,7 @@
 {
     const auto* host = hostTable_.find(sidecar);
     const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(helloInterval()).count();
-    return { options_.self, options_.epoch, static_cast<std::uint32_t>(hostTable_.hosts().size()),
+    return { options_.self, options_.process, static_cast<std::uint32_t>(hostTable_.hosts().size()),
         static_cast<std::uint32_t>(interval), wantsFlows, routes_->version,
         host ? KnownProcess { host->record.process, host->record.epoch } : KnownProcess {} };
 }
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -38,7 +38,7 @@
         {
             BalancerOptions options;
             options.self = endpoint("10.9.0.1:7720");
-            options.epoch = 5;
+            options.process = 5;
             return options;
         }
     };
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -141,10 +141,10 @@
     known.mistaken = mistaken;
     if (mistaken)
         raiseEpoch(hello.known.epoch, now);
-    if (known.epoch == hello.epoch && !hello.wantsFlows)
+    if (known.process == hello.process && !hello.wantsFlows)
         return;
-    const bool first = known.epoch == 0;
-    known.epoch = hello.epoch;
+    const bool first = known.process == 0;
+    known.process = hello.process;
     if (first && now - start_ < options_.relearnPeriod)
         output_.send(hello.balancer, SidecarHello { options_.self });
     startTransfer(hello.balancer, now);
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1036,7 +1036,7 @@
         return flows.size();
     };
     CHECK(transfer(false) == 120);
-    CHECK(transfer(false) == 0); // same epoch
+    CHECK(transfer(false) == 0); // same process
     CHECK(transfer(true) == 120); // it requests all claims
 }
 
--- a/src/celerystile/fleet/succession_test.cpp
+++ b/src/celerystile/fleet/succession_test.cpp
@@ -163,7 +163,7 @@
         {
             BalancerOptions options;
             options.self = balancerAddress;
-            options.epoch = 5;
+            options.process = 5;
             return options;
         }
     };
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -185,7 +185,7 @@
             return read(from.getReport());
         case schema::FleetMessage::BALANCER_HELLO: {
             const auto hello = from.getBalancerHello();
-            return fleet::Message { fleet::BalancerHello { read(hello.getBalancer()), hello.getEpoch(),
+            return fleet::Message { fleet::BalancerHello { read(hello.getBalancer()), hello.getProcess(),
                 hello.getHosts(), hello.getIntervalMilliseconds(), hello.getWantsFlows(),
                 hello.getConfigurationVersion(), { hello.getKnownProcess(), hello.getKnownEpoch() } } };
         }
@@ -219,7 +219,7 @@
         {
             auto hello = root.initBalancerHello();
             write(hello.initBalancer(), value.balancer);
-            hello.setEpoch(value.epoch);
+            hello.setProcess(value.process);
             hello.setHosts(value.hosts);
             hello.setConfigurationVersion(value.configurationVersion);
             hello.setWantsFlows(value.wantsFlows);
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -65,7 +65,7 @@
 
 struct BalancerHello {
   balancer @0 :Address;
-  epoch @1 :UInt64;
+  process @1 :UInt64;
   hosts @2 :UInt32;
   wantsFlows @3 :Bool;
   intervalMilliseconds @4 :UInt32;
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -807,7 +807,7 @@
   inline bool hasBalancer() const;
   inline  ::celerystile::peer::schema::Address::Reader getBalancer() const;
 
-  inline  ::uint64_t getEpoch() const;
+  inline  ::uint64_t getProcess() const;
 
   inline  ::uint32_t getHosts() const;
 
@@ -856,8 +856,8 @@
   inline void adoptBalancer(::capnp::Orphan< ::celerystile::peer::schema::Address>&& value);
   inline ::capnp::Orphan< ::celerystile::peer::schema::Address> disownBalancer();
 
-  inline  ::uint64_t getEpoch();
-  inline void setEpoch( ::uint64_t value);
+  inline  ::uint64_t getProcess();
+  inline void setProcess( ::uint64_t value);
 
   inline  ::uint32_t getHosts();
   inline void setHosts( ::uint32_t value);
@@ -2051,16 +2051,16 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
-inline  ::uint64_t BalancerHello::Reader::getEpoch() const {
+inline  ::uint64_t BalancerHello::Reader::getProcess() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
 
-inline  ::uint64_t BalancerHello::Builder::getEpoch() {
+inline  ::uint64_t BalancerHello::Builder::getProcess() {
   return _builder.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
 }
-inline void BalancerHello::Builder::setEpoch( ::uint64_t value) {
+inline void BalancerHello::Builder::setProcess( ::uint64_t value) {
   _builder.setDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
