--- a/src/celerystile/fleet/placement_test.cpp
+++ b/src/celerystile/fleet/placement_test.cpp
@@ -79,7 +79,7 @@
 
 TEST_CASE("rendezvous placement: the removal of a host moves only its own flows")
 {
-    rc::check("the order of the other hosts stays the same", [] {
+    const bool holds = rc::check("the order of the other hosts stays the same", [] {
         const auto hash = *rc::gen::arbitrary<std::uint64_t>();
         std::vector<KnownHost> hosts(6);
         std::vector<const KnownHost*> all;
@@ -94,6 +94,7 @@
         before.erase(before.begin() + 2);
         RC_ASSERT(placement->order(all, { hash, 0, {} }) == before);
     });
+    CHECK(holds);
 }
 
 TEST_CASE("a traffic split follows its weights and is the same for all copies of a SYN")
@@ -115,7 +116,7 @@
 
 TEST_CASE("the owner table agrees with a plain map under random additions and removals of claims")
 {
-    rc::check("same owner", [] {
+    const bool holds = rc::check("same owner", [] {
         OwnerTable table(1'000);
         std::map<core::FlowKey, Endpoint> expected; // proven claims only: the last one is valid
         const base::TimePoint now { std::chrono::hours(1) };
@@ -139,6 +140,7 @@
             RC_ASSERT(table.resolve(segment, now)->owner == Owner { sidecar });
         }
     });
+    CHECK(holds);
 }
 
 } // namespace celerystile::fleet
