A checkpoint attributes only flows that opened before the host's last heartbeat

What callers saw: an open flow of a living host was reset with "the host has restarted" by a sidecar that had just started.

Cause: a restarted host may open flows before its sidecar receives a heartbeat of it, or while its first heartbeats are lost. The checkpoint named them under the earlier incarnation, and the next process took them for flows of a host that has ended.

Change: a checkpoint lists flows that opened after the last heartbeat at the end and counts them; the next process adopts them, and the host returns the packet of those that it does not hold.

One subcase of "flows held before the start are retained…" is that case; its checkpoint now says that the flow is not attributed, and its checks stay.

--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -105,6 +105,7 @@
     bool complete = false; ///< the host held no other flows when the receiver's predecessor stopped
     std::uint64_t sequence = 0; ///< number of the last heartbeat that the predecessor received
     std::vector<FlowClaim> flows;
+    std::uint32_t unattributed = 0; ///< number of flows at the end of the list that a later incarnation may have opened
 
     bool operator==(const HeldFlows&) const = default;
 };
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -10,6 +10,7 @@
 #include "celerystile/fleet/request_meter.hpp"
 
 #include <array>
+#include <boost/unordered/unordered_flat_set.hpp>
 #include <deque>
 
 /// @file
@@ -294,6 +295,7 @@
     boost::unordered_flat_map<Endpoint, KnownBalancer, core::EndpointHash> balancers_;
     std::vector<HeldFlows> pendingHeldFlows_; // received before the first heartbeat
     boost::unordered_flat_map<core::FlowKey, UncertainFlow, core::FlowKeyHash> uncertainFlows_;
+    boost::unordered_flat_set<core::FlowKey, core::FlowKeyHash> unattributedFlows_; // opened after the last heartbeat
     std::vector<core::FlowKey> heldSinceReport_;
     std::vector<FlowClaim> endedSinceReport_;
     boost::unordered_flat_map<Endpoint, std::vector<core::FlowKey>, core::EndpointHash>
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -146,6 +146,7 @@
     endedSinceReport_.push_back(claimOf(key, *record));
     openingSyns_.erase(key);
     uncertainFlows_.erase(key);
+    unattributedFlows_.erase(key);
     table_.remove(key);
     increment(SidecarCount::FlowsEnded);
     ++checkpointVersion_;
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -72,6 +72,7 @@
     record.callerIsn = segment.sequence;
     record.lastSeen = secondsSinceStart(now);
     table_.add(segment.key, record);
+    unattributedFlows_.insert(segment.key);
     auto& saved = openingSyns_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
     saved.forward.packet = saved.packet;
     openingQueue_.push_back({ segment.key, now });
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -80,6 +80,8 @@
 HeartbeatOutcome Sidecar::onHeartbeat(const HostReport& report, base::TimePoint now)
 {
     const auto outcome = host_.recordHeartbeat(report, now);
+    if (outcome != HeartbeatOutcome::Stale)
+        unattributedFlows_.clear();
     if (outcome == HeartbeatOutcome::FirstOfIncarnation)
         predecessorFlowsOpen_ = host_.replacedAnother();
     resetPredecessorFlows(now);
@@ -194,18 +196,21 @@
     const bool noProcessBetween = host_.firstSequence() <= held.sequence + 1;
     if (held.complete && held.born == host_.born() && noProcessBetween)
         completeIncarnation_ = held.born;
-    for (const auto& claim : held.flows) {
+    const auto attributed = held.flows.size() - std::min<std::size_t>(held.unattributed, held.flows.size());
+    for (std::size_t i = 0; i < held.flows.size(); ++i) {
+        const auto& claim = held.flows[i];
+        const bool ofNamed = i < attributed; // otherwise the host shows whether it holds the flow
         const auto uncertain = uncertainFlows_.find(claim.key);
         if (held.born != 0 && uncertain != uncertainFlows_.end() && uncertain->second.born != held.born)
             uncertainFlows_.erase(uncertain); // the sources disagree
         if (table_.find(claim.key) || table_.size() >= options_.maxFlows)
             continue;
-        if (ended) {
+        if (ended && (ofNamed || otherInstance)) {
             if (claim.proven)
                 resetCaller(claim, "the host has restarted");
             continue;
         }
-        if (certainlyOther)
+        if (certainlyOther && ofNamed)
             uncertainFlows_.insert_or_assign(claim.key, UncertainFlow { claim, held.born, !otherInstance });
         if (otherInstance)
             continue;
@@ -216,6 +221,8 @@
         record.callerAck = claim.callerAck;
         record.lastSeen = secondsSinceStart(now);
         table_.add(claim.key, record);
+        if (!ofNamed)
+            unattributedFlows_.insert(claim.key);
         recordHeld(claim.key);
         increment(SidecarCount::FlowsAdopted);
         ++checkpointVersion_;
@@ -264,6 +271,7 @@
     record.callerAck = segment.sequence;
     record.lastSeen = secondsSinceStart(now);
     table_.add(segment.key, record);
+    unattributedFlows_.insert(segment.key);
     recordHeld(segment.key);
     increment(SidecarCount::FlowsAdopted);
     recordDecision(DecisionKind::FlowAdopted, segment.key, "the host sent a packet on the flow");
@@ -342,6 +350,8 @@
     resetFlowsUnseenSince(host_.earliestStart(), "the host has restarted", now);
 }
 
+// A host may restart and open flows before its sidecar receives a heartbeat of it, so a flow that opened after the last
+// heartbeat cannot be attributed.
 HeldFlows Sidecar::checkpoint() const
 {
     HeldFlows held;
@@ -349,11 +359,14 @@
     held.born = host_.disputed(lastTick_) ? 0 : host_.born();
     held.complete = restarting_ && allFlowsKnown();
     held.sequence = host_.sequence();
+    std::vector<FlowClaim> unattributed;
     for (const auto& [key, record] : table_.records()) {
         const bool opening = record.state == core::FlowState::Opening;
         if (record.state == core::FlowState::Open || (restarting_ && opening))
-            held.flows.push_back(claimOf(key, record));
+            (unattributedFlows_.contains(key) ? unattributed : held.flows).push_back(claimOf(key, record));
     }
+    held.unattributed = static_cast<std::uint32_t>(unattributed.size());
+    held.flows.insert(held.flows.end(), unattributed.begin(), unattributed.end());
     return held;
 }
 
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -361,6 +361,7 @@
     SUBCASE("the checkpoint names a flow that the next incarnation opened before its first heartbeat")
     {
         held.born = 500;
+        held.unattributed = 1;
         fixture.sidecar.onHeldFlows(held, fixture.now);
         fixture.sidecar.onHeartbeat(report(2, 1'000), fixture.now);
         fixture.sidecar.onHostPacket(dataOf(caller, 700), packetBytes, fixture.now);
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -194,7 +194,8 @@
         case schema::FleetMessage::HELD_FLOWS: {
             const auto held = from.getHeldFlows();
             return fleet::Message { fleet::HeldFlows {
-                held.getInstance(), held.getBorn(), held.getComplete(), held.getSequence(), read(held.getFlows()) } };
+                held.getInstance(), held.getBorn(), held.getComplete(), held.getSequence(), read(held.getFlows()),
+                held.getUnattributed() } };
         }
         case schema::FleetMessage::SYN_DECLINED:
             return fleet::Message { fleet::SynDeclined { read(from.getSynDeclined()).key } };
@@ -235,6 +236,7 @@
             held.setBorn(value.born);
             held.setComplete(value.complete);
             held.setSequence(value.sequence);
+            held.setUnattributed(value.unattributed);
             write(held.initFlows(static_cast<unsigned>(value.flows.size())), value.flows);
         }
         void operator()(const fleet::FleetSnapshot& value)
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -80,6 +80,7 @@
   complete @2 :Bool;
   instance @3 :UInt32;
   sequence @4 :UInt64;
+  unattributed @5 :UInt32;
 }
 
 struct FleetSnapshot {
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -131,7 +131,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db708e03ebf1fbc1, 3, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(db708e03ebf1fbc1, 4, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -932,6 +932,8 @@
 
   inline  ::uint64_t getSequence() const;
 
+  inline  ::uint32_t getUnattributed() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -979,6 +981,9 @@
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
 
+  inline  ::uint32_t getUnattributed();
+  inline void setUnattributed( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2239,6 +2244,20 @@
       ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t HeldFlows::Reader::getUnattributed() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t HeldFlows::Builder::getUnattributed() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS);
+}
+inline void HeldFlows::Builder::setUnattributed( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FleetSnapshot::Reader::hasConfiguration() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
