After a loss of power callers are reset with the first heartbeat received

What callers saw: after a loss of power they waited for their next request to fail.

Cause: processes start later than their hosts then, so that the first heartbeat they receive is not the host's first.

Change: it is certain at once, too, if the held incarnation had been alive for longer than a heartbeat of an earlier one can be late (4 s, as elsewhere), its successor is young, and no other one was heard.

"load: callers of a host that had long been alive…" failed before; the property of late heartbeats holds.

--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -37,6 +37,8 @@
 struct HostStatusOptions {
     base::Duration heartbeatInterval = std::chrono::milliseconds(770); ///< approximate time between heartbeats
     base::Duration silentAfter = std::chrono::milliseconds(1800); ///< a little over two heartbeats
+    std::uint64_t maxStartupHeartbeats
+        = 6; ///< maximum number of the first heartbeat received if host and process start together
     base::Duration maxHeartbeatDelay = std::chrono::seconds(4); ///< of a heartbeat whose sender has ended
 };
 
@@ -82,7 +84,8 @@
     bool replacedAnother() const { return replacedAnother_; }
 
     /// @return whether the incarnation `born`, which held flows before this process started, has certainly ended.
-    bool hasEnded(std::uint64_t born, base::TimePoint now) const;
+    /// @param heartbeats number of its last heartbeat that a predecessor of this process received; 0: unknown
+    bool hasEnded(std::uint64_t born, std::uint64_t heartbeats, base::TimePoint now) const;
 
     /// @return whether another incarnation was heard, and it is not certain yet which one is alive.
     bool disputed(base::TimePoint now) const { return !others_.empty() && !confirmed(now); }
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -207,6 +207,18 @@
         REQUIRE(!fixture.output.forwards.empty());
         CHECK((fixture.output.forwards.back().forward.purpose == ForwardPurpose::Lookup));
     }
+    SUBCASE("the sidecar restarts")
+    {
+        fixture.balancer.onReport({ report(silent), { { synOf(caller).key, 900, 901, proven } }, {} }, fixture.now);
+        auto restarting = report(silent);
+        restarting.restarting = true;
+        fixture.balancer.onReport({ restarting, {}, {} }, fixture.now);
+        fixture.advance(milliseconds(5'000));
+        othersReport();
+        CHECK(!fixture.balancer.hostTable().silent(endpoint(silent), fixture.now));
+        fixture.packet(dataOf(caller, 901));
+        CHECK(fixture.output.resets.empty());
+    }
     SUBCASE("the reports of all are overdue: this balancer is cut off")
     {
         fixture.balancer.onReport({ report(silent), { { synOf(caller).key, 900, 901, proven } }, {} }, fixture.now);
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -181,12 +181,19 @@
                 && now - lastOtherHeartbeatAt_ >= options_.silentAfter));
 }
 
-// A higher start time is believed without a second heartbeat if the host has just started and no other one was heard.
-bool HostStatus::hasEnded(std::uint64_t born, base::TimePoint now) const
+// A higher start time is believed without a second heartbeat if the host has just started and no other one was heard:
+// by its first heartbeat, or if the other incarnation was alive for longer than a heartbeat of an earlier one can be
+// late.
+bool HostStatus::hasEnded(std::uint64_t born, std::uint64_t heartbeats, base::TimePoint now) const
 {
     if (!present_ || born == present_->born)
         return false;
-    return confirmed(now) || (others_.empty() && !mayPredateProcess() && born < present_->born);
+    if (confirmed(now))
+        return true;
+    const bool longAlive = minAge(heartbeats) >= options_.maxHeartbeatDelay;
+    const bool justStarted
+        = !mayPredateProcess() || (longAlive && present_->firstSequence <= options_.maxStartupHeartbeats);
+    return others_.empty() && justStarted && born < present_->born;
 }
 
 bool HostStatus::serviceDisputed(base::TimePoint now) const
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -188,7 +188,7 @@
     const bool otherInstance = held.instance != options_.instance;
     // A balancer names the incarnation that it knows at this address, which may not be the one that held the flows.
     const bool certainlyOther = otherIncarnation && (held.sequence > 0 || otherInstance || !host_.mayPredateProcess());
-    const bool ended = certainlyOther && host_.hasEnded(held.born, now);
+    const bool ended = certainlyOther && host_.hasEnded(held.born, held.sequence, now);
     if (otherInstance && !otherIncarnation)
         return; // without the incarnation it is not known whether their host has ended
     // A process that ran between the author of the checkpoint and this one would have received a heartbeat before it
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -458,6 +458,32 @@
     CHECK(fixture.output.delivered.empty());
 }
 
+// Guards against callers that wait for a second heartbeat after a loss of power, when processes start later than hosts.
+TEST_CASE("load: callers of a host that had long been alive are reset with its successor's first heartbeat received")
+{
+    Fixture fixture(0);
+    HeldFlows held { 0, 500, false, 39, { { synOf(caller).key, 900, 4'901, true } } };
+    SUBCASE("its successor has just started")
+    {
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        fixture.sidecar.onHeartbeat(report(3, 1'000), fixture.now);
+        CHECK(fixture.output.resets.size() == 1);
+    }
+    SUBCASE("its successor may have started before the checkpoint")
+    {
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        fixture.sidecar.onHeartbeat(report(7, 1'000), fixture.now);
+        CHECK(fixture.output.resets.empty());
+    }
+    SUBCASE("it had not been alive for longer than a heartbeat can be late")
+    {
+        held.sequence = 5;
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        fixture.sidecar.onHeartbeat(report(3, 1'000), fixture.now);
+        CHECK(fixture.output.resets.empty());
+    }
+}
+
 TEST_CASE("after a start no new flow is accepted before the first heartbeat")
 {
     Fixture fixture(0);
