--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -39,7 +39,8 @@
     base::Duration silentAfter = std::chrono::milliseconds(1800); ///< a little over two heartbeats
     std::uint64_t maxStartupHeartbeats
         = 6; ///< maximum number of the first heartbeat received if host and process start together
-    base::Duration maxHeartbeatDelay = std::chrono::seconds(4); ///< of a heartbeat whose sender has ended
+    base::Duration maxHeartbeatDelay
+        = std::chrono::seconds(4); ///< a heartbeat that arrives later after its sender's end may mislead the order
 };
 
 /// @brief Status of a sidecar's host, derived from heartbeats in order. Not thread-safe.
@@ -48,6 +49,9 @@
 /// between two starts, and a late heartbeat may arrive after its sender has ended and another incarnation has started.
 /// - A higher start time makes an incarnation that was never heard before the present one at once.
 /// - Any other incarnation becomes the present one when it goes on sending heartbeats while the present one is silent.
+///
+/// The present incarnation is confirmed once its heartbeats can't be late ones; it is disputed while another one was
+/// heard and it is not confirmed.
 class HostStatus {
 public:
     HostStatus(HostStatusOptions options, base::TimePoint start)
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -242,6 +242,7 @@
     bool checkpointWasComplete() const;
     bool allFlowsKnown() const;
     void adoptHeldFlows(const HeldFlows& held, base::TimePoint now);
+    void adoptClaim(const FlowClaim& claim, bool attributed, base::TimePoint now);
     void resolveUncertainFlows(base::TimePoint now);
     void resetCaller(const FlowClaim& claim, std::string_view reason);
     static FlowClaim claimOf(const core::FlowKey& key, const core::FlowRecord& record);
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -212,23 +212,27 @@
         }
         if (certainlyOther && ofNamed)
             uncertainFlows_.insert_or_assign(claim.key, UncertainFlow { claim, held.born, !otherInstance });
-        if (otherInstance)
-            continue;
-        core::FlowRecord record;
-        record.state = claim.proven ? core::FlowState::Open : core::FlowState::Opening;
-        record.hostIsn = claim.hostSequence;
-        record.hostIsnKnown = claim.hostSequence != 0;
-        record.callerAck = claim.callerAck;
-        record.lastSeen = secondsSinceStart(now);
-        table_.add(claim.key, record);
-        if (!ofNamed)
-            unattributedFlows_.insert(claim.key);
-        recordHeld(claim.key);
-        increment(SidecarCount::FlowsAdopted);
-        ++checkpointVersion_;
+        if (!otherInstance)
+            adoptClaim(claim, ofNamed, now);
     }
 }
 
+void Sidecar::adoptClaim(const FlowClaim& claim, bool attributed, base::TimePoint now)
+{
+    core::FlowRecord record;
+    record.state = claim.proven ? core::FlowState::Open : core::FlowState::Opening;
+    record.hostIsn = claim.hostSequence;
+    record.hostIsnKnown = claim.hostSequence != 0;
+    record.callerAck = claim.callerAck;
+    record.lastSeen = secondsSinceStart(now);
+    table_.add(claim.key, record);
+    if (!attributed)
+        unattributedFlows_.insert(claim.key);
+    recordHeld(claim.key);
+    increment(SidecarCount::FlowsAdopted);
+    ++checkpointVersion_;
+}
+
 // Decides on flows that another incarnation held before the start, as soon as it is certain which one is alive. A flow
 // on which the host has sent a packet since is its own: it may open flows before its first heartbeat, while its sidecar
 // takes it for the earlier incarnation.
