--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -193,9 +193,8 @@
             return fleet::Message { fleet::SidecarHello { read(from.getSidecarHello()) } };
         case schema::FleetMessage::HELD_FLOWS: {
             const auto held = from.getHeldFlows();
-            return fleet::Message { fleet::HeldFlows {
-                held.getInstance(), held.getBorn(), held.getComplete(), held.getSequence(), read(held.getFlows()),
-                held.getUnattributed() } };
+            return fleet::Message { fleet::HeldFlows { held.getInstance(), held.getBorn(), held.getComplete(),
+                held.getSequence(), read(held.getFlows()), held.getUnattributed() } };
         }
         case schema::FleetMessage::SYN_DECLINED:
             return fleet::Message { fleet::SynDeclined { read(from.getSynDeclined()).key } };
