A failing test: a claim taken from a refused report resets a living host's caller

A balancer refuses the record of a successor whose epoch is below its predecessor's, but takes the claims in the same report. Their owner then is another instance than that of the record it holds, whose reports span the replacement time, so the next packet resets the caller. It lasts until the sidecar's answer to the hello arrives.

--- a/src/celerystile/fleet/succession_test.cpp
+++ b/src/celerystile/fleet/succession_test.cpp
@@ -299,4 +299,22 @@
     CHECK(fleet.balancer.hostTable().find(node.address)->record.instance == node.instance);
 }
 
+// Guards against callers of a living host being reset because a claim of it was taken while its record was refused.
+TEST_CASE("succession: a claim in a report that counts as outdated resets no caller of the living host")
+{
+    Fleet fleet(3);
+    auto& node = *fleet.nodes.front();
+    fleet.startSidecar(node, startEpoch + 60'000);
+    fleet.run(std::chrono::seconds(2));
+    ++node.instance;
+    fleet.startHost(node, startEpoch + 9'000);
+    fleet.startSidecar(node, startEpoch + 9'000);
+    node.process->onHeartbeat(node.heartbeat, fleet.now);
+    // The claim of a flow that another balancer has placed; the hello in answer to it is still on its way.
+    const FlowClaim claim { synOf(caller).key, Fleet::hostSequence, Fleet::hostSequence + 1, true };
+    fleet.balancer.onReport({ node.process->record(fleet.now), { claim }, {} }, fleet.now);
+    fleet.balancer.onPacket(Fleet::callerData(), packetBytes, fleet.now);
+    CHECK(fleet.output.resets.empty());
+}
+
 } // namespace celerystile::fleet
