A failing test: late reports half a second apart reset callers of a living host

Two late reports of an ended instance with a higher epoch, 450 ms apart, count as a replacement if no report of the living one arrives between them: its interval is 600 ms, and longer with more than ten balancers.

--- a/src/celerystile/fleet/succession_test.cpp
+++ b/src/celerystile/fleet/succession_test.cpp
@@ -317,4 +317,34 @@
     CHECK(fleet.output.resets.empty());
 }
 
+// Guards against callers of a living host being reset on late reports of an earlier instance that arrive between two
+// reports of the living one.
+TEST_CASE("succession: late reports of an ended instance that arrive half a second apart reset no caller")
+{
+    for (milliseconds phase { 0 }; phase < milliseconds(800); phase += timeStep) {
+        CAPTURE(phase.count());
+        Fleet fleet(3);
+        auto& node = *fleet.nodes.front();
+        fleet.startSidecar(node, startEpoch + 8'000);
+        fleet.run(std::chrono::seconds(1));
+        auto late = node.process->record(fleet.now);
+        late.epoch = startEpoch + 60'000;
+        ++late.sequence;
+        ++node.instance;
+        fleet.startHost(node, startEpoch + 9'000);
+        fleet.startSidecar(node, startEpoch + 9'000);
+        fleet.run(std::chrono::seconds(1));
+        fleet.openFlow(node);
+        fleet.callerSends = true;
+        fleet.run(std::chrono::seconds(1) + phase);
+        REQUIRE(fleet.output.resets.empty());
+        fleet.balancer.onReport({ late, {}, {} }, fleet.now);
+        fleet.run(milliseconds(450));
+        ++late.sequence;
+        fleet.balancer.onReport({ late, {}, {} }, fleet.now);
+        fleet.run(std::chrono::seconds(1));
+        CHECK(fleet.output.resets.empty());
+    }
+}
+
 } // namespace celerystile::fleet
