Failing tests: a draining host gets new flows when a late heartbeat follows

makePresent() forgets that the host has said that it drains: drainDisputed() counts only heartbeats after the late one. Until the host's next heartbeat the sidecar reports Ready and accepts flows.

--- a/bench/interleaving_test.cpp
+++ b/bench/interleaving_test.cpp
@@ -221,6 +221,15 @@
         703417);
 }
 
+// Guards against a draining host that gets flows again because a late heartbeat of its former incarnation is believed.
+TEST_CASE("interleavings: a host that drained before a late heartbeat of its former incarnation gets no new flow")
+{
+    checkNoViolations("clock-back:540:0 restart-host:0:2500 kill-sidecar:0:6000 drain-host:0:4000 late-heartbeat:0:20 "
+                      "open-flow:0:5 open-flow:1:5 open-flow:0:5 open-flow:1:5 open-flow:0:5 open-flow:1:5 "
+                      "open-flow:0:5 open-flow:1:5 open-flow:0:5 open-flow:1:300",
+        1);
+}
+
 // Guards against a table that takes a datagram of an ended process for news of its successor.
 TEST_CASE("interleavings: late datagrams of sidecars that have ended violate no invariant")
 {
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1161,4 +1161,22 @@
     CHECK(after.sidecar.flows().openFlows() == 1);
 }
 
+// Guards against DRAIN: a draining host must get no new flow while a late heartbeat of an ended one is believed.
+TEST_CASE("a host that drained before a late heartbeat with a higher start time gets no new flow")
+{
+    Fixture fixture;
+    fixture.advanceWithHeartbeats(std::chrono::seconds(6));
+    auto draining = report(++fixture.sequence);
+    draining.draining = true;
+    fixture.sidecar.onHeartbeat(draining, fixture.now);
+    fixture.advance(milliseconds(300));
+    auto late = report(4, 9'000);
+    late.id = "i-0";
+    fixture.sidecar.onHeartbeat(late, fixture.now);
+    fixture.advance(milliseconds(100));
+    fixture.output.delivered.clear();
+    fixture.sidecar.onForward(opening(), synOf(caller), fixture.now);
+    CHECK(fixture.output.delivered.empty());
+}
+
 } // namespace celerystile::fleet
