Failing tests: an epoch that cannot be exceeded

raiseEpoch() wraps to 0 above the highest epoch. A record with it locks the sidecar out for good, and report, hello and raised epoch answer one another without end, each with a write of the registry entry. A single hello that names it sets the epoch back to 0, and late records of predecessors count as news again. Needs the fleet's key or a corrupt process.

--- a/src/celerystile/fleet/succession_test.cpp
+++ b/src/celerystile/fleet/succession_test.cpp
@@ -1,6 +1,7 @@
 #include "fleet_test_support.hpp"
 
 #include <doctest/doctest.h>
+#include <limits>
 #include <memory>
 
 // Sidecar processes and hosts that follow one another at an address, as one balancer sees them. The messages between
@@ -109,7 +110,9 @@
         void deliver()
         {
             bool delivered = true;
-            while (delivered) {
+            int rounds = 0;
+            while (delivered && rounds < maxRounds) {
+                ++rounds;
                 delivered = false;
                 for (const auto& [to, message] : std::exchange(output.sent, {})) {
                     delivered = true;
@@ -150,6 +153,7 @@
         }
 
         static constexpr std::uint32_t hostSequence = 900;
+        static constexpr int maxRounds = 100; // of answers to answers, within one step
 
         base::TimePoint now { std::chrono::hours(1) };
         std::uint64_t nextProcess = 100;
@@ -347,4 +351,46 @@
     }
 }
 
+// Guards against a sidecar being locked out, and against an endless exchange of reports and hellos, because of a record
+// whose epoch it cannot exceed.
+TEST_CASE("succession: a record with the highest epoch does not keep the living sidecar out")
+{
+    Fleet fleet(3);
+    auto& node = *fleet.nodes.front();
+    auto former = node.process->record(fleet.now);
+    former.process = 7;
+    former.epoch = std::numeric_limits<std::uint64_t>::max();
+    fleet.balancer.onReport({ former, {}, {} }, fleet.now);
+    for (int second = 0; second < 5; ++second) {
+        fleet.balancer.setRegistry(
+            { fleet.nodes[0]->process->record(fleet.now), fleet.nodes[1]->process->record(fleet.now),
+                fleet.nodes[2]->process->record(fleet.now) },
+            ListExtent::Complete, fleet.now);
+        fleet.run(std::chrono::seconds(1));
+    }
+    CHECK((fleet.reportAge(node) < maxReportAge));
+    CHECK(node.output.announced.size() < 10); // each one is a write to the store
+}
+
+// Guards against one hello that makes the epoch start anew, after which late records of predecessors count as news.
+TEST_CASE("succession: a hello that names the highest epoch does not let late reports displace the living sidecar")
+{
+    Fleet fleet(3);
+    auto& node = *fleet.nodes.front();
+    auto late = node.process->record(fleet.now);
+    late.state = HostState::Draining;
+    fleet.startSidecar(node, startEpoch + 8'000);
+    fleet.run(std::chrono::seconds(1));
+    BalancerHello hello;
+    hello.balancer = balancerAddress;
+    hello.process = 5;
+    hello.hosts = 3;
+    hello.known = { 7, std::numeric_limits<std::uint64_t>::max() };
+    node.process->onHello(hello, fleet.now);
+    CHECK(node.process->record(fleet.now).epoch >= startEpoch);
+    fleet.run(std::chrono::seconds(1));
+    fleet.balancer.onReport({ late, {}, {} }, fleet.now);
+    CHECK((fleet.balancer.hostTable().find(node.address)->record.state == HostState::Ready));
+}
+
 } // namespace celerystile::fleet
