--- a/src/celerystile/fleet/succession_test.cpp
+++ b/src/celerystile/fleet/succession_test.cpp
@@ -393,4 +393,19 @@
     CHECK((fleet.balancer.hostTable().find(node.address)->record.state == HostState::Ready));
 }
 
+// Guards against resets of flows that a restarted host opened before its first heartbeat, which balancers name as its
+// predecessor's.
+TEST_CASE("succession: a flow opened before a restarted host's first heartbeat survives a start of its sidecar")
+{
+    Fleet fleet(3);
+    auto& node = *fleet.nodes.front();
+    fleet.startHost(node, startEpoch + 5'000);
+    node.nextHeartbeat = fleet.now + milliseconds(1'200);
+    fleet.openFlow(node);
+    fleet.startSidecar(node, startEpoch + 6'000); // its predecessor has crashed, without a checkpoint of the flow
+    fleet.run(std::chrono::seconds(4));
+    CHECK(node.output.resets.empty());
+    CHECK(node.process->flows().openFlows() == 1);
+}
+
 } // namespace celerystile::fleet
