A failing test: a late heartbeat attributes a flow to the host's predecessor

Any heartbeat that is newer than the last one clears the set of flows that cannot be attributed, also one that was sent before the host restarted. The checkpoint then names the flow under the earlier incarnation, and the next process resets its caller.

--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1179,4 +1179,27 @@
     CHECK(fixture.output.delivered.empty());
 }
 
+// Guards against resets of flows that a restarted host opened, after a late heartbeat of its predecessor.
+TEST_CASE("a flow opened before a late heartbeat of the host's predecessor is not attributed to the predecessor")
+{
+    Fixture before(5);
+    before.advance(milliseconds(400)); // the host restarts with a start time of 2'000; its heartbeats are late
+    before.open();
+    before.advance(milliseconds(200));
+    before.sidecar.onHeartbeat(report(6), before.now); // sent before the restart
+    before.sidecar.announceRestart(before.now);
+    const auto checkpoint = before.sidecar.checkpoint();
+    REQUIRE(checkpoint.flows.size() == 1);
+
+    Fixture after(0);
+    after.sidecar.onHeldFlows(checkpoint, after.now);
+    for (std::uint64_t sequence = 3; sequence < 11; ++sequence) {
+        after.sidecar.onHeartbeat(report(sequence, 2'000), after.now);
+        for (int step = 0; step < 7; ++step)
+            after.advance(milliseconds(110));
+    }
+    CHECK(after.output.resets.empty());
+    CHECK(after.sidecar.flows().openFlows() == 1);
+}
+
 } // namespace celerystile::fleet
