A failing test: a late first heartbeat resets flows that the restarted host opened before

earliestStart is the arrival of the first heartbeat less 1.25 intervals a number. If that heartbeat is three seconds late, flows that the host opened and left idle since count as its predecessor's and are reset at once.

--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1202,4 +1202,23 @@
     CHECK(after.sidecar.flows().openFlows() == 1);
 }
 
+// Guards against resets of flows that a restarted host opened longer before its first heartbeat arrived than its number
+// shows.
+TEST_CASE("flows that a restarted host opened are not reset when its first heartbeat arrives late")
+{
+    Fixture fixture;
+    fixture.advanceWithHeartbeats(std::chrono::seconds(6));
+    fixture.advance(milliseconds(300)); // the host restarts
+    fixture.open();
+    for (int step = 0; step < 30; ++step)
+        fixture.advance(milliseconds(100));
+    for (std::uint64_t sequence = 1; sequence <= 8; ++sequence) {
+        fixture.sidecar.onHeartbeat(report(sequence, 2'000), fixture.now); // the first one is three seconds late
+        for (int step = 0; step < 2; ++step)
+            fixture.advance(milliseconds(100));
+    }
+    CHECK(fixture.output.resets.empty());
+    CHECK(fixture.sidecar.flows().openFlows() == 1);
+}
+
 } // namespace celerystile::fleet
