A failing test: a SYN that a slow host has not answered is refused when the next host declines

The sidecar sends the SYN on after 30 ms, before the balancer's own timeout of 40 ms, and the next one declines. The balancer does not know that a host may have accepted it and refuses it, while the host answers.

--- a/src/celerystile/fleet/succession_test.cpp
+++ b/src/celerystile/fleet/succession_test.cpp
@@ -408,4 +408,31 @@
     CHECK(node.process->flows().openFlows() == 1);
 }
 
+// Guards against a refused SYN whose flow a host accepts: its sidecar has sent the SYN on because the host was slow.
+TEST_CASE("succession: a SYN that a host has not answered in time is not refused when the next host declines it")
+{
+    Fleet fleet(2);
+    fleet.balancer.onPacket(synOf(caller), packetBytes, fleet.now);
+    REQUIRE(fleet.output.forwards.size() == 1);
+    const auto sent = fleet.output.forwards.front();
+    auto& first = sent.to == fleet.nodes[0]->address ? *fleet.nodes[0] : *fleet.nodes[1];
+    auto& second = sent.to == fleet.nodes[0]->address ? *fleet.nodes[1] : *fleet.nodes[0];
+    auto drain = second.heartbeat;
+    ++drain.sequence;
+    drain.draining = true;
+    second.process->onHeartbeat(drain, fleet.now);
+    second.output.sent.clear(); // the report is late
+    first.process->onForward(sent.forward, synOf(caller), fleet.now);
+    fleet.now += milliseconds(31);
+    first.process->tick(fleet.now);
+    REQUIRE(first.output.forwards.size() == 1);
+    second.process->onForward(first.output.forwards.front().forward, synOf(caller), fleet.now);
+    const auto declined = second.output.sentOf<SynDeclined>();
+    REQUIRE(declined.size() == 1);
+    first.process->onHostPacket(synAckOf(caller, Fleet::hostSequence), packetBytes, fleet.now); // its claim is late
+    fleet.balancer.onDeclined(declined.front(), fleet.now);
+    CHECK(first.output.answered.size() == 1);
+    CHECK(fleet.output.resets.empty());
+}
+
 } // namespace celerystile::fleet
