A failing test: a late leave message of a predecessor with the same id

A leave message names no incarnation here. One that arrives after its sender's successor has started under the same id makes the living host Gone until its next heartbeat: SYNs are declined and lookups leave it out.

--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1221,4 +1221,21 @@
     CHECK(fixture.sidecar.flows().openFlows() == 1);
 }
 
+// Guards against a living host being taken for gone by the leave message of its predecessor, which had the same id.
+TEST_CASE("a late leave message of an earlier incarnation with the same id does not end the living host")
+{
+    Fixture fixture;
+    fixture.advanceWithHeartbeats(std::chrono::seconds(2));
+    fixture.sidecar.onHeartbeat(report(1, 2'000), fixture.now);
+    fixture.advance(milliseconds(700));
+    fixture.sidecar.onHeartbeat(report(2, 2'000), fixture.now);
+    fixture.advance(milliseconds(100));
+    REQUIRE((fixture.sidecar.host().state(fixture.now) == HostState::Ready));
+    fixture.sidecar.onLeave("i-1", fixture.now); // of the incarnation with start time 1'000
+    CHECK((fixture.sidecar.host().state(fixture.now) == HostState::Ready));
+    fixture.output.delivered.clear();
+    fixture.sidecar.onForward(opening(), synOf(caller), fixture.now);
+    CHECK(fixture.output.delivered.size() == 1);
+}
+
 } // namespace celerystile::fleet
