--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1161,4 +1161,81 @@
     CHECK(after.sidecar.flows().openFlows() == 1);
 }
 
+// Guards against DRAIN: a draining host must get no new flow while a late heartbeat of an ended one is believed.
+TEST_CASE("a host that drained before a late heartbeat with a higher start time gets no new flow")
+{
+    Fixture fixture;
+    fixture.advanceWithHeartbeats(std::chrono::seconds(6));
+    auto draining = report(++fixture.sequence);
+    draining.draining = true;
+    fixture.sidecar.onHeartbeat(draining, fixture.now);
+    fixture.advance(milliseconds(300));
+    auto late = report(4, 9'000);
+    late.id = "i-0";
+    fixture.sidecar.onHeartbeat(late, fixture.now);
+    fixture.advance(milliseconds(100));
+    fixture.output.delivered.clear();
+    fixture.sidecar.onForward(opening(), synOf(caller), fixture.now);
+    CHECK(fixture.output.delivered.empty());
+}
+
+// Guards against resets of flows that a restarted host opened, after a late heartbeat of its predecessor.
+TEST_CASE("a flow opened before a late heartbeat of the host's predecessor is not attributed to the predecessor")
+{
+    Fixture before(5);
+    before.advance(milliseconds(400)); // the host restarts with a start time of 2'000; its heartbeats are late
+    before.open();
+    before.advance(milliseconds(200));
+    before.sidecar.onHeartbeat(report(6), before.now); // sent before the restart
+    before.sidecar.announceRestart(before.now);
+    const auto checkpoint = before.sidecar.checkpoint();
+    REQUIRE(checkpoint.flows.size() == 1);
+
+    Fixture after(0);
+    after.sidecar.onHeldFlows(checkpoint, after.now);
+    for (std::uint64_t sequence = 3; sequence < 11; ++sequence) {
+        after.sidecar.onHeartbeat(report(sequence, 2'000), after.now);
+        for (int step = 0; step < 7; ++step)
+            after.advance(milliseconds(110));
+    }
+    CHECK(after.output.resets.empty());
+    CHECK(after.sidecar.flows().openFlows() == 1);
+}
+
+// Guards against resets of flows that a restarted host opened longer before its first heartbeat arrived than its number
+// shows.
+TEST_CASE("flows that a restarted host opened are not reset when its first heartbeat arrives late")
+{
+    Fixture fixture;
+    fixture.advanceWithHeartbeats(std::chrono::seconds(6));
+    fixture.advance(milliseconds(300)); // the host restarts
+    fixture.open();
+    for (int step = 0; step < 30; ++step)
+        fixture.advance(milliseconds(100));
+    for (std::uint64_t sequence = 1; sequence <= 8; ++sequence) {
+        fixture.sidecar.onHeartbeat(report(sequence, 2'000), fixture.now); // the first one is three seconds late
+        for (int step = 0; step < 2; ++step)
+            fixture.advance(milliseconds(100));
+    }
+    CHECK(fixture.output.resets.empty());
+    CHECK(fixture.sidecar.flows().openFlows() == 1);
+}
+
+// Guards against a living host being taken for gone by the leave message of its predecessor, which had the same id.
+TEST_CASE("a late leave message of an earlier incarnation with the same id does not end the living host")
+{
+    Fixture fixture;
+    fixture.advanceWithHeartbeats(std::chrono::seconds(2));
+    fixture.sidecar.onHeartbeat(report(1, 2'000), fixture.now);
+    fixture.advance(milliseconds(700));
+    fixture.sidecar.onHeartbeat(report(2, 2'000), fixture.now);
+    fixture.advance(milliseconds(100));
+    REQUIRE((fixture.sidecar.host().state(fixture.now) == HostState::Ready));
+    fixture.sidecar.onLeave("i-1", fixture.now); // of the incarnation with start time 1'000
+    CHECK((fixture.sidecar.host().state(fixture.now) == HostState::Ready));
+    fixture.output.delivered.clear();
+    fixture.sidecar.onForward(opening(), synOf(caller), fixture.now);
+    CHECK(fixture.output.delivered.size() == 1);
+}
+
 } // namespace celerystile::fleet
