HTTP server: a request whose sender has closed the connection is marked

A sender that still waits for the reply when its request is read is a living process, because the kernel closes the connections of one that ends. After a request was read, and before the handler runs, a byte is peeked without waiting: the end of the stream or a reset marks the request as abandoned. Further bytes, nothing to read, and errors that the call may return where peeking is not supported leave it unmarked.

Tests with sockets: senders that closed, reset the connection or shut down their half before the server read the request are marked; those that wait, on a new or a kept connection or with pipelined requests, are not.

--- a/include/celerystile/base/http.hpp
+++ b/include/celerystile/base/http.hpp
@@ -34,6 +34,7 @@
     std::string target;
     std::string body;
     std::string method = "GET";
+    bool abandoned = false; ///< received: its sender had closed the connection when it was read, so it may have ended
 };
 
 /// @brief Longest pause within a reply before its transfer is given up.
--- a/src/celerystile/base/http.cpp
+++ b/src/celerystile/base/http.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/this_coro.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
@@ -22,6 +23,17 @@
     constexpr unsigned httpVersion = 11;
     constexpr std::chrono::seconds serverTimeout { 30 };
 
+    // The kernel closes the connections of a process that ends, so a peer that has not closed is alive, unless its
+    // instance was lost. Bytes of a further request hide the end of the connection.
+    bool isClosedByPeer(asio::ip::tcp::socket& socket)
+    {
+        char next = 0;
+        const auto received = ::recv(socket.native_handle(), &next, sizeof(next), MSG_PEEK | MSG_DONTWAIT);
+        if (received >= 0)
+            return received == 0;
+        return errno == ECONNRESET || errno == EPIPE || errno == ETIMEDOUT || errno == ENOTCONN;
+    }
+
     asio::awaitable<void> serveConnection(asio::ip::tcp::socket socket, const HttpHandler& handler)
     {
         beast::tcp_stream stream(std::move(socket));
@@ -37,6 +49,7 @@
             open = parser.get().keep_alive();
             HttpRequest request { std::string(parser.get().target()), std::move(parser.get().body()),
                 std::string(parser.get().method_string()) };
+            request.abandoned = isClosedByPeer(stream.socket());
             const auto reply = co_await handler(std::move(request));
             http::response<http::string_body> response { static_cast<http::status>(reply.status), httpVersion };
             response.set(http::field::content_type, reply.contentType);
--- a/src/celerystile/base/http_test.cpp
+++ b/src/celerystile/base/http_test.cpp
@@ -1,5 +1,6 @@
 #include "celerystile/base/http.hpp"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read_until.hpp>
@@ -7,6 +8,7 @@
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
+#include <utility>
 
 // Large replies on slow links must be read to their end, and a silent server must still be noticed.
 
@@ -72,6 +74,66 @@
         return outcome;
     }
 
+    constexpr auto receiveTimeout = 5s;
+
+    /// A server that reads what its clients have sent only in receive().
+    class LateServer {
+    public:
+        LateServer()
+        {
+            REQUIRE(acceptor_);
+            asio::co_spawn(context_,
+                serveHttp(*acceptor_,
+                    [this](HttpRequest request) -> asio::awaitable<HttpReply> {
+                        received_.push_back(std::move(request));
+                        co_return HttpReply {};
+                    }),
+                asio::detached);
+        }
+
+        /// Returns the requests, in the order of their arrival, once there are `count`.
+        std::vector<HttpRequest> receive(std::size_t count)
+        {
+            const auto deadline = std::chrono::steady_clock::now() + receiveTimeout;
+            while (received_.size() < count && std::chrono::steady_clock::now() < deadline)
+                context_.run_one_for(100ms);
+            REQUIRE(received_.size() == count);
+            return std::exchange(received_, {});
+        }
+
+        /// Connects without the server's doing: the system completes the handshake.
+        asio::ip::tcp::socket connect()
+        {
+            asio::ip::tcp::socket client(clientContext_);
+            client.connect(acceptor_->local_endpoint());
+            return client;
+        }
+
+        /// Runs the server until its reply is available at the client.
+        bool hasReplied(asio::ip::tcp::socket& client)
+        {
+            const auto deadline = std::chrono::steady_clock::now() + receiveTimeout;
+            while (client.available() == 0 && std::chrono::steady_clock::now() < deadline)
+                context_.run_one_for(100ms);
+            std::array<char, 1'024> reply {};
+            return client.available() > 0 && client.read_some(asio::buffer(reply)) > 0;
+        }
+
+    private:
+        asio::io_context context_;
+        asio::io_context clientContext_;
+        Result<asio::ip::tcp::acceptor> acceptor_ = listen(context_, *Endpoint::parse("127.0.0.1:0"));
+        std::vector<HttpRequest> received_;
+    };
+
+    void send(asio::ip::tcp::socket& client, const std::string& target, int count = 1)
+    {
+        std::string text;
+        for (int i = 0; i < count; ++i)
+            text += "PUT " + target + " HTTP/1.1\r\nContent-Length: 4\r\n\r\nbody";
+        asio::write(client, asio::buffer(text));
+    }
+
 } // namespace
 
 TEST_CASE(
@@ -105,4 +167,59 @@
     }
 }
 
+// Guards against taking the request of a process that has ended for that of a living one.
+TEST_CASE("http server: a request is marked if its sender has closed the connection before it is read")
+{
+    LateServer server;
+    auto client = server.connect();
+    send(client, "/late");
+    SUBCASE("the sender gave up, or its process has ended") { client.close(); }
+    SUBCASE("the sender reset the connection")
+    {
+        client.set_option(asio::socket_base::linger(true, 0));
+        client.close();
+    }
+    SUBCASE("the sender sends nothing more, but reads the reply")
+    {
+        client.shutdown(asio::ip::tcp::socket::shutdown_send);
+        CHECK(server.hasReplied(client));
+    }
+    const auto requests = server.receive(1);
+    CHECK(requests.front().target == "/late");
+    CHECK(requests.front().body == "body");
+    CHECK(requests.front().abandoned);
+}
+
+TEST_CASE("http server: a request whose sender waits is not marked, whether it is the connection's first one or not")
+{
+    LateServer server;
+    auto client = server.connect();
+    SUBCASE("one request")
+    {
+        send(client, "/one");
+        CHECK(!server.receive(1).front().abandoned);
+    }
+    SUBCASE("requests on a connection that is kept open")
+    {
+        for (int i = 0; i < 3; ++i) {
+            send(client, "/next");
+            CHECK(!server.receive(1).front().abandoned);
+            CHECK(server.hasReplied(client));
+        }
+    }
+    SUBCASE("pipelined requests")
+    {
+        send(client, "/pipelined", 3);
+        for (const auto& request : server.receive(3))
+            CHECK(!request.abandoned);
+    }
+    SUBCASE("the connection is closed after the reply")
+    {
+        send(client, "/last");
+        CHECK(server.hasReplied(client));
+        client.close();
+        CHECK(!server.receive(1).front().abandoned);
+    }
+}
+
 } // namespace celerystile::base
