Sidecar: a heartbeat whose sender has closed is not believed at once

A process believed the first heartbeat that it read, whoever had sent it. If that was a late one of a host that had ended, the sidecar opened flows for that host's service, or opened flows at a draining host, until the living host's own heartbeat (ROUTE and DRAIN, 0.8 s).

A heartbeat is now marked as abandoned if its sender no longer waited for the answer. Such a one makes no incarnation the present one at once: neither the first that is heard, nor one with a higher start time. Where no incarnation is known, a second one at least most of an interval later does, so that a host that closes its half of each connection is heard one heartbeat later; those that waited together while the process did not run count as one. Waiting senders are believed as before, and so are their first heartbeats after abandoned ones.

This is what a late first heartbeat looks like at a new process: its listening socket is new, and connections that waited at its predecessor's are reset when that one is killed. A heartbeat can only be read if its sender finished the handshake with this process, so it was alive after the process's start, and if it has ended since, the kernel has closed its connection. The test of the fault therefore marks the late heartbeat; its checks are unchanged.

- heartbeats_abandoned counts them; heartbeat_refused says why.
- Explorer: a late heartbeat is abandoned when the process has heard none; the exception that DRAIN made for a process that had just started is gone.
- Property of late heartbeats: late first ones are in it now, and checkpoints name any number of heartbeats.

--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -294,7 +294,10 @@
                             { "sequence", std::to_string(report->sequence) } });
                 if (outcome == fleet::HeartbeatOutcome::Stale)
                     logEvent(Event::HeartbeatRefused,
-                        { { "id", report->id }, { "detail", "older than the last heartbeat accepted from this host" },
+                        { { "id", report->id },
+                            { "detail",
+                                report->abandoned ? "its sender no longer waited for the answer and may have ended"
+                                                  : "older than the last heartbeat accepted from this host" },
                             { "sequence", std::to_string(report->sequence) } });
             } else if (const auto* left = std::get_if<platform::HostDeregistration>(&call)) {
                 sidecar_.onLeave(left->id, now);
--- a/bench/interleaving_test.cpp
+++ b/bench/interleaving_test.cpp
@@ -237,6 +237,13 @@
             StepKind::Wait, StepKind::LateHeartbeat });
 }
 
+// Guards against flows at a draining host whose new sidecar reads a heartbeat of the host's former incarnation first.
+TEST_CASE("interleavings: a late heartbeat that a new sidecar reads first opens no flow at a host that drains")
+{
+    checkNoViolations("restart-host:0:2500 drain-host:0:4500 kill-sidecar:0:680 late-heartbeat:0:20 open-flow:0:5 "
+                      "open-flow:0:5 open-flow:0:5 open-flow:0:5");
+}
+
 TEST_CASE("interleavings: instances that are lost for seconds violate no invariant")
 {
     checkRandomSchedules(
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -225,8 +225,6 @@
             TimePoint nextWrite {};
             TimePoint nextCheckpoint {};
             TimePoint lostUntil {}; // no instance has the address
-            TimePoint processStartedAt {};
-            TimePoint lateHeartbeatAt {};
             TimePoint loseHeartbeatsUntil {};
             TimePoint lateReportsUntil {};
             std::array<TimePoint, balancerCount> loseReportsUntil {}; // by balancer
@@ -488,10 +486,7 @@
                     recordViolation(
                         "ROUTE", "a host of " + slot.host->service() + " accepted a flow for " + serviceNames[i]);
             }
-            // A sidecar that has just started cannot know that the first heartbeat is that of a former incarnation.
-            const bool justStarted = now_ - slot.processStartedAt < contactBound;
-            const bool misled = justStarted && slot.lateHeartbeatAt >= slot.processStartedAt;
-            if (slot.drainedAt && now_ - *slot.drainedAt > drainBound && !misled)
+            if (slot.drainedAt && now_ - *slot.drainedAt > drainBound)
                 recordViolation("DRAIN", "a draining host accepted a new flow later than the bound");
         }
 
@@ -613,7 +608,6 @@
                 options.instance = slot.instanceNumber + 1;
                 options.relearnPeriod = contactBound;
                 slot.process = std::make_unique<fleet::Sidecar>(options, slot, now_);
-                slot.processStartedAt = now_;
                 slot.predecessorRead = false;
                 slot.readAttempts = 0;
                 slot.nextRead = now_ + milliseconds(4 + random_.below(8));
@@ -847,14 +841,16 @@
             calmAt_ = std::max(calmAt_, slot.lastFaultAt);
         }
 
-        // The host had sent more heartbeats than the last one that arrived.
+        // The host had sent more heartbeats than the last one that arrived. A new process receives heartbeats only on
+        // connections that it has accepted itself, so it sees that the sender has ended; others are not relied on to.
         void deliverLateHeartbeat(Slot& slot)
         {
             if (!slot.formerHeartbeat || !slot.process || !isRunning(slot))
                 return;
-            slot.lateHeartbeatAt = now_;
             ++slot.formerHeartbeat->sequence;
-            slot.process->onHeartbeat(*slot.formerHeartbeat, now_);
+            auto late = *slot.formerHeartbeat;
+            late.abandoned = !slot.process->host().heard();
+            slot.process->onHeartbeat(late, now_);
         }
 
         // A process that ends by itself is no disruption: its instance counts as fault-free all the while. An end soon
--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -21,6 +21,7 @@
     std::chrono::milliseconds coldLeft { 0 }; ///< remaining time of slow start
     std::uint64_t sequence = 0; ///< number of the heartbeat within the incarnation, from 1
     std::uint64_t born = 0; ///< identity of the incarnation: its start by the host's clock, Unix milliseconds
+    bool abandoned = false; ///< the sender no longer waited for the answer, so it may have ended
 
     bool operator==(const HostReport&) const = default;
 };
@@ -30,7 +31,7 @@
     FirstOfIncarnation, ///< another incarnation is the present one now
     Changed, ///< the state, service or number of slots differs and has to be announced
     Unchanged,
-    Stale, ///< older than the last one, or of another incarnation, which is probably an ended one: ignored
+    Stale, ///< older than the last one, or of an incarnation that has probably ended: ignored
 };
 
 /// @brief Settings of the host status.
@@ -48,6 +49,9 @@
 /// Incarnations of the host are ordered by the arrival of their heartbeats, not by their start times: a clock may step
 /// between two starts, and a late heartbeat may arrive after its sender has ended and another incarnation has started.
 /// - A higher start time makes an incarnation that was never heard before the present one at once.
+/// - An abandoned heartbeat makes no incarnation the present one at once, because its sender may have ended. An
+/// incarnation
+///   that sends only such heartbeats becomes the present one, while there is none, with a second one an interval later.
 /// - Any other incarnation becomes the present one when it goes on sending heartbeats while the present one is silent.
 ///
 /// The present incarnation is confirmed once its heartbeats can't be late ones; it is disputed while another one was
@@ -134,6 +138,7 @@
         base::TimePoint earliestStart {};
         unsigned heartbeats = 0; // since the last heartbeat of the present one, or since it became the present one
         bool superseded = false;
+        bool heardAlive = false; // a heartbeat was received whose sender was alive
     };
 
     base::Duration maxAge(std::uint64_t heartbeats) const;
@@ -142,7 +147,7 @@
     HeartbeatOutcome recordPresent(const HostReport& report, base::TimePoint now);
     std::size_t findOrAddOther(const HostReport& report, base::TimePoint now);
     bool recordSequence(Incarnation& incarnation, const HostReport& report, base::TimePoint now) const;
-    bool isSuccessor(const Incarnation& other, bool firstHeard, base::TimePoint now) const;
+    bool isSuccessor(const Incarnation& other, bool firstHeardAlive, base::TimePoint now) const;
     bool isSuccessorCertain(const Incarnation& other, base::TimePoint now) const;
     void makePresent(std::size_t index, base::TimePoint now);
     void forgetRivals();
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -40,6 +40,7 @@
     DropUnclaimed, ///< packets of flows that no sidecar claims
     DropTableFull,
     EpochRaised, ///< hellos of balancers that took another process for the latest at this address
+    HeartbeatsAbandoned, ///< heartbeats whose sender had given up or ended when they were read
     Count_,
 };
 
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -88,10 +88,11 @@
         return recordPresent(report, now);
     const auto index = findOrAddOther(report, now);
     auto& other = others_[index];
-    const bool firstHeard = !other.sequence;
     if (!recordSequence(other, report, now))
         return HeartbeatOutcome::Stale;
-    if (!isSuccessor(other, firstHeard, now)) {
+    const bool firstHeardAlive = !report.abandoned && !other.heardAlive;
+    other.heardAlive = other.heardAlive || !report.abandoned;
+    if (!isSuccessor(other, firstHeardAlive, now)) {
         lastOtherHeartbeatAt_ = now;
         confirmed_ = false;
         return HeartbeatOutcome::Stale;
@@ -126,9 +127,11 @@
 
 // A late heartbeat neither displaces a host that sends heartbeats nor keeps a living host out: at worst it is believed
 // until it is silent and the living host has sent two more.
-bool HostStatus::isSuccessor(const Incarnation& other, bool firstHeard, base::TimePoint now) const
+bool HostStatus::isSuccessor(const Incarnation& other, bool firstHeardAlive, base::TimePoint now) const
 {
-    if (!present_ || (firstHeard && other.born > present_->born))
+    if (!present_) // abandoned heartbeats that waited together while this process did not run count as one
+        return other.heardAlive || (other.heartbeats >= confirmingHeartbeats && now - other.firstHeardAt >= minAge(2));
+    if (firstHeardAlive && !other.superseded && other.born > present_->born)
         return true;
     const auto presentState = state(now);
     return other.heartbeats >= confirmingHeartbeats
--- a/src/celerystile/fleet/host_status_test.cpp
+++ b/src/celerystile/fleet/host_status_test.cpp
@@ -28,6 +28,8 @@
         milliseconds at { 0 };
         std::uint64_t sequence = 0;
         std::uint64_t born = 0;
+        bool late = false;
+        bool abandoned = false; // if the process has heard a host before; otherwise every late one is
     };
 
     /// An incarnation of the host; its heartbeats are numbered from 1, whether the sidecar's process runs or not.
@@ -73,10 +75,10 @@
     {
         std::vector<Arrival> arrivals;
         const auto add = [&](const Life& life, std::size_t index, milliseconds delay) {
-            // A process that receives a heartbeat with the number 1 takes its sender for a host that has just started.
-            const bool unheardStart = index == 0 && life.from <= processStart && delay.count() > 0;
-            if (life.heartbeats[index] + delay >= processStart && !unheardStart)
-                arrivals.push_back({ life.heartbeats[index] + delay, index + 1, life.born });
+            const bool late = delay.count() > 0;
+            if (life.heartbeats[index] + delay >= processStart)
+                arrivals.push_back({ life.heartbeats[index] + delay, index + 1, life.born, late,
+                    late && *rc::gen::arbitrary<bool>() });
         };
         for (const auto& life : lives) {
             const bool living = &life == &lives.back();
@@ -136,6 +138,69 @@
     }
 }
 
+// Guards against a late heartbeat that a new process receives first: its sender has ended since.
+TEST_CASE("an abandoned heartbeat is not believed at once, and an incarnation that sends only such ones is heard")
+{
+    HostStatus status({}, start);
+    auto now = start;
+    const auto abandoned = [&](std::uint64_t sequence, std::uint64_t born) {
+        auto report = heartbeat(sequence, born);
+        report.abandoned = true;
+        return status.recordHeartbeat(report, now);
+    };
+    CHECK(abandoned(4, 9'000) == HeartbeatOutcome::Stale);
+    CHECK(!status.heard());
+    SUBCASE("the next one is received an interval later")
+    {
+        now += heartbeatInterval;
+        CHECK(abandoned(5, 9'000) == HeartbeatOutcome::FirstOfIncarnation);
+        CHECK(status.born() == 9'000);
+        CHECK(status.firstSequence() == 4);
+    }
+    SUBCASE("those that waited together while the process did not run count as one")
+    {
+        CHECK(abandoned(5, 9'000) == HeartbeatOutcome::Stale);
+        CHECK(abandoned(6, 9'000) == HeartbeatOutcome::Stale);
+        CHECK(!status.heard());
+    }
+    SUBCASE("the sender of the next one waits")
+    {
+        CHECK(status.recordHeartbeat(heartbeat(5, 9'000), now) == HeartbeatOutcome::FirstOfIncarnation);
+    }
+    SUBCASE("another host's sender waits")
+    {
+        CHECK(status.recordHeartbeat(heartbeat(1, 1'000), now) == HeartbeatOutcome::FirstOfIncarnation);
+        CHECK(status.born() == 1'000);
+        now += heartbeatInterval;
+        CHECK(abandoned(5, 9'000) == HeartbeatOutcome::Stale);
+        CHECK(status.born() == 1'000);
+    }
+}
+
+TEST_CASE("a higher start time makes an incarnation the present one at once only if the sender of the heartbeat waits")
+{
+    HostStatus status({}, start);
+    status.recordHeartbeat(heartbeat(40, 1'000), start);
+    auto now = start + milliseconds(300);
+    auto late = heartbeat(4, 9'000);
+    late.abandoned = true;
+    CHECK(status.recordHeartbeat(late, now) == HeartbeatOutcome::Stale);
+    CHECK(status.born() == 1'000);
+    SUBCASE("its next heartbeat finds the sender waiting")
+    {
+        CHECK(status.recordHeartbeat(heartbeat(5, 9'000), now) == HeartbeatOutcome::FirstOfIncarnation);
+    }
+    SUBCASE("its heartbeats are all abandoned: it is the present one once the other is silent")
+    {
+        for (std::uint64_t sequence = 5; sequence < 8; ++sequence) {
+            now += heartbeatInterval;
+            late.sequence = sequence;
+            status.recordHeartbeat(late, now);
+        }
+        CHECK(status.born() == 9'000);
+    }
+}
+
 // Guards against resets of flows of a host that is heard already, but is not the present one yet.
 TEST_CASE("a late heartbeat with a higher start time confirms nothing while a third incarnation sends heartbeats")
 {
@@ -174,11 +239,17 @@
         for (auto at = processStart; at < living.until; at += milliseconds(100))
             schedule.emplace(at, [&](base::TimePoint now) { sidecar.tick(now); });
         for (const auto& arrival : arrivals)
-            schedule.emplace(arrival.at,
-                [&](base::TimePoint now) { sidecar.onHeartbeat(heartbeat(arrival.sequence, arrival.born), now); });
+            schedule.emplace(arrival.at, [&](base::TimePoint now) {
+                auto report = heartbeat(arrival.sequence, arrival.born);
+                report.abandoned = arrival.abandoned || (arrival.late && !sidecar.host().heard());
+                sidecar.onHeartbeat(report, now);
+            });
         HeldFlows held;
         held.born = living.born;
-        held.sequence = *rc::gen::arbitrary<bool>() ? 1 : 0; // from a checkpoint or from a balancer
+        const auto received = static_cast<std::uint64_t>(std::count_if(
+            living.heartbeats.begin(), living.heartbeats.end(), [&](auto at) { return at < processStart; }));
+        if (*rc::gen::arbitrary<bool>()) // from a checkpoint; otherwise from a balancer
+            held.sequence = std::max<std::uint64_t>(1, *rc::gen::inRange<std::uint64_t>(0, received + 1));
         std::set<core::FlowKey> ofLiving;
         for (int i = 1; i <= 6; ++i) {
             auto packet = dataOf(("100.64.0.7:" + std::to_string(i)).c_str(), 901);
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -31,6 +31,7 @@
         "drop_unclaimed",
         "drop_table_full",
         "epoch_raised",
+        "heartbeats_abandoned",
     };
 
 } // namespace
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -79,6 +79,8 @@
 
 HeartbeatOutcome Sidecar::onHeartbeat(const HostReport& report, base::TimePoint now)
 {
+    if (report.abandoned)
+        increment(SidecarCount::HeartbeatsAbandoned);
     const auto outcome = host_.recordHeartbeat(report, now);
     if (outcome != HeartbeatOutcome::Stale)
         unattributedFlows_.clear();
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -451,6 +451,7 @@
     Fixture fixture(0);
     auto late = report(12, 5'000);
     late.service = "archive";
+    late.abandoned = true;
     fixture.sidecar.onHeartbeat(late, fixture.now);
     auto forArchive = opening();
     forArchive.service = core::hashName("archive");
