An instance replaces another only when that one no longer reports

What callers would see: a reset of an open flow, "another instance has the host's address", while the host that holds it is sound.

Cause: two reports 400 ms apart of another instance counted as proof that it has the address. The interval of reports is 600 ms or more, so two late ones of an ended instance fit between two reports of the living one. And while the living one's epoch is still below that of its predecessor, its record is refused, but its claims are taken: their owner then differs from the instance in the table, whose reports span 400 ms, so the next packet resets the caller. Found by a review.

Change: the reports have to span the interval that they announce, 600 ms at least, without a report of the earlier instance between them; a refused report counts as one.

Three more tests are of cases that no test covered (mutations of the review): a registry entry is no report, two instances that report in turn, the hello in answer to a refused report. The tests of a real replacement are unchanged.

--- a/include/celerystile/fleet/host_table.hpp
+++ b/include/celerystile/fleet/host_table.hpp
@@ -44,8 +44,8 @@
     base::Duration minReportTimeout
         = std::chrono::milliseconds(2'000); ///< time without a report after which a sidecar is unresponsive
     double missedReportLimit = 3.5; ///< the same timeout in announced report intervals; the longer one counts
-    base::Duration replacementTime = std::chrono::milliseconds(
-        400); ///< between the first and the last report of an instance that replaces another
+    base::Duration minReplacementTime = std::chrono::milliseconds(
+        600); ///< minimum time between the first and the last report of an instance that replaces another
     base::Duration suspicionTime = std::chrono::seconds(2); ///< how long a host that left a SYN unanswered is avoided
 };
 
@@ -54,7 +54,7 @@
     HostRecord record;
     bool registered = false; ///< has an entry in the registry
     base::TimePoint lastReportAt {}; ///< last report from the sidecar; zero: none
-    base::TimePoint firstReportAt {}; ///< first report of the instance that last reported; zero: none
+    base::TimePoint firstReportAt {}; ///< first of the reports without one of another instance between; zero: none
     base::TimePoint coldUntil {};
     base::TimePoint suspectedUntil {};
     std::uint32_t placedSinceReport = 0; ///< new flows sent to the host since its last report
@@ -106,7 +106,7 @@
     bool cutOff(base::TimePoint now) const;
 
     /// @return whether another instance reports from this address now, so that the earlier one and its host have ended.
-    /// A single report is no proof: it may be a late one of an instance that had the address earlier.
+    /// Late reports of an instance that had the address earlier are no proof: a living one reports between them.
     bool replaced(const Endpoint& sidecar, InstanceId instance) const;
 
     /// @return whether the host is registered or its sidecar has reported recently.
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -277,6 +277,63 @@
     }
 }
 
+// Guards against resets on one report of an instance whose registry entry was read before.
+TEST_CASE("a registry entry of another instance does not count as its report")
+{
+    Fixture fixture;
+    auto record = hostOf("10.0.0.1:80");
+    record.instance = 1;
+    fixture.balancer.onReport({ record, { { synOf(caller).key, 900, 901, true } }, {} }, fixture.now);
+    fixture.advance(milliseconds(700));
+    record.instance = 2;
+    record.process = 2;
+    record.epoch = 2;
+    fixture.balancer.setRegistry({ record }, ListExtent::Complete, fixture.now);
+    fixture.advance(milliseconds(700));
+    fixture.balancer.onReport({ record, {}, {} }, fixture.now);
+    fixture.packet(dataOf(caller, 901));
+    CHECK(fixture.output.resets.empty());
+}
+
+// Guards against an instance that had the address earlier being taken for the latest: the living one reports as well.
+TEST_CASE("reports of two instances at an address do not show that one has replaced the other")
+{
+    Fixture fixture;
+    auto living = hostOf("10.0.0.1:80");
+    living.instance = 1;
+    auto ended = living;
+    ended.instance = 2;
+    ended.process = 2;
+    ended.epoch = 2;
+    fixture.balancer.onReport({ living, { { synOf(caller).key, 900, 901, true } }, {} }, fixture.now);
+    for (int i = 0; i < 10; ++i) {
+        fixture.balancer.onReport({ ended, {}, {} }, fixture.now);
+        fixture.advance(milliseconds(300));
+        fixture.balancer.onReport({ living, {}, {} }, fixture.now); // refused for its epoch
+        fixture.packet(dataOf(caller, 901));
+        fixture.advance(milliseconds(300));
+        fixture.packet(dataOf(caller, 901));
+    }
+    CHECK(fixture.output.resets.empty());
+}
+
+// Guards against a living sidecar that is never told of the epoch for which its reports are refused.
+TEST_CASE("a report of another process that is refused is answered with the known process")
+{
+    Fixture fixture;
+    auto record = hostOf("10.0.0.1:80");
+    record.process = 11;
+    record.epoch = 2'000;
+    fixture.balancer.onReport({ record, {}, {} }, fixture.now);
+    fixture.output.sent.clear();
+    record.process = 12;
+    record.epoch = 1'000;
+    fixture.balancer.onReport({ record, {}, {} }, fixture.now);
+    const auto hellos = fixture.output.sentOf<BalancerHello>();
+    REQUIRE(hellos.size() == 1);
+    CHECK(hellos.front().known == KnownProcess { 11, 2'000 });
+}
+
 TEST_CASE("a host record that is not applied is counted and logged once, a reset names what was known of the host")
 {
     Fixture fixture;
--- a/src/celerystile/fleet/host_table.cpp
+++ b/src/celerystile/fleet/host_table.cpp
@@ -79,8 +79,11 @@
 {
     const auto [entry, added] = hosts_.try_emplace(record.sidecar);
     auto& host = entry->second;
-    if (!added && isOutdated(record, host.record))
+    if (!added && isOutdated(record, host.record)) {
+        if (record.instance != host.record.instance)
+            host.firstReportAt = {}; // two instances report, so neither has replaced the other
         return OutdatedRecord { record, host.record, RecordSource::Report };
+    }
     if (added || record.instance != host.record.instance || host.firstReportAt == base::TimePoint {})
         host.firstReportAt = now;
     update(host, record, now);
@@ -168,9 +171,11 @@
 bool HostTable::replaced(const Endpoint& sidecar, InstanceId instance) const
 {
     const auto* host = find(sidecar);
-    const bool reporting = host && host->firstReportAt != base::TimePoint {}
-        && host->lastReportAt - host->firstReportAt >= options_.replacementTime;
-    return reporting && instance != 0 && host->record.instance != 0 && host->record.instance != instance;
+    if (!host || instance == 0 || host->record.instance == 0 || host->record.instance == instance)
+        return false;
+    const base::Duration reportInterval = std::chrono::milliseconds(host->record.reportMilliseconds);
+    return host->firstReportAt != base::TimePoint {}
+    && host->lastReportAt - host->firstReportAt >= std::max(options_.minReplacementTime, reportInterval);
 }
 
 bool HostTable::cutOff(base::TimePoint now) const
