An epoch that could not be raised above is not valid

What would be seen: a sidecar locked out for good by one corrupt record, while its reports, the balancer's hellos and its announcements answer one another without end (30,001 announcements in five seconds); or an epoch of 0 after one corrupt hello, so that a late report of a predecessor displaces the living sidecar.

Cause: raiseEpoch() adds one to whatever a balancer names; above 2^64-1 that is 0. Found by a review; it takes a process with the fleet's key that is corrupt.

--- a/include/celerystile/fleet/host_record.hpp
+++ b/include/celerystile/fleet/host_record.hpp
@@ -55,6 +55,10 @@
     bool operator==(const HostRecord&) const = default;
 };
 
+/// @brief Highest valid epoch. Epochs start at Unix milliseconds and are raised by one, so that a higher one is corrupt
+/// and could not be raised above.
+inline constexpr std::uint64_t maxEpoch = std::uint64_t { 1 } << 62U;
+
 /// @return whether `record` was made before `known`, a record of the same address, or by a process that does not follow
 /// that of `known`.
 bool isOutdated(const HostRecord& record, const HostRecord& known);
--- a/include/celerystile/fleet/host_table.hpp
+++ b/include/celerystile/fleet/host_table.hpp
@@ -26,7 +26,7 @@
 
 std::string_view toString(RecordSource source);
 
-/// @brief A record that was not applied, because the table holds a later one.
+/// @brief A record that was not applied, because the table holds a later one or its epoch is not valid.
 struct OutdatedRecord {
     HostRecord received;
     HostRecord known;
@@ -119,6 +119,7 @@
     const Map& hosts() const { return hosts_; }
 
 private:
+    HostRecord knownRecord(const Endpoint& sidecar) const;
     base::Duration reportTimeout(const KnownHost& host) const;
     bool reportedRecently(const KnownHost& host, base::TimePoint now) const;
     bool reportOverdue(const KnownHost& host, base::TimePoint now) const;
--- a/src/celerystile/fleet/host_table.cpp
+++ b/src/celerystile/fleet/host_table.cpp
@@ -46,6 +46,16 @@
     host.coldUntil = now + std::chrono::milliseconds(record.coldMilliseconds);
 }
 
+// @return the record of the address; one without a process if there is none.
+HostRecord HostTable::knownRecord(const Endpoint& sidecar) const
+{
+    if (const auto* host = find(sidecar))
+        return host->record;
+    HostRecord record;
+    record.sidecar = sidecar;
+    return record;
+}
+
 std::vector<OutdatedRecord> HostTable::applyRegistry(
     const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now)
 {
@@ -53,6 +63,10 @@
     for (auto& [sidecar, host] : hosts_)
         host.registered = host.registered && extent == ListExtent::Partial;
     for (const auto& record : records) {
+        if (record.epoch > maxEpoch) {
+            outdated.push_back({ record, knownRecord(record.sidecar), RecordSource::HostList });
+            continue;
+        }
         const auto [entry, added] = hosts_.try_emplace(record.sidecar);
         auto& host = entry->second;
         host.registered = true;
@@ -77,6 +91,8 @@
 
 std::optional<OutdatedRecord> HostTable::recordReport(const HostRecord& record, base::TimePoint now)
 {
+    if (record.epoch > maxEpoch)
+        return OutdatedRecord { record, knownRecord(record.sidecar), RecordSource::Report };
     const auto [entry, added] = hosts_.try_emplace(record.sidecar);
     auto& host = entry->second;
     if (!added && isOutdated(record, host.record)) {
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -138,8 +138,8 @@
     const std::chrono::duration<double, std::milli> helloTimeout(
         hello.intervalMilliseconds * options_.missedHelloLimit);
     known.lifetime = std::max(options_.minBalancerLifetime, std::chrono::duration_cast<base::Duration>(helloTimeout));
-    const bool mistaken
-        = hello.known.epoch != 0 && hello.known.process != options_.process && hello.known.epoch >= epoch_;
+    const bool valid = hello.known.epoch != 0 && hello.known.epoch <= maxEpoch;
+    const bool mistaken = valid && hello.known.process != options_.process && hello.known.epoch >= epoch_;
     if (mistaken && !known.mistaken)
         output_.recordMistaken(hello.balancer, hello.known);
     known.mistaken = mistaken;
