A declined SYN says whether another host may still accept it

What callers would see: a refused connection while a host accepts it, if the host answers the SYN just after 30 ms.

Found by a review.

Change: the forwarded SYN and the answer that it is declined say that a host which received it may still accept it; the balancer then tries other hosts, but does not refuse. The new struct on the wire starts as the one before, so that earlier versions read it and are read.

--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -46,6 +46,7 @@
     std::uint32_t timeoutMilliseconds = 0; ///< after which the caller gives up a request; 0: unknown
     std::optional<ShortestWait> shortestWait; ///< of the saturated candidates visited so far
     bool settled = false; ///< all candidates were visited; the receiver has the shortest wait and accepts the flow
+    bool unanswered = false; ///< a host visited before has not answered the SYN, but may still accept it
     CandidateList candidates; ///< sidecars in the order of the visits
     core::Bytes packet; ///< not owned; refers to the received datagram
 };
@@ -113,6 +114,7 @@
 /// @brief No candidate accepted the SYN.
 struct SynDeclined {
     core::FlowKey key;
+    bool unanswered = false; ///< a host that has not answered the SYN may still accept it
 
     bool operator==(const SynDeclined&) const = default;
 };
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -294,6 +294,7 @@
     if (found == pending_.end())
         return;
     auto& pending = found->second;
+    pending.unanswered = pending.unanswered || declined.unanswered;
     for (const auto& candidate : pending.candidates) {
         if (!contains(pending.tried, candidate))
             pending.tried.push_back(candidate);
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -90,7 +90,7 @@
     if (!forward.settled && forward.shortestWait)
         return forwardToShortestWait(forward, segment, now);
     increment(SidecarCount::SynDeclined);
-    output_.send(forward.balancer, SynDeclined { segment.key });
+    output_.send(forward.balancer, SynDeclined { segment.key, forward.unanswered });
 }
 
 // All candidates are saturated: the SYN goes to the one with the shortest expected wait.
@@ -134,6 +134,7 @@
             lastUnansweredAt_ = now;
             auto original = saved->second;
             original.forward.packet = original.packet;
+            original.forward.unanswered = true;
             if (forwardToNext(original.forward)) {
                 increment(SidecarCount::SynPassedOn);
                 recordDecision(DecisionKind::FlowMovedOn, key, "the host did not answer the SYN in time");
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -33,6 +33,7 @@
         to.setObjectiveMilliseconds(value.objectiveMilliseconds);
         to.setTimeoutMilliseconds(value.timeoutMilliseconds);
         to.setSettled(value.settled);
+        to.setUnanswered(value.unanswered);
         to.setWaitKnown(value.shortestWait.has_value());
         to.setWaitPosition(value.shortestWait.value_or(fleet::ShortestWait {}).position);
         to.setWaitMilliseconds(value.shortestWait.value_or(fleet::ShortestWait {}).milliseconds);
@@ -62,6 +63,7 @@
         for (const auto candidate : candidates)
             value.candidates.push_back(read(candidate));
         value.settled = from.getSettled();
+        value.unanswered = from.getUnanswered();
         if (from.getWaitKnown())
             value.shortestWait = fleet::ShortestWait { from.getWaitPosition(), from.getWaitMilliseconds() };
         if (value.shortestWait && value.shortestWait->position >= value.candidates.size())
@@ -93,6 +95,24 @@
         return value;
     }
 
+    void write(schema::SynDeclined::Builder to, const fleet::SynDeclined& value)
+    {
+        to.setCallerIp(value.key.caller.address.toV4());
+        to.setCallerPort(value.key.caller.port);
+        to.setServiceIp(value.key.service.address.toV4());
+        to.setServicePort(value.key.service.port);
+        to.setUnanswered(value.unanswered);
+    }
+
+    fleet::SynDeclined read(schema::SynDeclined::Reader from)
+    {
+        fleet::SynDeclined value;
+        value.key.caller = { base::IpAddress::fromV4(from.getCallerIp()), from.getCallerPort() };
+        value.key.service = { base::IpAddress::fromV4(from.getServiceIp()), from.getServicePort() };
+        value.unanswered = from.getUnanswered();
+        return value;
+    }
+
     void write(capnp::List<schema::FlowClaim>::Builder to, const std::vector<fleet::FlowClaim>& claims)
     {
         for (unsigned i = 0; i < to.size(); ++i)
@@ -197,7 +217,7 @@
                 held.getSequence(), read(held.getFlows()), held.getUnattributed() } };
         }
         case schema::FleetMessage::SYN_DECLINED:
-            return fleet::Message { fleet::SynDeclined { read(from.getSynDeclined()).key } };
+            return fleet::Message { read(from.getSynDeclined()) };
         case schema::FleetMessage::SNAPSHOT:
             return read(from.getSnapshot());
         }
@@ -247,10 +267,7 @@
             for (unsigned i = 0; i < hosts.size(); ++i)
                 write(hosts[i], value.hosts[i]);
         }
-        void operator()(const fleet::SynDeclined& value)
-        {
-            write(root.initSynDeclined(), fleet::FlowClaim { value.key });
-        }
+        void operator()(const fleet::SynDeclined& value) { write(root.initSynDeclined(), value); }
     };
 
     template <typename Write> void encodeRoot(const Keyring& keyring, DatagramBuffer& out, Write writeRoot)
--- a/src/celerystile/peer/fleet_message_test.cpp
+++ b/src/celerystile/peer/fleet_message_test.cpp
@@ -53,6 +53,7 @@
     roundTrip(fleet::SidecarHello { endpoint("10.9.0.1:7720") });
     roundTrip(fleet::HeldFlows { 7, 12, true, 9, { claim() }, 1 });
     roundTrip(fleet::SynDeclined { claim().key });
+    roundTrip(fleet::SynDeclined { claim().key, true });
     roundTrip(fleet::FleetSnapshot { "text", { host() } });
 }
 
@@ -69,6 +70,7 @@
     forward.objectiveMilliseconds = 100;
     forward.timeoutMilliseconds = 900;
     forward.settled = true;
+    forward.unanswered = true;
     forward.shortestWait = fleet::ShortestWait { 1, 70 };
     forward.candidates = { endpoint("10.0.0.1:80"), endpoint("10.0.0.2:80") };
     forward.packet = packet;
@@ -84,6 +86,7 @@
     CHECK(read.objectiveMilliseconds == 100);
     CHECK(read.timeoutMilliseconds == 900);
     CHECK(read.settled);
+    CHECK(read.unanswered);
     CHECK(read.shortestWait == forward.shortestWait);
     CHECK(std::equal(read.packet.begin(), read.packet.end(), packet.begin(), packet.end()));
 }
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -25,6 +25,7 @@
   waitKnown @11 :Bool;
   waitPosition @12 :UInt8;
   waitMilliseconds @13 :UInt32;
+  unanswered @14 :Bool;
 }
 
 struct HostRecord {
@@ -57,6 +58,15 @@
   callerAck @6 :UInt32;
 }
 
+# Up to the ports laid out as FlowClaim, which earlier versions send.
+struct SynDeclined {
+  callerIp @0 :UInt32;
+  serviceIp @1 :UInt32;
+  callerPort @2 :UInt16;
+  servicePort @3 :UInt16;
+  unanswered @4 :Bool;
+}
+
 struct FlowReport {
   host @0 :HostRecord;
   held @1 :List(FlowClaim);
@@ -95,7 +105,7 @@
     balancerHello @2 :BalancerHello;
     sidecarHello @3 :Address;
     heldFlows @4 :HeldFlows;
-    synDeclined @5 :FlowClaim;
+    synDeclined @5 :SynDeclined;
     snapshot @6 :FleetSnapshot;
   }
 }
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -20,6 +20,7 @@
 CAPNP_DECLARE_SCHEMA(d020704a72d14860);
 CAPNP_DECLARE_SCHEMA(cac369ad427ba682);
 CAPNP_DECLARE_SCHEMA(d84be4f520b2f8de);
+CAPNP_DECLARE_SCHEMA(ec612c8bd80692bd);
 CAPNP_DECLARE_SCHEMA(ded8aa68a8056ded);
 CAPNP_DECLARE_SCHEMA(dff0407799e40763);
 CAPNP_DECLARE_SCHEMA(db708e03ebf1fbc1);
@@ -93,6 +94,21 @@
   };
 };
 
+struct SynDeclined {
+  SynDeclined() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec612c8bd80692bd, 2, 0)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FlowReport {
   FlowReport() = delete;
 
@@ -308,6 +324,8 @@
 
   inline  ::uint32_t getWaitMilliseconds() const;
 
+  inline bool getUnanswered() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -390,6 +408,9 @@
   inline  ::uint32_t getWaitMilliseconds();
   inline void setWaitMilliseconds( ::uint32_t value);
 
+  inline bool getUnanswered();
+  inline void setUnanswered(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -685,6 +706,102 @@
 };
 #endif  // !CAPNP_LITE
 
+class SynDeclined::Reader {
+public:
+  typedef SynDeclined Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCallerIp() const;
+
+  inline  ::uint32_t getServiceIp() const;
+
+  inline  ::uint16_t getCallerPort() const;
+
+  inline  ::uint16_t getServicePort() const;
+
+  inline bool getUnanswered() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class SynDeclined::Builder {
+public:
+  typedef SynDeclined Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint32_t getCallerIp();
+  inline void setCallerIp( ::uint32_t value);
+
+  inline  ::uint32_t getServiceIp();
+  inline void setServiceIp( ::uint32_t value);
+
+  inline  ::uint16_t getCallerPort();
+  inline void setCallerPort( ::uint16_t value);
+
+  inline  ::uint16_t getServicePort();
+  inline void setServicePort( ::uint16_t value);
+
+  inline bool getUnanswered();
+  inline void setUnanswered(bool value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class SynDeclined::Pipeline {
+public:
+  typedef SynDeclined Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FlowReport::Reader {
 public:
   typedef FlowReport Reads;
@@ -1141,7 +1258,7 @@
 
   inline bool isSynDeclined() const;
   inline bool hasSynDeclined() const;
-  inline  ::celerystile::peer::schema::FlowClaim::Reader getSynDeclined() const;
+  inline  ::celerystile::peer::schema::SynDeclined::Reader getSynDeclined() const;
 
   inline bool isSnapshot() const;
   inline bool hasSnapshot() const;
@@ -1218,11 +1335,11 @@
 
   inline bool isSynDeclined();
   inline bool hasSynDeclined();
-  inline  ::celerystile::peer::schema::FlowClaim::Builder getSynDeclined();
-  inline void setSynDeclined( ::celerystile::peer::schema::FlowClaim::Reader value);
-  inline  ::celerystile::peer::schema::FlowClaim::Builder initSynDeclined();
-  inline void adoptSynDeclined(::capnp::Orphan< ::celerystile::peer::schema::FlowClaim>&& value);
-  inline ::capnp::Orphan< ::celerystile::peer::schema::FlowClaim> disownSynDeclined();
+  inline  ::celerystile::peer::schema::SynDeclined::Builder getSynDeclined();
+  inline void setSynDeclined( ::celerystile::peer::schema::SynDeclined::Reader value);
+  inline  ::celerystile::peer::schema::SynDeclined::Builder initSynDeclined();
+  inline void adoptSynDeclined(::capnp::Orphan< ::celerystile::peer::schema::SynDeclined>&& value);
+  inline ::capnp::Orphan< ::celerystile::peer::schema::SynDeclined> disownSynDeclined();
 
   inline bool isSnapshot();
   inline bool hasSnapshot();
@@ -1549,6 +1666,20 @@
       ::capnp::bounded<7>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetForward::Reader::getUnanswered() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetForward::Builder::getUnanswered() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS);
+}
+inline void FleetForward::Builder::setUnanswered(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostRecord::Reader::hasSidecar() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1910,6 +2041,76 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t SynDeclined::Reader::getCallerIp() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SynDeclined::Builder::getCallerIp() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void SynDeclined::Builder::setCallerIp( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t SynDeclined::Reader::getServiceIp() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t SynDeclined::Builder::getServiceIp() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void SynDeclined::Builder::setServiceIp( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t SynDeclined::Reader::getCallerPort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t SynDeclined::Builder::getCallerPort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void SynDeclined::Builder::setCallerPort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t SynDeclined::Reader::getServicePort() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t SynDeclined::Builder::getServicePort() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void SynDeclined::Builder::setServicePort( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool SynDeclined::Reader::getUnanswered() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+
+inline bool SynDeclined::Builder::getUnanswered() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS);
+}
+inline void SynDeclined::Builder::setUnanswered(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FlowReport::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2621,41 +2822,41 @@
   return !_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
 }
-inline  ::celerystile::peer::schema::FlowClaim::Reader FleetMessage::Reader::getSynDeclined() const {
+inline  ::celerystile::peer::schema::SynDeclined::Reader FleetMessage::Reader::getSynDeclined() const {
   KJ_IREQUIRE((which() == FleetMessage::SYN_DECLINED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::get(_reader.getPointerField(
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::SynDeclined>::get(_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline  ::celerystile::peer::schema::FlowClaim::Builder FleetMessage::Builder::getSynDeclined() {
+inline  ::celerystile::peer::schema::SynDeclined::Builder FleetMessage::Builder::getSynDeclined() {
   KJ_IREQUIRE((which() == FleetMessage::SYN_DECLINED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::get(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::SynDeclined>::get(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
-inline void FleetMessage::Builder::setSynDeclined( ::celerystile::peer::schema::FlowClaim::Reader value) {
+inline void FleetMessage::Builder::setSynDeclined( ::celerystile::peer::schema::SynDeclined::Reader value) {
   _builder.setDataField<FleetMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SYN_DECLINED);
-  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::set(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::SynDeclined>::set(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), value);
 }
-inline  ::celerystile::peer::schema::FlowClaim::Builder FleetMessage::Builder::initSynDeclined() {
+inline  ::celerystile::peer::schema::SynDeclined::Builder FleetMessage::Builder::initSynDeclined() {
   _builder.setDataField<FleetMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SYN_DECLINED);
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::init(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::SynDeclined>::init(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 inline void FleetMessage::Builder::adoptSynDeclined(
-    ::capnp::Orphan< ::celerystile::peer::schema::FlowClaim>&& value) {
+    ::capnp::Orphan< ::celerystile::peer::schema::SynDeclined>&& value) {
   _builder.setDataField<FleetMessage::Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::SYN_DECLINED);
-  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::adopt(_builder.getPointerField(
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::SynDeclined>::adopt(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
 }
-inline ::capnp::Orphan< ::celerystile::peer::schema::FlowClaim> FleetMessage::Builder::disownSynDeclined() {
+inline ::capnp::Orphan< ::celerystile::peer::schema::SynDeclined> FleetMessage::Builder::disownSynDeclined() {
   KJ_IREQUIRE((which() == FleetMessage::SYN_DECLINED),
               "Must check which() before get()ing a union member.");
-  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::FlowClaim>::disown(_builder.getPointerField(
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::SynDeclined>::disown(_builder.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
