A host that drains gets no new flow while a later incarnation is uncertain

What would be seen: new flows at a host that has said that it drains, for up to 0.8 s (DRAIN).

Found by a review.

Change: until the present incarnation is certain, one that drained before counts as well.

--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -101,8 +101,8 @@
     /// @return whether it is uncertain which service the host has, because incarnations of several were heard.
     bool serviceDisputed(base::TimePoint now) const;
 
-    /// @return whether another incarnation has said that it drains since the present one sent its last heartbeat.
-    bool drainDisputed() const;
+    /// @return whether another incarnation has said that it drains, and it may be the one that is alive.
+    bool drainDisputed(base::TimePoint now) const;
 
     /// @return the earliest time at which the present incarnation can have started, by the numbers of its heartbeats.
     base::TimePoint earliestStart() const { return present_ ? present_->earliestStart : start_; }
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -207,10 +207,11 @@
     });
 }
 
-bool HostStatus::drainDisputed() const
+bool HostStatus::drainDisputed(base::TimePoint now) const
 {
+    const bool uncertain = !confirmed(now);
     return std::any_of(others_.begin(), others_.end(),
-        [](const Incarnation& other) { return other.draining && other.heartbeats > 0; });
+        [&](const Incarnation& other) { return other.draining && (uncertain || other.heartbeats > 0); });
 }
 
 bool HostStatus::recordLeave(const std::string& id)
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -47,7 +47,7 @@
         return "the host serves another service";
     if (host_.serviceDisputed(now))
         return "it is uncertain which service the host has";
-    if (host_.drainDisputed())
+    if (host_.drainDisputed(now))
         return "it is uncertain whether the host is draining";
     switch (host_.state(now)) {
     case HostState::Ready:
