Only a heartbeat of a host that is alive attributes the flows opened before it

What callers would see: a reset of an open flow of a living host, "the host has restarted", when its sidecar starts again.

Cause: any newer heartbeat cleared the mark of flows that a later incarnation may have opened, also one that was sent before the host restarted and read after the flow opened. The checkpoint then named the flow under the ended incarnation. Found by a review.

Change: an abandoned heartbeat, whose sender may have ended, clears no mark.

--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -82,7 +82,8 @@
     if (report.abandoned)
         increment(SidecarCount::HeartbeatsAbandoned);
     const auto outcome = host_.recordHeartbeat(report, now);
-    if (outcome != HeartbeatOutcome::Stale)
+    const bool hostAlive = outcome != HeartbeatOutcome::Stale && !report.abandoned;
+    if (hostAlive) // no other incarnation can have opened flows until now
         unattributedFlows_.clear();
     if (outcome == HeartbeatOutcome::FirstOfIncarnation)
         predecessorFlowsOpen_ = host_.replacedAnother();
