A restarted host's start is not taken from heartbeats that it has given up

What callers would see: a reset of an idle flow of a living host, "the host has restarted", if the first heartbeats after a restart are late.

Cause: the start was taken from the arrival of the first heartbeat, less 1.25 intervals for its number. Flows that the host opened before and left idle then counted as its predecessor's. Found by a review.

Change: heartbeats whose sender no longer waited for the answer say nothing of the start; the first one whose sender waited does, which is late by a second at most. Callers of the earlier incarnation are reset when there has been one.

--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -104,7 +104,11 @@
     /// @return whether another incarnation has said that it drains, and it may be the one that is alive.
     bool drainDisputed(base::TimePoint now) const;
 
-    /// @return the earliest time at which the present incarnation can have started, by the numbers of its heartbeats.
+    /// @return whether a heartbeat of the present incarnation was received while its sender was alive.
+    bool heardAlive() const { return present_ && present_->heardAlive; }
+
+    /// @return the earliest time at which the present incarnation can have started, by the numbers of its heartbeats;
+    /// zero before heardAlive().
     base::TimePoint earliestStart() const { return present_ ? present_->earliestStart : start_; }
 
     /// @return whether the host's incarnation may be older than this process, so that it may hold flows unknown here.
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -60,7 +60,8 @@
     other.born = report.born;
     other.firstSequence = report.sequence;
     other.firstHeardAt = now;
-    other.earliestStart = now - maxAge(report.sequence);
+    if (!report.abandoned)
+        other.earliestStart = now - maxAge(report.sequence);
     others_.push_back(std::move(other));
     return others_.size() - 1;
 }
@@ -73,8 +74,12 @@
     // The first heartbeat may be a late one, which makes the incarnation look younger; the next ones correct this.
     // Later ones would only add the jitter of the interval.
     constexpr std::uint64_t correcting = 2;
-    if (report.sequence <= incarnation.firstSequence + correcting)
+    const bool firstHeardAlive = !incarnation.heardAlive && !report.abandoned;
+    if (firstHeardAlive)
+        incarnation.earliestStart = now - maxAge(report.sequence);
+    else if (!report.abandoned && report.sequence <= incarnation.firstSequence + correcting)
         incarnation.earliestStart = std::min(incarnation.earliestStart, now - maxAge(report.sequence));
+    incarnation.heardAlive = incarnation.heardAlive || !report.abandoned;
     incarnation.sequence = report.sequence;
     incarnation.service = core::hashName(report.service);
     incarnation.draining = report.draining;
@@ -88,10 +93,9 @@
         return recordPresent(report, now);
     const auto index = findOrAddOther(report, now);
     auto& other = others_[index];
+    const bool firstHeardAlive = !report.abandoned && !other.heardAlive;
     if (!recordSequence(other, report, now))
         return HeartbeatOutcome::Stale;
-    const bool firstHeardAlive = !report.abandoned && !other.heardAlive;
-    other.heardAlive = other.heardAlive || !report.abandoned;
     if (!isSuccessor(other, firstHeardAlive, now)) {
         lastOtherHeartbeatAt_ = now;
         confirmed_ = false;
@@ -106,7 +110,6 @@
 {
     if (!recordSequence(*present_, report, now))
         return HeartbeatOutcome::Stale;
-    present_->heardAlive = present_->heardAlive || !report.abandoned;
     forgetRivals();
     return applyState(report, now) ? HeartbeatOutcome::Changed : HeartbeatOutcome::Unchanged;
 }
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -350,10 +350,10 @@
         endFlow(key);
 }
 
-// Resets the callers of an ended incarnation as soon as it is certain that its successor is alive.
+// Resets the callers of an ended incarnation as soon as it is certain that its successor is alive and when it started.
 void Sidecar::resetPredecessorFlows(base::TimePoint now)
 {
-    if (!predecessorFlowsOpen_ || !host_.confirmed(now))
+    if (!predecessorFlowsOpen_ || !host_.confirmed(now) || !host_.heardAlive())
         return;
     predecessorFlowsOpen_ = false;
     resetFlowsUnseenSince(host_.earliestStart(), "the host has restarted", now);
