Flows that a balancer names are not attributed to the incarnation that it knows

What callers would see: a reset of an open flow of a living host, "the host has restarted", if its sidecar crashes soon after a restart of the host.

Cause: a host may open flows before its sidecar receives a heartbeat of it. Since checkpoints mark such flows; balancers name them without a mark under the incarnation that they know, and the next process, which receives the host's first heartbeat, reset their callers. Found by a review.

Change: flows from balancers are adopted; the host returns the packets of those that it does not hold, and their callers are reset then.

"flows opened before a restart are retained…" had the same messages, without a heartbeat number as from a balancer, and demanded the reset: its claims are now a checkpoint's, checks unchanged, and a case for those of a balancer is new.

--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -196,6 +196,9 @@
     const bool ended = certainlyOther && host_.hasEnded(held.born, held.sequence, now);
     if (otherInstance && !otherIncarnation)
         return; // without the incarnation it is not known whether their host has ended
+    // A balancer's claims may be of a later incarnation than the one that it knows; the host shows whether it holds
+    // them.
+    const bool fromCheckpoint = held.sequence > 0;
     // A process that ran between the author of the checkpoint and this one would have received a heartbeat before it
     // accepted a flow, so consecutive heartbeat numbers show that there was none.
     const bool noProcessBetween = host_.firstSequence() <= held.sequence + 1;
@@ -204,7 +207,7 @@
     const auto attributed = held.flows.size() - std::min<std::size_t>(held.unattributed, held.flows.size());
     for (std::size_t i = 0; i < held.flows.size(); ++i) {
         const auto& claim = held.flows[i];
-        const bool ofNamed = i < attributed; // otherwise the host shows whether it holds the flow
+        const bool ofNamed = fromCheckpoint && i < attributed; // otherwise the host shows whether it holds the flow
         const auto uncertain = uncertainFlows_.find(claim.key);
         if (held.born != 0 && uncertain != uncertainFlows_.end() && uncertain->second.born != held.born)
             uncertainFlows_.erase(uncertain); // the sources disagree
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -316,8 +316,22 @@
 {
     HeldFlows held;
     held.born = 1'000;
+    held.sequence = 39;
     held.flows = { { synOf(caller).key, 900, 4'901, true } };
     Fixture fixture(0);
+    SUBCASE("later, named by a balancer, which may not have known of it: when the host returns a packet")
+    {
+        held.sequence = 0;
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        fixture.sidecar.onHeartbeat(report(1, 2'000), fixture.now);
+        CHECK(fixture.output.resets.empty());
+        fixture.sidecar.onForward(owned(), dataOf(caller, 4'901), fixture.now);
+        REQUIRE(fixture.output.delivered.size() == 1);
+        fixture.sidecar.onBounced(dataOf(caller, 4'901), packetBytes, fixture.now);
+        REQUIRE(fixture.output.resets.size() == 1);
+        CHECK(fixture.sidecar.flows().size() == 0);
+        return;
+    }
     fixture.sidecar.onHeldFlows(held, fixture.now);
     SUBCASE("same")
     {
