A late leave message of an earlier incarnation with the same id does not end the living host

What would be seen: no new flow at a living host for up to 0.8 s, its callers looked up elsewhere; a sidecar stopped meanwhile would delete its checkpoint (read, not run).

Cause: a leave message names only the id, which a host may keep over a restart. Found by a review.

Change: within the time by which a message can be late after a change of incarnations (4 s), a leave message that may be the earlier one's is ignored. If it was the present one's, the host counts as silent two heartbeats later.

--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -68,8 +68,9 @@
     /// @brief Records a heartbeat.
     HeartbeatOutcome recordHeartbeat(const HostReport& report, base::TimePoint now);
 
-    /// @brief Records that the host stops. @return false if `id` is that of another host.
-    bool recordLeave(const std::string& id);
+    /// @brief Records that the host stops. @return false if `id` is that of another host, or if the message may be a
+    /// late one of an earlier incarnation with the same id.
+    bool recordLeave(const std::string& id, base::TimePoint now);
 
     /// @brief Excludes a pause of this process from the time without heartbeats.
     void recordPause(base::Duration gap);
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -217,8 +217,12 @@
         [&](const Incarnation& other) { return other.draining && (uncertain || other.heartbeats > 0); });
 }
 
-bool HostStatus::recordLeave(const std::string& id)
+bool HostStatus::recordLeave(const std::string& id, base::TimePoint now)
 {
+    const bool mayBeLate = now - presentSince_ < options_.maxHeartbeatDelay
+        && std::any_of(others_.begin(), others_.end(), [&](const Incarnation& other) { return other.id == id; });
+    if (mayBeLate)
+        return false;
     if (present_ && !present_->id.empty() && id != present_->id)
         return false;
     reportedState_ = HostState::Gone;
--- a/src/celerystile/fleet/host_status_test.cpp
+++ b/src/celerystile/fleet/host_status_test.cpp
@@ -219,7 +219,7 @@
 {
     HostStatus status({}, start);
     SUBCASE("after a late heartbeat of an ended incarnation") { status.recordHeartbeat(heartbeat(40, 1'000), start); }
-    SUBCASE("after a late leave message of an ended incarnation") { status.recordLeave("i-0"); }
+    SUBCASE("after a late leave message of an ended incarnation") { status.recordLeave("i-0", start); }
     status.recordHeartbeat(heartbeat(7, 2'000), start + milliseconds(300));
     CHECK(status.mayPredateProcess());
     CHECK(!status.startedAfterProcess());
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -102,7 +102,7 @@
 
 void Sidecar::onLeave(const std::string& id, base::TimePoint now)
 {
-    if (host_.recordLeave(id))
+    if (host_.recordLeave(id, now))
         announceIfChanged(now);
 }
 
