--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -32,6 +32,7 @@
     /// @return the exit code, 128 + n after signal n, empty when the process still runs after the timeout
     std::optional<int> waitFor(std::chrono::milliseconds timeout);
     bool running();
+    pid_t pid() const { return pid_; }
     std::string output() const;
     const std::string& name() const { return name_; }
 
