A reload signal ends no daemon, whenever it comes

Seen: an operator's reload within some milliseconds of a start, or at the end of a stop, ended the process (SIGHUP), and with it a balancer or sidecar until its supervisor started another; a daemon without a settings file was ended by any reload. Cause: the default action of SIGHUP applies until its handler is registered and again once it is removed; the daemons without a registry have no handler. Change: main() blocks SIGHUP first. A process with a settings file lets it through when the handler is registered and blocks it again before the handler goes; one without ignores it. A blocked signal stays pending and is delivered once, so that an early reload is carried out with the file as it is then. The soak reloads and stops processes right after main() has begun, no longer only after 500 ms.

--- a/apps/celerystiled/balancer_daemon.cpp
+++ b/apps/celerystiled/balancer_daemon.cpp
@@ -3,6 +3,7 @@
 #include "balancer_traffic.hpp"
 #include "celerystile/base/events.hpp"
 #include "control_plane.hpp"
+#include "reload_signal.hpp"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -132,6 +133,7 @@
 
 int runBalancer(const BalancerSettings& settings)
 {
+    ignoreReloadSignal();
     BalancerDaemon daemon(settings);
     if (const auto started = daemon.start(); !started) {
         logEvent(Event::SettingsRejected, { { "mistake", started.error().detail } });
--- a/apps/celerystiled/daemon.cpp
+++ b/apps/celerystiled/daemon.cpp
@@ -3,6 +3,7 @@
 #include "balancer_daemon.hpp"
 #include "celerystile/base/events.hpp"
 #include "fleet_process.hpp"
+#include "reload_signal.hpp"
 #include "sidecar_daemon.hpp"
 
 #include <algorithm>
@@ -53,6 +54,7 @@
 
 int runDaemon(int argc, char** argv, const base::WallClock& wallClock)
 {
+    holdReloadSignal();
     std::vector<std::string> arguments(argv, argv + argc);
     const std::string role = arguments.size() > 1 ? arguments[1] : "";
     if (role == "--version") {
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -3,6 +3,7 @@
 #include "celerystile/base/process_id.hpp"
 #include "fleet_transport.hpp"
 #include "platform/host_api.hpp"
+#include "reload_signal.hpp"
 
 #include <boost/asio/detached.hpp>
 #include <boost/json/serialize.hpp>
@@ -53,8 +54,12 @@
     , tickTimer_(trafficContext_)
     , clockSteps_(clock_, wallClock)
 {
+    releaseReloadSignal();
 }
 
+// Without the handler, the default action would apply until the process has ended.
+FleetProcess::~FleetProcess() { holdReloadSignal(); }
+
 int FleetProcess::run()
 {
     const auto& node = settings_.node;
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -31,7 +31,7 @@
     using Task = boost::asio::awaitable<void>;
 
     FleetProcess(const FleetSettings& settings, const base::WallClock& wallClock);
-    virtual ~FleetProcess() = default;
+    virtual ~FleetProcess();
 
     /// @brief Runs until a stop signal has been handled. @return exit code of the process
     int run();
--- a/apps/celerystiled/sidecar_daemon.cpp
+++ b/apps/celerystiled/sidecar_daemon.cpp
@@ -3,6 +3,7 @@
 #include "celerystile/backend/health.hpp"
 #include "celerystile/base/events.hpp"
 #include "control_plane.hpp"
+#include "reload_signal.hpp"
 #include "sidecar_traffic.hpp"
 
 #include <algorithm>
@@ -242,6 +243,7 @@
 
 int runSidecar(const SidecarSettings& settings)
 {
+    ignoreReloadSignal();
     SidecarDaemon daemon(settings);
     if (const auto started = daemon.start(); !started) {
         logEvent(Event::SettingsRejected, { { "mistake", started.error().detail } });
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -31,7 +31,6 @@
     constexpr int firstHostAddressIndex = 60;
     constexpr int firstCallerAddressIndex = 200;
     constexpr auto stopTimeout = 6s;
-    constexpr auto signalsHandledAfter = 500ms; // from a process's launch; earlier signals end it
     constexpr int maxMissedProbes = 2;
     constexpr auto patientRequestInterval = 3'500ms;
     constexpr auto patientConnectionLifetime = 25s;
@@ -181,7 +180,6 @@
         std::vector<std::string> { std::string(CELERYSTILE_BINARY_DIR) + "/celerystile-soak-daemon",
             instance.balancer ? "balancer" : "sidecar", "--settings-file", file, "--key", "a passphrase for the soak" },
         folder_ + "/" + instance.name + ".log", instance.timeOfDay->environment());
-    instance.launchedAt = clock_.now();
     instance.down = instance.killed = instance.stopping = instance.paused = instance.stoppedAtStart = false;
 }
 
@@ -266,17 +264,17 @@
 {
     if (instance.down || instance.killed || instance.stopping || instance.paused)
         return;
+    instance.stoppedAtStart = !instance.process->survives(SIGTERM);
     instance.process->signal(SIGTERM);
     instance.stopping = true;
-    instance.stoppedAtStart = clock_.now() - instance.launchedAt < signalsHandledAfter;
     instance.restartDelay = down;
     instance.killAt = clock_.now() + stopTimeout;
 }
 
 void Deployment::reload(Instance& instance)
 {
-    const bool handled = clock_.now() - instance.launchedAt >= signalsHandledAfter;
-    if (handled && !instance.down && !instance.killed && !instance.paused)
+    // Before main(), while the loader runs, the signal would end the process.
+    if (!instance.down && !instance.killed && !instance.paused && instance.process->survives(SIGHUP))
         instance.process->signal(SIGHUP);
 }
 
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -42,7 +42,6 @@
     std::unique_ptr<SteppedClock> timeOfDay; ///< of the processes, and of the host on the same instance
     std::unique_ptr<tests::Process> process;
     base::TimePoint startAt {}; ///< when a process that is down is started again
-    base::TimePoint launchedAt {};
     base::TimePoint killAt {}; ///< when a process that received SIGTERM is killed
     std::chrono::milliseconds restartDelay { 50 }; ///< from the end of a process to its next start
     bool down = false;
--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -93,6 +93,17 @@
         ::kill(pid_, number);
 }
 
+bool Process::survives(int signal) const
+{
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        const bool mask = line.starts_with("SigBlk:") || line.starts_with("SigIgn:") || line.starts_with("SigCgt:");
+        if (mask && (std::stoull(line.substr(7), nullptr, 16) >> (signal - 1) & 1U) != 0)
+            return true;
+    }
+    return false;
+}
+
 bool Process::running() { return !waitFor(0ms); }
 
 std::optional<int> Process::waitFor(std::chrono::milliseconds timeout)
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -32,7 +32,9 @@
     /// @return the exit code, 128 + n after signal n, empty when the process still runs after the timeout
     std::optional<int> waitFor(std::chrono::milliseconds timeout);
     bool running();
-    pid_t pid() const { return pid_; }
+
+    /// @brief Whether the process has blocked, ignored or handled a signal that would end it otherwise.
+    bool survives(int signal) const;
     std::string output() const;
     const std::string& name() const { return name_; }
 
--- a/tests/signal_test.cpp
+++ b/tests/signal_test.cpp
@@ -95,20 +95,17 @@
         std::string path_;
     };
 
-    // Whether the signal would not end the process: it is blocked, ignored or handled.
-    bool survives(const Process& process, int signal)
+    bool hasStarted(const Process& process) { return process.output().find(" 1001 ") != std::string::npos; }
+
+    // The exit code of a process that is sent SIGHUP until it has ended.
+    std::optional<int> codeUnderReloads(Process& process)
     {
-        std::ifstream status("/proc/" + std::to_string(process.pid()) + "/status");
-        for (std::string line; std::getline(status, line);) {
-            const bool mask = line.starts_with("SigBlk:") || line.starts_with("SigIgn:") || line.starts_with("SigCgt:");
-            if (mask && (std::stoull(line.substr(7), nullptr, 16) >> (signal - 1) & 1U) != 0)
-                return true;
-        }
-        return false;
+        const auto deadline = std::chrono::steady_clock::now() + stopTimeout;
+        while (process.running() && std::chrono::steady_clock::now() < deadline)
+            process.signal(SIGHUP);
+        return process.waitFor(0ms);
     }
 
-    bool hasStarted(const Process& process) { return process.output().find(" 1001 ") != std::string::npos; }
-
     std::size_t countOf(const std::string& text, const std::string& part)
     {
         std::size_t count = 0;
@@ -179,7 +176,7 @@
         CHECK(countOf(output, " 6301 ") == 1);
         CHECK(output.find("by=signal") != std::string::npos);
         daemon.process().signal(SIGTERM);
-        CHECK(daemon.process().waitFor(stopTimeout) == 0);
+        CHECK(codeUnderReloads(daemon.process()) == 0);
     }
 }
 
@@ -196,8 +193,8 @@
             std::ofstream(folder.settingsFile(number)) << Folder::settings(role, number, 300);
             const auto process = folder.spawn(role, number);
             const auto deadline = std::chrono::steady_clock::now() + startTimeout;
-            while (
-                !survives(*process, SIGHUP) && !hasStarted(*process) && std::chrono::steady_clock::now() < deadline) { }
+            while (!process->survives(SIGHUP) && !hasStarted(*process) && std::chrono::steady_clock::now() < deadline) {
+            }
             for (int at = 0; at < 30; ++at) {
                 process->signal(SIGHUP);
                 std::this_thread::sleep_for(1ms);
