Soak: a fault excuses no reset of a flow that opened after it

A reset within 4 s of a fault at its host was excused even when the flow had opened after that fault, so that a late heartbeat that ends flows of the next incarnation went unseen. Now the fault must have come after the flow had opened.

--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -64,7 +64,7 @@
 
 void InvariantChecker::recordFlowOpened(const core::FlowKey& flow, int host)
 {
-    flows_[flow] = { host, 0, {}, {} };
+    flows_[flow] = { host, clock_.now(), 0, {}, {} };
     hostsWithNewFlows_.insert(host);
 }
 
@@ -113,7 +113,9 @@
     if (found == flows_.end())
         return;
     const Place host { Place::Kind::Host, found->second.host };
-    if (recovered() || undisturbed(host)) {
+    const auto fault = faultAt_.find(host);
+    const bool openedAfterFault = fault != faultAt_.end() && found->second.openedAt > fault->second;
+    if (recovered() || undisturbed(host) || openedAfterFault) {
         std::set<Place> concerned { host, { Place::Kind::Store, 0 } };
         for (const auto balancer : found->second.balancers)
             concerned.insert({ Place::Kind::Balancer, balancer });
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -94,7 +94,8 @@
     /// @brief Records that a host has ended, and its flows with it.
     void recordHostEnded(int host);
 
-    /// @brief Records that the caller of an open flow received a reset. Hosts of the soak test send none.
+    /// @brief Records that the caller of an open flow received a reset. Faults before it opened are no excuse. Hosts of
+    /// the soak test send none.
     void recordFlowReset(const core::FlowKey& flow, const base::Endpoint& sender);
 
     /// @brief Records that a host starts to process a request.
@@ -124,6 +125,7 @@
 private:
     struct Flow {
         int host = 0;
+        base::TimePoint openedAt {};
         int misrouted = 0;
         base::TimePoint misroutedSince {};
         std::set<int> balancers; // that took its packets since the last one that reached the host
