Soak: a host ends while its sidecar is suspended, and its heartbeats are read late

New kind of fault, late-heartbeat: a sidecar is suspended (SIGSTOP) while its host sends heartbeats and ends, once or twice; the next incarnation starts with the same, a lower or a higher time of day; then the sidecar goes on, is killed and replaced, or goes on for some milliseconds and is killed; series of it on one or two hosts. Hosts behave like real ones: they wait a second for the answer and close the connection when they give up or end.

--- a/soak/hosts.cpp
+++ b/soak/hosts.cpp
@@ -1,5 +1,6 @@
 #include "hosts.hpp"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -64,6 +65,7 @@
     flows_.clear();
     runningJobs_.clear();
     queuedJobs_.clear();
+    incarnationEnd_.emit(asio::cancellation_type::terminal);
     checker_.recordHostEnded(plan_.index);
 }
 
@@ -92,8 +94,10 @@
                 { "state", draining ? "draining" : "ready" }, { "coldLeftMs", 0 }, { "sequence", ++sequence_ },
                 { "born", born } });
             base::HttpConnection connection(plan_.heartbeats);
-            const auto reply = co_await connection.exchange(std::move(request), timeout);
-            const bool acknowledged = reply && reply->status == 200 && draining && born == born_;
+            const auto [failure, reply]
+                = co_await asio::co_spawn(context_, connection.exchange(std::move(request), timeout),
+                    asio::bind_cancellation_slot(incarnationEnd_.slot(), base::useNothrowAwaitable));
+            const bool acknowledged = !failure && reply && reply->status == 200 && draining && born == born_;
             if (acknowledged && drainAcknowledgedAt_ == base::TimePoint {})
                 drainAcknowledgedAt_ = clock_.now();
         }
--- a/soak/hosts.hpp
+++ b/soak/hosts.hpp
@@ -8,6 +8,7 @@
 #include "celerystile/base/http.hpp"
 #include "celerystile/base/random.hpp"
 
+#include <boost/asio/cancellation_signal.hpp>
 #include <deque>
 #include <map>
 #include <memory>
@@ -93,6 +94,7 @@
     bool up_ = true;
     bool draining_ = false;
     bool planned_ = false;
+    boost::asio::cancellation_signal incarnationEnd_; ///< closes the connection of a heartbeat
     std::uint64_t born_ = 0;
     std::uint64_t sequence_ = 0;
     base::TimePoint restartAt_ {};
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -31,9 +31,10 @@
         { "kill-for-long", &Schedule::killForLong }, { "pause", &Schedule::pauseInstance },
         { "crash", &Schedule::crashHost }, { "clock", &Schedule::stepClocks },
         { "restart-around-step", &Schedule::restartAroundStep }, { "crash-around-step", &Schedule::crashAroundStep },
-        { "series", &Schedule::seriesOfWork }, { "store-connections", &Schedule::disruptStoreConnections },
-        { "store-calls", &Schedule::failStoreCalls }, { "store-history", &Schedule::compactStore },
-        { "links", &Schedule::degradeLinks }, { "isolation", &Schedule::isolateBalancer } };
+        { "late-heartbeat", &Schedule::lateHeartbeats }, { "series", &Schedule::seriesOfWork },
+        { "store-connections", &Schedule::disruptStoreConnections }, { "store-calls", &Schedule::failStoreCalls },
+        { "store-history", &Schedule::compactStore }, { "links", &Schedule::degradeLinks },
+        { "isolation", &Schedule::isolateBalancer } };
     return faults;
 }
 
@@ -240,6 +241,46 @@
         addRestart(at + randomDuration(100, 800), instance);
 }
 
+// A host sends heartbeats to a suspended sidecar and ends, once or twice, and another incarnation starts with a lower
+// or higher time of day. Then the sidecar, or one that replaces it, goes on and may read the heartbeats of the ended
+// ones.
+void Schedule::lateHeartbeats(base::TimePoint at)
+{
+    constexpr std::size_t most = 2;
+    constexpr int minStep = 500;
+    for (auto* instance : randomInstances(false, most)) {
+        auto& host = *deployment_.hosts()[static_cast<std::size_t>(instance->index)];
+        auto next = at;
+        const auto series = 1 + random_.below(2);
+        for (std::uint64_t i = 0; i < series; ++i) {
+            add(next, instance->name + " is suspended", [this, instance] { deployment_.pause(*instance); });
+            const auto ends = 1 + random_.below(2);
+            for (std::uint64_t end = 0; end < ends; ++end) {
+                const auto down = milliseconds(50 + random_.below(700));
+                next += randomDuration(350, 900);
+                if (random_.below(2) == 0)
+                    addStep(next, *instance, random_.below(2) == 0 ? randomStep(minStep) : -randomStep(minStep));
+                add(next, "host " + std::to_string(instance->index) + " crashes",
+                    [this, &host, down] { deployment_.crash(host, down); });
+            }
+            next += randomDuration(20, 1'500);
+            if (random_.below(3) > 0) {
+                add(next, instance->name + " is resumed", [this, instance] { deployment_.resume(*instance); });
+                next += randomDuration(5, 60);
+            }
+            if (random_.below(2) == 0) {
+                add(next, instance->name + " is killed", [this, instance] { deployment_.kill(*instance, 50ms); });
+                next += 200ms;
+            } else {
+                add(next, instance->name + " is resumed", [this, instance] { deployment_.resume(*instance); });
+            }
+            next += randomDuration(100, 1'500);
+        }
+        extendFaults(next);
+        at += randomDuration(0, 1'000);
+    }
+}
+
 // Reloads, changes of the configuration and restarts in quick succession.
 void Schedule::seriesOfWork(base::TimePoint at)
 {
--- a/soak/schedule.hpp
+++ b/soak/schedule.hpp
@@ -71,6 +71,7 @@
     void stepClocks(base::TimePoint at);
     void restartAroundStep(base::TimePoint at);
     void crashAroundStep(base::TimePoint at);
+    void lateHeartbeats(base::TimePoint at);
     void seriesOfWork(base::TimePoint at);
     void disruptStoreConnections(base::TimePoint at);
     void failStoreCalls(base::TimePoint at);
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -3,6 +3,7 @@
 #include <cstdlib>
 #include <doctest/doctest.h>
 #include <filesystem>
+#include <memory>
 
 // Short soak tests. docs/OPERATIONS.md describes longer ones; soak/seeds.txt lists the seeds that have failed.
 
@@ -12,25 +13,49 @@
 
     using namespace std::chrono_literals;
 
-    void checkSoak(const std::vector<std::string>& options)
-    {
-        auto log = (std::filesystem::temp_directory_path() / "celerystile-soak-run-XXXXXX").string();
-        REQUIRE(::mkstemp(log.data()) >= 0);
-        std::vector<std::string> command { std::string(CELERYSTILE_BINARY_DIR) + "/celerystile-soak" };
-        command.insert(command.end(), options.begin(), options.end());
-        Process soak("soak", command, log);
-        const auto code = soak.waitFor(120s);
-        const auto output = soak.output();
-        CAPTURE(output);
-        CHECK(code == 0);
-        std::filesystem::remove(log);
-    }
+    using Options = std::vector<std::string>;
+
+    class Run {
+    public:
+        explicit Run(const Options& options)
+            : log_((std::filesystem::temp_directory_path() / "celerystile-soak-run-XXXXXX").string())
+        {
+            REQUIRE(::mkstemp(log_.data()) >= 0);
+            Options command { std::string(CELERYSTILE_BINARY_DIR) + "/celerystile-soak" };
+            command.insert(command.end(), options.begin(), options.end());
+            process_ = std::make_unique<Process>("soak", command, log_);
+        }
+
+        void check()
+        {
+            const auto code = process_->waitFor(120s);
+            const auto output = process_->output();
+            CAPTURE(output);
+            CHECK(code == 0);
+            std::filesystem::remove(log_);
+        }
+
+    private:
+        std::string log_;
+        std::unique_ptr<Process> process_;
+    };
+
+    void checkSoak(const Options& options) { Run(options).check(); }
 
 } // namespace
 
 TEST_CASE("soak: daemons with a registry violate no guarantee in one round of seeded faults")
 {
-    checkSoak({ "--seed", "1", "--seconds", "8" });
+    // Two runs at the same time: one of the kinds for which the seed was chosen, one of late heartbeats alone.
+    Options options { "--seed", "1", "--seconds", "8" };
+    for (const auto* fault : { "kill", "kill-for-long", "pause", "crash", "clock", "restart-around-step",
+             "crash-around-step", "series", "store-connections", "store-calls", "store-history", "links", "isolation" })
+        options.insert(options.end(), { "--fault", fault });
+    Run allKinds(options);
+    // A sidecar that ordered the starts of its host by their time of day held on to an ended incarnation for good.
+    Run lateHeartbeats({ "--seed", "3", "--seconds", "8", "--fault", "late-heartbeat" });
+    allKinds.check();
+    lateHeartbeats.check();
 }
 
 // A sidecar that started while its time of day was lower was taken for an older process, and its living host for lost.
