Callers are reset only when the known owner no longer holds their flow

What callers saw: a reset of an open flow while its backend server was sound, if the sidecar beside it had been away for 30 s after gossip gave it up; at once, if another host held a pointer to it; and wherever a restarted host did not hold the flow, whoever did.

Cause: ownerConfirmedFailed() took three kinds of silence for an end. A host that gossip has given up may be a sidecar that crashes in a loop, is slow or cut off. A pointer to such a host says that it owns the flow, not that it has ended. And that one restarted host does not hold a flow says nothing about another host, which may be newer than the view.

Change: a forwarded packet carries the host that a pointer names as the owner. Only what the backend server of that host says after a trial counts: if it does not hold the flow, the caller is reset, provided that no host of the service is failed or unreachable (the caller may have opened a later flow from the same port there) and that the hosts have not changed for 30 s (--settle). Everything else is dropped and retransmitted. CandidateTable::wouldContain() had no other use. A route that is gone when the answer to a trial arrives is checked for; it was dereferenced (read, not run).

Why it works: the directory's entry is the owner's own statement, and the process that now answers at the owner asks the backend server itself. A silent sidecar cannot cause a reset any more; when it is back it relearns its flows.

Cost: callers of a host that is lost for good run into their own timeouts. No promise names a reset after a lasting loss.

--- a/apps/celerystiled/options.cpp
+++ b/apps/celerystiled/options.cpp
@@ -82,7 +82,7 @@
         Option { "max-opening-per-source", "CELERYSTILE_MAX_OPENING_PER_SOURCE", OptionKind::Number, "64", false, 1,
             1000000, "flows", "Maximum number of flows with an unfinished handshake per caller address." },
         Option { "settle", "CELERYSTILE_SETTLE", OptionKind::Number, "30", false, 1, 3600, "seconds",
-            "Minimum age of a host failure before the flows of that host are reset." },
+            "Time without a change of hosts after which flows that their restarted owner does not hold are reset." },
         Option { "take-over", "CELERYSTILE_TAKE_OVER", OptionKind::Endpoint, "", false, 0, 0, "ADDRESS:PORT",
             "Control endpoint of the predecessor on this host; its flow table is taken over." },
     };
@@ -178,7 +178,7 @@
     options.admission.margin = settings.number("margin");
     options.admission.ramp = seconds(settings, "ramp");
     options.idleTimeout = seconds(settings, "idle-timeout");
-    options.failureConfirmTime = seconds(settings, "settle");
+    options.settleTime = seconds(settings, "settle");
     options.maxFlows = static_cast<std::size_t>(settings.number("max-flows"));
     options.maxOpening = static_cast<std::uint32_t>(settings.number("max-opening"));
     options.maxOpeningPerSource = static_cast<std::uint32_t>(settings.number("max-opening-per-source"));
--- a/include/celerystile/core/candidates.hpp
+++ b/include/celerystile/core/candidates.hpp
@@ -71,9 +71,6 @@
     /// @brief Whether the host is a candidate of the bucket.
     bool contains(std::size_t index, MemberId host) const;
 
-    /// @brief Whether a failed or unreachable host would be a candidate of the bucket if it were ready.
-    bool wouldContain(std::size_t index, const ServiceHost& host) const;
-
     /// @brief The host in any state; null if the table was built without it.
     const ServiceHost* find(MemberId host) const;
 
--- a/include/celerystile/core/forwarding.hpp
+++ b/include/celerystile/core/forwarding.hpp
@@ -40,7 +40,8 @@
     bool extended = false; ///< a sidecar has already appended the candidates of its own view
     bool pointed = false; ///< forwarded along a directory pointer
     bool selected = false; ///< the receiver was selected as owner of the new flow
-    bool denied = false; ///< the backend server of a restarted host reset the flow
+    MemberId owner = 0; ///< host that the pointer names; 0 if none was followed
+    bool ownerDenied = false; ///< the backend server of `owner` does not hold the flow
     bool transient = false; ///< a host declined the new flow for a reason that passes soon
     std::optional<BestCandidate> best;
     CandidateList candidates;
--- a/include/celerystile/core/sidecar.hpp
+++ b/include/celerystile/core/sidecar.hpp
@@ -27,7 +27,7 @@
     FlowsClosed,
     FlowsRelearned, ///< flows adopted after a restart without hand-over
     SynRefused, ///< resets sent to callers in response to a SYN
-    FlowReset, ///< resets of flows whose owner failed, or that the drain limit ended
+    FlowReset, ///< resets of flows that their owner no longer holds, or that the drain limit ended
     ClaimDropped, ///< claims given up because the caller acknowledged another host's SYN-ACK
     BackendRefused, ///< SYNs that the backend server reset; they go to another candidate
     DropWrongService,
@@ -82,7 +82,7 @@
     base::Duration closedLinger = std::chrono::seconds(5); ///< late packets of a closed flow are still delivered
     base::Duration resetQuietTime = std::chrono::seconds(60); ///< an RST takes effect after this long without packets
     base::Duration idleTimeout = std::chrono::hours(24);
-    base::Duration failureConfirmTime = std::chrono::seconds(30); ///< a failure or host change older than this is final
+    base::Duration settleTime = std::chrono::seconds(30); ///< flows are not reset sooner after a change of hosts
     base::Duration synRefusalDelay = std::chrono::seconds(3); ///< SYNs are not refused sooner after a change of hosts
     base::Duration pauseThreshold = std::chrono::seconds(2); ///< a gap between ticks that counts as a pause
     base::Duration deniedRetention = std::chrono::seconds(60); ///< how long a flow denied by the backend is recorded
@@ -175,12 +175,13 @@
 
     void resolveOwner(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
     bool followPointer(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
+    void recordDenial(ForwardHeader& header) const;
     bool startTrial(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
     bool passOn(ForwardHeader& header, Bytes packet);
     void continueLookup(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
     bool extendCandidates(ForwardHeader& header, const Segment& segment);
     void onUnclaimed(const ForwardHeader& header, const Segment& segment, base::TimePoint now);
-    bool ownerConfirmedFailed(const ForwardHeader& header, const Segment& segment, base::TimePoint now) const;
+    bool hasEnded(const ForwardHeader& header, const Segment& segment, base::TimePoint now) const;
     void send(const Endpoint& to, ForwardHeader& header, Bytes packet);
 
     void onAnswerWithoutFlow(const Segment& segment, Bytes packet, base::TimePoint now);
@@ -190,7 +191,6 @@
     void publishDisplaced(const Routing* previous);
     void publishIfDisplaced(const FlowKey& key, FlowRecord& record, const CandidateTable* previous);
     void refreshPointers();
-    void recordFailures(const Routing& routing, base::TimePoint now);
     void detectPause(base::TimePoint now);
     void expireOpening(base::TimePoint now);
     void expireClosed(base::TimePoint now);
@@ -201,7 +201,6 @@
     base::TimePoint start_;
     RoutingPtr routing_;
     base::TimePoint hostsChangedAt_;
-    boost::unordered_flat_map<MemberId, base::TimePoint> failedSince_;
     Admission admission_;
     FlowTable table_;
     PointerStore pointers_;
--- a/src/celerystile/core/candidates.cpp
+++ b/src/celerystile/core/candidates.cpp
@@ -178,17 +178,4 @@
     return found == hosts_.end() || found->id != host ? nullptr : &*found;
 }
 
-bool CandidateTable::wouldContain(std::size_t index, const ServiceHost& host) const
-{
-    if (bucketOffsets_.empty())
-        return true;
-    const std::size_t accepting = bucketOffsets_[index + 1U] - bucketOffsets_[index];
-    if (accepting < options_.acceptingHosts)
-        return true;
-    const auto& last = hosts_[entries_[bucketOffsets_[index + 1] - 1]];
-    const auto seed = seedOf(service_, index);
-    return score(hostHash(seed, host.id), host.capacity, equalWeights_)
-        >= score(hostHash(seed, last.id), last.capacity, equalWeights_);
-}
-
 } // namespace celerystile::core
--- a/src/celerystile/core/sidecar_directory.cpp
+++ b/src/celerystile/core/sidecar_directory.cpp
@@ -13,7 +13,6 @@
     const auto previous = std::move(routing_);
     routing_ = std::move(routing);
     hostsChangedAt_ = now;
-    recordFailures(*routing_, now);
     if (!options_.directoryEnabled)
         return;
     std::vector<ServiceHost> hosts;
@@ -23,20 +22,6 @@
     publishDisplaced(previous.get());
 }
 
-void Sidecar::recordFailures(const Routing& routing, base::TimePoint now)
-{
-    boost::unordered_flat_map<MemberId, base::TimePoint> failed;
-    for (const auto& [address, route] : routing.routes) {
-        for (const auto& host : route->table.hosts()) {
-            if (host.state != MemberState::Failed)
-                continue;
-            const auto known = failedSince_.find(host.id);
-            failed[host.id] = known == failedSince_.end() ? now : known->second;
-        }
-    }
-    failedSince_ = std::move(failed);
-}
-
 void Sidecar::publishDisplaced(const Routing* previous)
 {
     for (auto& [key, record] : table_.records()) {
--- a/src/celerystile/core/sidecar_lookup.cpp
+++ b/src/celerystile/core/sidecar_lookup.cpp
@@ -27,14 +27,23 @@
     if (header.pointed)
         return false;
     const auto* owner = pointers_.find(segment.key.hash(), now);
-    if (!owner || owner->host == options_.self.host || failedSince_.contains(owner->host))
+    if (!owner || owner->host == options_.self.host)
+        return false;
+    const auto* host = routing_->find(segment.key.service)->table.find(owner->host);
+    if (host && host->state == MemberState::Failed)
         return false;
     header.pointed = true;
+    header.owner = owner->host;
     increment(SidecarCount::Pointed);
     send(owner->traffic, header, packet);
     return true;
 }
 
+void Sidecar::recordDenial(ForwardHeader& header) const
+{
+    header.ownerDenied = header.ownerDenied || header.owner == options_.self.host;
+}
+
 // The backend server resets a flow it does not have; onAnswerWithoutFlow() intercepts that
 // reset and continues the lookup.
 bool Sidecar::startTrial(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now)
@@ -42,7 +51,7 @@
     if (!options_.relearn || segment.syn || segment.rst)
         return false;
     if (const auto found = denied_.find(segment.key); found != denied_.end() && found->second > now) {
-        header.denied = true;
+        recordDenial(header);
         return false;
     }
     if (trials_.size() >= maxTrials && !trials_.contains(segment.key))
@@ -59,7 +68,7 @@
         auto saved = std::move(found->second);
         trials_.erase(found);
         denied_[segment.key] = now + options_.deniedRetention;
-        saved.header.denied = true;
+        recordDenial(saved.header);
         return continueLookup(saved.header, saved.segment, saved.packet, now);
     }
     if (!options_.relearn || segment.rst || segment.syn || table_.size() >= options_.maxFlows)
@@ -132,33 +141,24 @@
 
 void Sidecar::onUnclaimed(const ForwardHeader& header, const Segment& segment, base::TimePoint now)
 {
-    if (segment.rst || !ownerConfirmedFailed(header, segment, now))
+    if (segment.rst || !hasEnded(header, segment, now))
         return increment(SidecarCount::DropUnclaimed);
     output_.resetCaller(segment);
     increment(SidecarCount::FlowReset);
 }
 
-// An unclaimed packet is dropped unless a host that may own the flow has failed, or a restarted one has denied it. A
-// wrong reset would end a live flow; a dropped packet is retransmitted.
-bool Sidecar::ownerConfirmedFailed(const ForwardHeader& header, const Segment& segment, base::TimePoint now) const
+// A wrong reset ends a live flow, whereas a dropped packet is retransmitted. A silent host may still hold the flow, and
+// a host that was not named as its owner says nothing about others. While a host of the service is silent, the caller
+// may have opened a later flow from the same port there.
+bool Sidecar::hasEnded(const ForwardHeader& header, const Segment& segment, base::TimePoint now) const
 {
-    if (now - hostsChangedAt_ < options_.failureConfirmTime)
-        return false;
     const auto* route = routing_->find(segment.key.service);
-    const auto bucket = CandidateTable::bucketOf(segment.key.hash());
-    bool confirmed = header.denied;
-    for (const auto& host : route->table.hosts()) {
-        if (host.state != MemberState::Failed && host.state != MemberState::Unreachable)
-            continue;
-        if (!route->table.wouldContain(bucket, host))
-            continue;
-        if (host.state == MemberState::Unreachable)
-            return false;
-        const auto failed = failedSince_.find(host.id);
-        confirmed = confirmed || (failed != failedSince_.end() && now - failed->second >= options_.failureConfirmTime);
-    }
-    const auto* owner = pointers_.find(segment.key.hash(), now);
-    return confirmed || (owner && failedSince_.contains(owner->host));
+    if (!header.ownerDenied || !route || now - hostsChangedAt_ < options_.settleTime)
+        return false;
+    const auto& hosts = route->table.hosts();
+    return std::none_of(hosts.begin(), hosts.end(), [](const ServiceHost& host) {
+        return host.state == MemberState::Failed || host.state == MemberState::Unreachable;
+    });
 }
 
 void Sidecar::send(const Endpoint& to, ForwardHeader& header, Bytes packet)
--- a/src/celerystile/peer/message.cpp
+++ b/src/celerystile/peer/message.cpp
@@ -31,7 +31,8 @@
         to.setExtended(header.extended);
         to.setPointed(header.pointed);
         to.setSelected(header.selected);
-        to.setDenied(header.denied);
+        to.setOwner(header.owner);
+        to.setOwnerDenied(header.ownerDenied);
         to.setTransient(header.transient);
         to.setHasBest(header.best.has_value());
         if (header.best) {
@@ -57,7 +58,8 @@
         header.extended = from.getExtended();
         header.pointed = from.getPointed();
         header.selected = from.getSelected();
-        header.denied = from.getDenied();
+        header.owner = from.getOwner();
+        header.ownerDenied = from.getOwnerDenied();
         header.transient = from.getTransient();
         const auto candidates = from.getCandidates();
         if (candidates.size() > core::maxCandidates || header.position >= std::max(1U, candidates.size()))
--- a/src/celerystile/peer/message_test.cpp
+++ b/src/celerystile/peer/message_test.cpp
@@ -21,6 +21,9 @@
         message.header.hops = 3;
         message.header.position = 1;
         message.header.transient = true;
+        message.header.pointed = true;
+        message.header.owner = 12;
+        message.header.ownerDenied = true;
         message.header.best = core::BestCandidate { 1, { 500, 20 } };
         message.header.candidates.push_back({ 11, *base::Endpoint::parse("127.0.0.1:7700"), true });
         message.header.candidates.push_back({ 12, *base::Endpoint::parse("[2001:db8::1]:7700"), false });
--- a/src/celerystile/peer/schema/message.capnp
+++ b/src/celerystile/peer/schema/message.capnp
@@ -24,7 +24,7 @@
   extended @5 :Bool;
   pointed @6 :Bool;
   selected @7 :Bool;
-  denied @8 :Bool;
+  denied @8 :Bool;            # of earlier versions: any restarted host denied the flow; not read
   transient @9 :Bool;
   hasBest @10 :Bool;
   bestPosition @11 :UInt8;
@@ -32,6 +32,8 @@
   candidates @13 :List(Candidate);
   packet @14 :Data;
   bestRecent @15 :UInt32;
+  owner @16 :UInt64;
+  ownerDenied @17 :Bool;
 }
 
 struct Publish {
--- a/src/celerystile/peer/schema/message.capnp.h
+++ b/src/celerystile/peer/schema/message.capnp.h
@@ -87,7 +87,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(ce356d96ef6bfcdd, 5, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(ce356d96ef6bfcdd, 6, 2)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -511,6 +511,10 @@
 
   inline  ::uint32_t getBestRecent() const;
 
+  inline  ::uint64_t getOwner() const;
+
+  inline bool getOwnerDenied() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -595,6 +599,12 @@
   inline  ::uint32_t getBestRecent();
   inline void setBestRecent( ::uint32_t value);
 
+  inline  ::uint64_t getOwner();
+  inline void setOwner( ::uint64_t value);
+
+  inline bool getOwnerDenied();
+  inline void setOwnerDenied(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2208,6 +2218,34 @@
       ::capnp::bounded<8>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t Forward::Reader::getOwner() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t Forward::Builder::getOwner() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void Forward::Builder::setOwner( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool Forward::Reader::getOwnerDenied() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<214>() * ::capnp::ELEMENTS);
+}
+
+inline bool Forward::Builder::getOwnerDenied() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<214>() * ::capnp::ELEMENTS);
+}
+inline void Forward::Builder::setOwnerDenied(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<214>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t Publish::Reader::getSequence() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
