Known red: a predecessor's acknowledgement confirms its successor's pointers

Publications of pointers are numbered from 1 by each process. An acknowledgement that arrives after a restart or a hand-over, at the same traffic port, matches a publication of the successor: the test sees all three of its pointers taken for published, and none repeated.

--- a/src/celerystile/core/sidecar_test.cpp
+++ b/src/celerystile/core/sidecar_test.cpp
@@ -130,6 +130,18 @@
         }
     };
 
+    /// Adds hosts until host 1 is no longer a candidate of the flow's bucket.
+    RoutingPtr routingThatDisplaces(std::uint64_t flowHash)
+    {
+        std::vector<std::pair<MemberId, MemberState>> hosts { { 1, MemberState::Ready } };
+        RoutingPtr routing;
+        do {
+            hosts.push_back({ hosts.back().first + 1, MemberState::Ready });
+            routing = routingOf(hosts, hosts.size());
+        } while (routing->find(serviceAddress)->table.contains(CandidateTable::bucketOf(flowHash), 1));
+        return routing;
+    }
+
     /// A flow that host 1 has a pointer for; its owner, host 2, has restarted, and its backend server no longer holds
     /// it.
     struct DeniedFlow {
@@ -440,13 +452,7 @@
     SingleHost owner;
     owner.open(5000);
     const auto hash = segmentOf(5000, 0).key.hash();
-    // Adds hosts until host 1 is no longer a candidate of the flow's bucket.
-    std::vector<std::pair<MemberId, MemberState>> hosts { { 1, MemberState::Ready } };
-    RoutingPtr routing;
-    do {
-        hosts.push_back({ hosts.back().first + 1, MemberState::Ready });
-        routing = routingOf(hosts, hosts.size());
-    } while (routing->find(serviceAddress)->table.contains(CandidateTable::bucketOf(hash), 1));
+    const auto routing = routingThatDisplaces(hash);
     owner.sidecar.setRouting(routing, start);
     owner.sidecar.tick(start);
     REQUIRE(owner.recorder.published.size() == 3);
@@ -462,6 +468,38 @@
     CHECK(recorder.forwarded.front().to == trafficOf(1));
 }
 
+// A late acknowledgement of a predecessor's publication bore the number of one of its successor: pointers that had not
+// arrived were taken for published, and a planned change lost their flows.
+TEST_CASE("a late acknowledgement of a predecessor's publication does not confirm one of its successor")
+{
+    const auto routing = routingThatDisplaces(segmentOf(5000, 0).key.hash());
+    SingleHost predecessor;
+    predecessor.open(5000);
+    predecessor.sidecar.setRouting(routing, start);
+    predecessor.sidecar.tick(start);
+    REQUIRE(predecessor.recorder.published.size() == 3);
+
+    RecordingOutput recorder;
+    auto options = optionsFor(1);
+    options.relearn = true;
+    Sidecar successor(options, recorder, start);
+    successor.setRouting(routing, start);
+    successor.onAnswer(segmentOf(5000, 901, 101), packet, start);
+    successor.tick(start);
+    REQUIRE(recorder.published.size() == 3); // all lost
+    const auto hostOf = [](const OutgoingPublication& sent) { return sent.to.address.toV4() - 0x7f000000; };
+    for (const auto& late : predecessor.recorder.published)
+        successor.onAcknowledgement(hostOf(late), late.publication.sequence);
+    CHECK(successor.publisher().pendingPointers() == 3);
+    recorder.published.clear();
+    for (auto now = start; now <= start + 1s; now += 50ms)
+        successor.tick(now);
+    CHECK(recorder.published.size() >= 3);
+    for (const auto& repeated : recorder.published)
+        successor.onAcknowledgement(hostOf(repeated), repeated.publication.sequence);
+    CHECK(successor.publisher().pendingPointers() == 0);
+}
+
 TEST_CASE("at the drain limit every open flow is reset with the sequence number that the caller expects")
 {
     SingleHost host;
