Publications are numbered from the process's identity on

What callers would see: after a restart or a hand-over of a sidecar, followed by a change of hosts, the flows of one message of pointers are not found by their candidates; packets are dropped until the pointers are refreshed after 5 min.

Cause: each process numbered its publications from 1, and an acknowledgement names the number only. One that its predecessor was owed arrives at the same traffic port and confirmed a publication that may have been lost.

Change: the first number is a hash of the process's random identity. The numbers of two processes then meet with a probability of about 2^-64 for each publication.

--- a/apps/celerystiled/options.cpp
+++ b/apps/celerystiled/options.cpp
@@ -174,6 +174,7 @@
     sidecar.takeOver = optionalEndpoint(settings, "take-over");
     auto& options = sidecar.options;
     options.self = { self.id, self.traffic, true };
+    options.process = self.process;
     options.admission.capacity = self.capacity;
     options.admission.margin = settings.number("margin");
     options.admission.ramp = seconds(settings, "ramp");
--- a/bench/cost.cpp
+++ b/bench/cost.cpp
@@ -58,7 +58,7 @@
     options.maxUnacknowledgedPerTarget = displaced;
     std::uint64_t sum = 0;
     for (std::uint32_t i = 0; i < times; ++i) {
-        core::Publisher publisher(options, { 1, {}, true }, i);
+        core::Publisher publisher(options, { 1, {}, true }, i, i);
         for (std::uint64_t flow = 0; flow < displaced; ++flow)
             publisher.enqueue({ 2, {}, true }, flow);
         sum += publisher.poll(base::TimePoint { std::chrono::hours(1) }).size();
--- a/bench/micro.cpp
+++ b/bench/micro.cpp
@@ -76,7 +76,7 @@
     options.burstBytes = 1e9;
     options.maxUnacknowledgedPerTarget = 1'000;
     for (auto _ : state) {
-        core::Publisher publisher(options, self, 1);
+        core::Publisher publisher(options, self, 1, 1);
         for (std::uint64_t flow = 0; flow < 10'000; ++flow)
             publisher.enqueue(target, base::mix(flow));
         benchmark::DoNotOptimize(publisher.poll(base::TimePoint { std::chrono::hours(1) }));
--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -100,6 +100,7 @@
         host.countsBefore[i] += host.sidecar->count(static_cast<core::SidecarCount>(i));
     auto options = options_.sidecar;
     options.self = { host.id, host.traffic, true };
+    options.process = host.id ^ host.process;
     options.admission.capacity = options_.capacity;
     options.admission.ramp = ramp;
     options.relearn = relearn;
@@ -201,8 +202,8 @@
     schedule(downTime, [this, id] {
         auto& restarted = *hosts_.at(id);
         restarted.sidecarDown = false;
-        startSidecar(restarted, true, {}, {});
         ++restarted.process;
+        startSidecar(restarted, true, {}, {});
         announce(id, restarted.state);
     });
 }
@@ -219,12 +220,12 @@
     schedule(gap, [this, id, table, pointers, leaving] {
         auto& successor = *hosts_.at(id);
         successor.sidecarDown = false;
+        ++successor.process;
         startSidecar(successor, false, {}, table);
         for (const auto& held : pointers)
             successor.sidecar->adopt(held, now_);
         if (leaving)
             successor.sidecar->beginLeaving();
-        ++successor.process;
         announce(id, successor.state);
     });
 }
--- a/include/celerystile/core/directory.hpp
+++ b/include/celerystile/core/directory.hpp
@@ -18,7 +18,7 @@
 
 /// @brief Pointers that one owner sends to one target; acknowledged by sequence number.
 struct Publication {
-    std::uint64_t sequence = 0;
+    std::uint64_t sequence = 0; ///< ascending from a number that follows from the process identity
     Candidate owner;
     std::vector<std::uint64_t> flows; ///< fingerprints, FlowKey::hash()
 
@@ -77,7 +77,9 @@
 /// @brief Sends an owner's pointers: batched per target, rate-limited, resent until acknowledged. Not thread-safe.
 class Publisher {
 public:
-    Publisher(DirectoryOptions options, Candidate self, std::uint64_t seed);
+    /// @param process identity of this process: a late acknowledgement of a predecessor's publication matches none of
+    /// this process
+    Publisher(DirectoryOptions options, Candidate self, ProcessId process, std::uint64_t seed);
 
     void enqueue(const Candidate& target, std::uint64_t flow);
 
@@ -115,7 +117,7 @@
     Candidate self_;
     base::Random random_;
     std::map<MemberId, Target> targets_;
-    std::uint64_t nextSequence_ = 1;
+    std::uint64_t nextSequence_;
     double tokens_ = 0;
     std::optional<base::TimePoint> lastPoll_;
     MemberId lastServed_ = 0;
--- a/include/celerystile/core/sidecar.hpp
+++ b/include/celerystile/core/sidecar.hpp
@@ -72,6 +72,7 @@
 /// @brief Settings of Sidecar.
 struct SidecarOptions {
     Candidate self; ///< this host; `accepts` is ignored
+    ProcessId process = 0; ///< random identity of this process
     AdmissionOptions admission;
     DirectoryOptions directory;
     std::size_t maxFlows = 1'000'000; ///< flow records in all states
--- a/src/celerystile/core/directory.cpp
+++ b/src/celerystile/core/directory.cpp
@@ -73,10 +73,11 @@
     return publications;
 }
 
-Publisher::Publisher(DirectoryOptions options, Candidate self, std::uint64_t seed)
+Publisher::Publisher(DirectoryOptions options, Candidate self, ProcessId process, std::uint64_t seed)
     : options_(options)
     , self_(std::move(self))
     , random_(seed)
+    , nextSequence_(base::mix(process))
     , tokens_(options.burstBytes)
 {
 }
--- a/src/celerystile/core/directory_test.cpp
+++ b/src/celerystile/core/directory_test.cpp
@@ -21,7 +21,7 @@
 {
     const DirectoryOptions options;
     constexpr std::size_t flows = 10'000;
-    Publisher publisher(options, hostNumbered(1), 7);
+    Publisher publisher(options, hostNumbered(1), 99, 7);
     for (std::uint64_t flow = 0; flow < flows; ++flow) {
         publisher.enqueue(hostNumbered(2), flow);
         publisher.enqueue(hostNumbered(3), flow);
@@ -49,10 +49,26 @@
     CHECK(stores.at(3).size() == flows);
 }
 
+TEST_CASE("the numbers of two processes' publications do not meet, whatever their seeds")
+{
+    std::set<std::uint64_t> numbers;
+    constexpr std::size_t processes = 1'000;
+    constexpr std::size_t publications = 20;
+    for (ProcessId process = 1; process <= processes; ++process) {
+        Publisher publisher({}, hostNumbered(1), process, 7);
+        for (std::uint64_t flow = 0; flow < publications; ++flow) {
+            publisher.enqueue(hostNumbered(static_cast<std::uint32_t>(flow + 2)), flow);
+        }
+        for (const auto& outgoing : publisher.poll(start))
+            numbers.insert(outgoing.publication.sequence);
+    }
+    CHECK(numbers.size() == processes * publications);
+}
+
 TEST_CASE("a target that never acknowledges does not starve the others")
 {
     const DirectoryOptions options;
-    Publisher publisher(options, hostNumbered(1), 7);
+    Publisher publisher(options, hostNumbered(1), 99, 7);
     for (std::uint64_t flow = 0; flow < 5'000; ++flow) {
         publisher.enqueue(hostNumbered(2), flow); // never acknowledges
         publisher.enqueue(hostNumbered(3), flow);
@@ -87,7 +103,7 @@
 
 TEST_CASE("failed targets are removed with their pending pointers")
 {
-    Publisher publisher({}, hostNumbered(1), 7);
+    Publisher publisher({}, hostNumbered(1), 99, 7);
     publisher.enqueue(hostNumbered(2), 1);
     ServiceHost failed;
     failed.id = 2;
--- a/src/celerystile/core/sidecar.cpp
+++ b/src/celerystile/core/sidecar.cpp
@@ -50,7 +50,7 @@
     , hostsChangedAt_(start)
     , admission_(options.admission, start)
     , pointers_(options.directory)
-    , publisher_(options.directory, options.self, options.seed)
+    , publisher_(options.directory, options.self, options.process, options.seed)
     , lastTick_(start)
     , nextExpiry_(start + expiryInterval)
     , nextRefresh_(start + options.directory.refreshInterval)
--- a/src/celerystile/core/sidecar_test.cpp
+++ b/src/celerystile/core/sidecar_test.cpp
@@ -481,6 +481,7 @@
 
     RecordingOutput recorder;
     auto options = optionsFor(1);
+    options.process = 2;
     options.relearn = true;
     Sidecar successor(options, recorder, start);
     successor.setRouting(routing, start);
