--- a/bench/world_test.cpp
+++ b/bench/world_test.cpp
@@ -185,6 +185,25 @@
     }
 }
 
+// The successor took the table of a predecessor that was still relearning for complete.
+TEST_CASE("a hand-over soon after a sidecar was killed breaks no flow")
+{
+    auto options = smallOptions(14);
+    options.packetInterval = 60s;
+    World world(options);
+    const auto victim = world.readyHosts()[2];
+    openFlows(world, 1000, 10min);
+    world.runFor(1min);
+    CHECK(world.openFlowsOf(victim) > 50);
+    world.killSidecar(victim, 2s);
+    world.runFor(5s);
+    world.handOver(victim, 200ms);
+    world.runFor(15min);
+    CHECK(world.counts().broken() == 0);
+    CHECK(world.counts().closed == 1000);
+    checkInvariants(world);
+}
+
 TEST_CASE("a host that is suspended for 30 seconds serves its flows again afterwards")
 {
     World world(smallOptions(8));
--- a/src/celerystile/core/sidecar_test.cpp
+++ b/src/celerystile/core/sidecar_test.cpp
@@ -60,7 +60,8 @@
         return { IpAddress::fromV4(0x7f000000 + static_cast<std::uint32_t>(host)), 7700 };
     }
 
-    RoutingPtr routingOf(std::vector<std::pair<MemberId, MemberState>> hosts, std::uint64_t version = 1)
+    RoutingPtr routingOf(
+        std::vector<std::pair<MemberId, MemberState>> hosts, std::uint64_t version = 1, ProcessId process = 1)
     {
         View view;
         view.version = version;
@@ -68,6 +69,7 @@
             Member member;
             member.id = id;
             member.state = state;
+            member.process = process;
             member.traffic = trafficOf(id);
             member.services = { hashName("declarations") };
             member.capacity = 100;
@@ -397,6 +399,55 @@
     CHECK(successor.flows().openFlows() == 0); // idle for 25 hours
 }
 
+// Callers that had the SYN-ACK when a sidecar handed over were cut off: they do not repeat their SYN.
+TEST_CASE("a flow whose SYN-ACK was sent before a hand-over opens at the successor")
+{
+    SingleHost old;
+    old.sidecar.onForwarded(headerFor({ 1 }), segmentOf(5000, 100), packet, start);
+    auto accepted = segmentOf(5000, 900, 101);
+    accepted.syn = true;
+    old.sidecar.onAnswer(accepted, packet, start);
+    const auto handOver = start + 1s;
+    RecordingOutput recorder;
+    Sidecar successor(optionsFor(1), recorder, handOver);
+    successor.setRouting(routingOf({ { 1, MemberState::Ready } }), handOver);
+    for (const auto& flow : old.sidecar.flowsToHandOver(handOver))
+        successor.adopt(flow, handOver);
+    SUBCASE("the caller acknowledges it")
+    {
+        successor.onForwarded(headerFor({ 1 }), segmentOf(5000, 101, 901), packet, handOver);
+        CHECK(recorder.delivered == 1);
+        CHECK(successor.flows().opening() == 0);
+        CHECK(successor.flows().openFlows() == 1);
+    }
+    SUBCASE("the caller acknowledges the SYN-ACK of another host")
+    {
+        successor.onForwarded(headerFor({ 1 }), segmentOf(5000, 101, 77701), packet, handOver);
+        CHECK(recorder.delivered == 0);
+        CHECK(recorder.backendResets == 1);
+        CHECK(successor.flows().openFlows() == 0);
+    }
+    SUBCASE("the caller repeats its SYN, which the backend server then refuses")
+    {
+        successor.onForwarded(headerFor({ 1 }), segmentOf(5000, 200), packet, handOver);
+        CHECK(recorder.delivered == 1);
+        auto refusal = segmentOf(5000, 0, 201);
+        refusal.rst = true;
+        successor.onAnswer(refusal, packet, handOver);
+        CHECK(recorder.forwarded.empty());
+        CHECK(recorder.answered == 0);
+        CHECK(successor.flows().openFlows() == 0);
+    }
+    SUBCASE("the caller is gone")
+    {
+        CHECK(successor.flows().opening() == 1);
+        for (auto now = handOver; now <= handOver + 11s; now += 1s)
+            successor.tick(now);
+        CHECK(successor.flows().opening() == 0);
+        CHECK(successor.flows().size() == 0);
+    }
+}
+
 TEST_CASE("a SYN flood does not affect open flows")
 {
     SingleHost host;
@@ -468,6 +519,49 @@
     CHECK(recorder.forwarded.front().to == trafficOf(1));
 }
 
+// Idle flows of an owner whose sidecar had been killed were lost once the pointers to it had expired: it relearns a
+// flow from the caller's next packet only, and publishes it again only then.
+TEST_CASE("a pointer is kept while its owner is silent, or may have to relearn the flow")
+{
+    const auto flow = segmentOf(6000, 500, 600);
+    SingleHost holder;
+    holder.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Ready } }, 2), start);
+    holder.sidecar.onPublication({ 1, { 2, trafficOf(2), true }, { flow.key.hash() } }, start);
+    const auto lost = start + 1min;
+    SUBCASE("its sidecar is away")
+    {
+        holder.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Failed } }, 3), lost);
+        holder.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Ready } }, 4), lost + 1h);
+    }
+    SUBCASE("its sidecar is cut off")
+    {
+        holder.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Unreachable } }, 3), lost);
+        holder.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Ready } }, 4), lost + 1h);
+    }
+    SUBCASE("its sidecar restarts unnoticed")
+    {
+        holder.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Ready } }, 3, 2), lost);
+    }
+    tickUntil(holder.sidecar, lost + 2h);
+    holder.sidecar.onForwarded(headerFor({ 1 }), flow, packet, lost + 2h);
+    REQUIRE(holder.recorder.forwarded.size() == 1);
+    CHECK(holder.recorder.forwarded.front().to == trafficOf(2));
+    CHECK(holder.recorder.forwarded.front().header.pointed);
+}
+
+// A late publication of a predecessor named its address, and packets went there until the next one of the successor.
+TEST_CASE("a packet follows a pointer to the address at which its owner is known")
+{
+    const auto flow = segmentOf(6000, 500, 600);
+    SingleHost holder;
+    holder.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, MemberState::Ready } }, 2), start);
+    holder.sidecar.onPublication({ 7, { 2, trafficOf(2), true }, { flow.key.hash() } }, start);
+    holder.sidecar.onPublication({ 3, { 2, trafficOf(99), true }, { 1 } }, start); // late
+    holder.sidecar.onForwarded(headerFor({ 1 }), flow, packet, start);
+    REQUIRE(holder.recorder.forwarded.size() == 1);
+    CHECK(holder.recorder.forwarded.front().to == trafficOf(2));
+}
+
 // A late acknowledgement of a predecessor's publication bore the number of one of its successor: pointers that had not
 // arrived were taken for published, and a planned change lost their flows.
 TEST_CASE("a late acknowledgement of a predecessor's publication does not confirm one of its successor")
--- a/src/celerystile/store/entry_and_prefix_test.cpp
+++ b/src/celerystile/store/entry_and_prefix_test.cpp
@@ -116,6 +116,34 @@
     }
 }
 
+// A process that was suspended while its lease lapsed, and then stopped, removed the entry of its successor.
+TEST_CASE("a process that ends does not remove what another one has written under the same key")
+{
+    EntryFixture fixture;
+    fixture.entry.set("ready");
+    REQUIRE(fixture.eventuallyHolds("ready"));
+    fixture.entry.stop();
+    fixture.context.run_for(milliseconds(50));
+    fixture.store.put(key, "of the successor");
+    boost::asio::co_spawn(fixture.context, fixture.entry.finish(true), boost::asio::detached);
+    fixture.context.restart();
+    fixture.context.run_for(milliseconds(100));
+    CHECK(fixture.store.value(key) == "of the successor");
+}
+
+TEST_CASE("a process that ends removes its entry")
+{
+    EntryFixture fixture;
+    fixture.entry.set("ready");
+    REQUIRE(fixture.eventuallyHolds("ready"));
+    fixture.entry.stop();
+    fixture.context.run_for(milliseconds(50));
+    boost::asio::co_spawn(fixture.context, fixture.entry.finish(true), boost::asio::detached);
+    fixture.context.restart();
+    fixture.context.run_for(milliseconds(100));
+    CHECK(fixture.store.value(key) != "ready");
+}
+
 TEST_CASE("a value that another process has written under the same key is replaced")
 {
     EntryFixture fixture;
--- a/src/celerystile/store/list_completeness_test.cpp
+++ b/src/celerystile/store/list_completeness_test.cpp
@@ -30,4 +30,20 @@
     }
 }
 
+// A process that was suspended while the store was away took the first listing after it for complete.
+TEST_CASE("a listing after a gap in which an outage may have passed unnoticed is incomplete")
+{
+    const base::TimePoint start { std::chrono::hours(1) };
+    ListCompleteness list({ milliseconds(2'500) });
+    list.recordSuccess(start);
+    list.recordSuccess(start + milliseconds(2'500));
+    REQUIRE(list.complete());
+    const auto resumed = start + milliseconds(62'500);
+    list.recordSuccess(resumed);
+    CHECK(!list.complete());
+    CHECK((list.completeFrom() == resumed + milliseconds(2'500)));
+    list.recordSuccess(resumed + milliseconds(2'500));
+    CHECK(list.complete());
+}
+
 } // namespace celerystile::store
