A hand-over says whether the flows are all that there are

What callers would see: a sidecar is killed, started again, and then replaced as planned; flows that were idle meanwhile are never found again, and their callers' packets are dropped.

Cause: after a start without a hand-over a sidecar relearns flows from traffic. Its successor took the table that it was handed for complete and tried no flow at the backend server: an absence concluded from not having heard.

Change: the hand-over carries `complete`; the successor goes on relearning if it is not set. Versions that do not know the field leave it unset, which is safe.

--- a/apps/celerystiled/sidecar_traffic.cpp
+++ b/apps/celerystiled/sidecar_traffic.cpp
@@ -46,6 +46,7 @@
 void SidecarTraffic::startFromHandOver(const peer::HandOverResponse& predecessor)
 {
     const auto now = clock_.now();
+    settings_.options.relearn = !predecessor.complete;
     settings_.options.admission.ramp = {}; // no ramp-up: the backend server has been serving flows
     sidecar_ = std::make_unique<core::Sidecar>(settings_.options, *this, now);
     for (const auto& flow : predecessor.flows)
@@ -88,7 +89,7 @@
         backend_->close();
         timer_.cancel();
         peer::HandOverResponse handOver { sidecar_->flowsToHandOver(clock_.now()),
-            sidecar_->pointers().exportPublications() };
+            sidecar_->pointers().exportPublications(), !sidecar_->relearning() };
         done(std::move(handOver));
     });
 }
--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -213,15 +213,16 @@
     auto& host = *hosts_.at(id);
     const bool leaving = host.state == core::MemberState::Leaving;
     const auto table = host.sidecar->flowsToHandOver(now_);
+    const bool relearning = host.sidecar->relearning();
     host.sidecarDown = true;
     host.pausedUntil = now_ + gap;
     const auto pointers
         = options_.handOverPointers ? host.sidecar->pointers().exportPublications() : std::vector<core::Publication> {};
-    schedule(gap, [this, id, table, pointers, leaving] {
+    schedule(gap, [this, id, table, relearning, pointers, leaving] {
         auto& successor = *hosts_.at(id);
         successor.sidecarDown = false;
         ++successor.process;
-        startSidecar(successor, false, {}, table);
+        startSidecar(successor, relearning, {}, table);
         for (const auto& held : pointers)
             successor.sidecar->adopt(held, now_);
         if (leaving)
--- a/include/celerystile/core/sidecar.hpp
+++ b/include/celerystile/core/sidecar.hpp
@@ -125,6 +125,9 @@
 
     void recordHealthReport(const HealthReport& report) { admission_.recordHealthReport(report); }
 
+    /// @brief Whether the backend server may have flows that are not known here.
+    bool relearning() const { return options_.relearn; }
+
     /// @brief The flows for a successor process, without opening ones: their callers retransmit the SYN.
     std::vector<HandOverFlow> flowsToHandOver(base::TimePoint now) const;
 
--- a/include/celerystile/peer/message.hpp
+++ b/include/celerystile/peer/message.hpp
@@ -75,6 +75,7 @@
 struct HandOverResponse {
     std::vector<core::HandOverFlow> flows;
     std::vector<core::Publication> pointers; ///< that this sidecar stores for flows of other owners
+    bool complete = false; ///< the backend server has no other flows; never set by versions that do not know
 
     bool operator==(const HandOverResponse&) const = default;
 };
--- a/src/celerystile/peer/message.cpp
+++ b/src/celerystile/peer/message.cpp
@@ -210,6 +210,7 @@
         void operator()(const HandOverResponse& response)
         {
             auto handOver = root.initHandOver();
+            handOver.setComplete(response.complete);
             auto flows = handOver.initFlows(static_cast<unsigned>(response.flows.size()));
             for (unsigned i = 0; i < flows.size(); ++i)
                 writeFlow(flows[i], response.flows[i]);
@@ -236,6 +237,7 @@
         if (from.isRefused())
             return Response { RefusedResponse { from.getRefused().cStr() } };
         HandOverResponse handOver;
+        handOver.complete = from.getHandOver().getComplete();
         for (const auto item : from.getHandOver().getFlows())
             handOver.flows.push_back(readFlow(item));
         for (const auto item : from.getHandOver().getPointers())
--- a/src/celerystile/peer/message_test.cpp
+++ b/src/celerystile/peer/message_test.cpp
@@ -113,6 +113,7 @@
     flow.record.lastSeen = 1000;
     flow.record.displaced = true;
     response.flows = { flow };
+    response.complete = true;
     response.pointers = { { 0, { 11, {}, true }, { 1, 2, 3 } } };
     DatagramBuffer buffer;
     encodeResponse(response, keyring, buffer);
--- a/src/celerystile/peer/schema/message.capnp
+++ b/src/celerystile/peer/schema/message.capnp
@@ -134,6 +134,7 @@
     handOver :group {
       flows @3 :List(FlowEntry);
       pointers @5 :List(Publish);
+      complete @6 :Bool;
     }
     refused @4 :Text;
   }
--- a/src/celerystile/peer/schema/message.capnp.h
+++ b/src/celerystile/peer/schema/message.capnp.h
@@ -1775,6 +1775,8 @@
   inline bool hasPointers() const;
   inline  ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>::Reader getPointers() const;
 
+  inline bool getComplete() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1817,6 +1819,9 @@
   inline void adoptPointers(::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::Publish,  ::capnp::Kind::STRUCT>> disownPointers();
 
+  inline bool getComplete();
+  inline void setComplete(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3542,6 +3547,7 @@
 inline typename Response::HandOver::Builder Response::Builder::initHandOver() {
   _builder.setDataField<Response::Which>(
       ::capnp::bounded<4>() * ::capnp::ELEMENTS, Response::HAND_OVER);
+  _builder.setDataField<bool>(::capnp::bounded<0>() * ::capnp::ELEMENTS, 0);
   _builder.getPointerField(::capnp::bounded<0>() * ::capnp::POINTERS).clear();
   _builder.getPointerField(::capnp::bounded<1>() * ::capnp::POINTERS).clear();
   return typename Response::HandOver::Builder(_builder);
@@ -3716,6 +3722,20 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool Response::HandOver::Reader::getComplete() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline bool Response::HandOver::Builder::getComplete() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void Response::HandOver::Builder::setComplete(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
