Flows that are opening are handed over too

What callers would see: a flow whose SYN-ACK was on its way when a sidecar was replaced as planned hangs: the caller has its SYN-ACK, sends its request, and the successor knows no such flow.

Cause: opening flows were left out of the hand-over, since "their callers retransmit the SYN". Those that have the SYN-ACK do not; that the caller had not been heard was taken for no flow.

Change: opening flows whose SYN the backend server has answered are handed over as opening, with its sequence number, so that the caller's first acknowledgement still decides. They count towards the limits and expire as others do. Their SYN packet is not handed over; if the caller repeats it and the backend server then refuses, the caller's next SYN is placed anew.

--- a/include/celerystile/core/sidecar.hpp
+++ b/include/celerystile/core/sidecar.hpp
@@ -128,7 +128,7 @@
     /// @brief Whether the backend server may have flows that are not known here.
     bool relearning() const { return options_.relearn; }
 
-    /// @brief The flows for a successor process, without opening ones: their callers retransmit the SYN.
+    /// @brief The flows for a successor process, without those whose SYN has not been answered: it is retransmitted.
     std::vector<HandOverFlow> flowsToHandOver(base::TimePoint now) const;
 
     /// @brief Adds a flow handed over by the predecessor process.
@@ -175,6 +175,7 @@
     void placeOrRefuse(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
     void refuse(const ForwardHeader& header, const Segment& segment, base::TimePoint now);
     bool isCurrentCandidate(const ForwardHeader& header) const;
+    void recordOpening(SavedPacket syn);
     void removeOpening(const FlowKey& key);
 
     void resolveOwner(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
--- a/src/celerystile/core/sidecar.cpp
+++ b/src/celerystile/core/sidecar.cpp
@@ -203,7 +203,7 @@
 {
     std::vector<HandOverFlow> flows;
     for (const auto& [key, record] : table_.records()) {
-        if (record.state == FlowState::Opening)
+        if (record.state == FlowState::Opening && !record.hostIsnKnown)
             continue;
         flows.push_back({ key, record });
         flows.back().record.lastSeen = secondsSinceStart(now) - record.lastSeen;
@@ -221,6 +221,8 @@
     added.lastSeen = secondsSinceStart(now) - flow.record.lastSeen;
     if (added.state == FlowState::Closed)
         closedQueue_.push_back({ flow.key, now });
+    if (added.state == FlowState::Opening)
+        recordOpening({ {}, { .key = flow.key }, {}, now });
 }
 
 void Sidecar::tick(base::TimePoint now)
--- a/src/celerystile/core/sidecar_opening.cpp
+++ b/src/celerystile/core/sidecar_opening.cpp
@@ -78,15 +78,21 @@
     record.callerIsn = segment.sequence;
     record.callerNext = segment.sequence + 1;
     auto& added = table_.add(segment.key, record);
-    ++openingBySource_[sourceHash(segment.key.caller.address)];
-    openingSyns_[segment.key] = { header, segment, { packet.begin(), packet.end() }, now };
-    openingQueue_.push_back({ segment.key, now });
+    recordOpening({ header, segment, { packet.begin(), packet.end() }, now });
     admission_.recordClaim(now);
     increment(SidecarCount::FlowsOpened);
     publishIfDisplaced(segment.key, added, nullptr);
     deliverOwned(added, segment, packet, now);
 }
 
+void Sidecar::recordOpening(SavedPacket syn)
+{
+    const auto key = syn.segment.key;
+    ++openingBySource_[sourceHash(key.caller.address)];
+    openingQueue_.push_back({ key, syn.savedAt });
+    openingSyns_[key] = std::move(syn);
+}
+
 void Sidecar::removeOpening(const FlowKey& key)
 {
     if (openingSyns_.erase(key) == 0)
@@ -116,6 +122,8 @@
     auto saved = std::move(found->second);
     removeOpening(segment.key);
     table_.remove(segment.key);
+    if (saved.packet.empty()) // handed over: the caller repeats its SYN
+        return;
     auto& header = saved.header;
     auto& list = header.candidates;
     list.erase(std::remove_if(list.begin(), list.end(),
