Pointers are kept while their owner is silent or has restarted

What callers would see: a sidecar is killed, or away, while its host owns flows that it is no longer a candidate of; a caller that is idle for longer than 15 minutes is never served again. Its packets are dropped.

Cause: pointers expired 15 minutes after their owner had last published them. An owner that is away publishes nothing, and one that has restarted relearns a flow only when a packet follows a pointer to it: the end of the pointer was concluded from silence that only a packet could break.

Change: when an owner becomes silent, or its process changes, a holder retains the pointers that are valid then, for the idle timeout from their last publication; those of a hand-over are retained too, since the successor does not know what happened. A publication makes them ordinary ones again. A SYN that meets a pointer to a silent owner removes it: the caller has given up the earlier flow and uses its port again. A pointer to a host that the view does not list is not followed. A pointer takes 8 bytes as before.

--- a/apps/celerystiled/options.cpp
+++ b/apps/celerystiled/options.cpp
@@ -179,6 +179,7 @@
     options.admission.margin = settings.number("margin");
     options.admission.ramp = seconds(settings, "ramp");
     options.idleTimeout = seconds(settings, "idle-timeout");
+    options.directory.retainedLifetime = options.idleTimeout;
     options.settleTime = seconds(settings, "settle");
     options.maxFlows = static_cast<std::size_t>(settings.number("max-flows"));
     options.maxOpening = static_cast<std::uint32_t>(settings.number("max-opening"));
--- a/include/celerystile/core/directory.hpp
+++ b/include/celerystile/core/directory.hpp
@@ -29,6 +29,7 @@
 struct DirectoryOptions {
     std::size_t maxPointers = 1'000'000; ///< maximum number of pointers in a store; new ones are refused above it
     base::Duration pointerLifetime = std::chrono::minutes(15); ///< a pointer that is not refreshed expires after this
+    base::Duration retainedLifetime = std::chrono::hours(24); ///< the same for retained pointers
     base::Duration refreshInterval = std::chrono::minutes(5);
     std::size_t flowsPerMessage = 128;
     double bytesPerSecond = 4'000; ///< rate limit of publication; a node may use 5,000 for all control traffic
@@ -49,6 +50,15 @@
     /// @return number of pointers refused because the store is full.
     std::size_t insert(const Publication& publication, base::TimePoint now);
     const Candidate* find(std::uint64_t flow, base::TimePoint now) const;
+
+    void remove(std::uint64_t flow) { pointers_.erase(flow); }
+
+    /// @brief Retains the owner's pointers until it publishes them again: it is silent, or may have to relearn its
+    /// flows.
+    void retain(MemberId owner, base::TimePoint now);
+
+    /// @brief Adds pointers that a predecessor has exported, as retained ones.
+    void import(const Publication& publication, base::TimePoint now);
     void expire(base::TimePoint now);
 
     /// @brief All pointers, one publication per owner, for a hand-over.
@@ -57,10 +67,12 @@
 
 private:
     struct Pointer {
-        std::uint32_t owner;
-        std::uint32_t expiresAt; // seconds of the steady clock
+        std::uint32_t owner : 31;
+        std::uint32_t retained : 1;
+        std::uint32_t publishedAt; // seconds of the steady clock
     };
 
+    bool isExpired(const Pointer& pointer, base::TimePoint now) const;
     std::uint32_t ownerIndex(const Candidate& owner);
 
     DirectoryOptions options_;
--- a/include/celerystile/core/sidecar.hpp
+++ b/include/celerystile/core/sidecar.hpp
@@ -193,6 +193,7 @@
     void onBackendRefusal(const Segment& segment, base::TimePoint now);
     void relearnFlow(const Segment& segment, base::TimePoint now);
 
+    void retainUncertainPointers(const Routing& previous, base::TimePoint now);
     void publishDisplaced(const Routing* previous);
     void publishIfDisplaced(const FlowKey& key, FlowRecord& record, const CandidateTable* previous);
     void refreshPointers();
--- a/src/celerystile/core/directory.cpp
+++ b/src/celerystile/core/directory.cpp
@@ -37,14 +37,13 @@
 std::size_t PointerStore::insert(const Publication& publication, base::TimePoint now)
 {
     const auto owner = ownerIndex(publication.owner);
-    const auto expiresAt = secondsOf(now + options_.pointerLifetime);
     std::size_t refused = 0;
     for (const auto flow : publication.flows) {
         if (pointers_.size() >= options_.maxPointers && !pointers_.contains(flow)) {
             ++refused;
             continue;
         }
-        pointers_[flow] = { owner, expiresAt };
+        pointers_[flow] = { owner, 0, secondsOf(now) };
     }
     return refused;
 }
@@ -52,15 +51,37 @@
 const Candidate* PointerStore::find(std::uint64_t flow, base::TimePoint now) const
 {
     const auto found = pointers_.find(flow);
-    if (found == pointers_.end() || found->second.expiresAt < secondsOf(now))
+    if (found == pointers_.end() || isExpired(found->second, now))
         return nullptr;
     return &owners_[found->second.owner];
 }
 
+bool PointerStore::isExpired(const Pointer& pointer, base::TimePoint now) const
+{
+    const auto lifetime = pointer.retained ? options_.retainedLifetime : options_.pointerLifetime;
+    return pointer.publishedAt + std::chrono::duration_cast<std::chrono::seconds>(lifetime).count() < secondsOf(now);
+}
+
+void PointerStore::retain(MemberId owner, base::TimePoint now)
+{
+    for (auto& [flow, pointer] : pointers_) {
+        if (owners_[pointer.owner].host == owner && !isExpired(pointer, now))
+            pointer.retained = 1;
+    }
+}
+
+void PointerStore::import(const Publication& publication, base::TimePoint now)
+{
+    insert(publication, now);
+    for (const auto flow : publication.flows) {
+        if (const auto found = pointers_.find(flow); found != pointers_.end())
+            found->second.retained = 1;
+    }
+}
+
 void PointerStore::expire(base::TimePoint now)
 {
-    const auto seconds = secondsOf(now);
-    boost::unordered::erase_if(pointers_, [&](const auto& entry) { return entry.second.expiresAt < seconds; });
+    boost::unordered::erase_if(pointers_, [&](const auto& entry) { return isExpired(entry.second, now); });
 }
 
 std::vector<Publication> PointerStore::exportPublications() const
--- a/src/celerystile/core/directory_test.cpp
+++ b/src/celerystile/core/directory_test.cpp
@@ -101,6 +101,46 @@
     CHECK(store.size() == 0);
 }
 
+TEST_CASE("a retained or imported pointer outlives its lifetime until its owner publishes it again")
+{
+    const DirectoryOptions options;
+    PointerStore store(options);
+    store.insert({ 1, hostNumbered(1), { 1, 2 } }, start);
+    store.insert({ 1, hostNumbered(2), { 3 } }, start);
+    SUBCASE("retained")
+    {
+        store.retain(1, start + 14min);
+        store.expire(start + 16min);
+        CHECK(store.find(1, start + 23h)->host == 1);
+        CHECK(store.find(3, start + 16min) == nullptr);
+        store.retain(1, start + 23h); // counts from the publication nevertheless
+        CHECK(store.find(1, start + 25h) == nullptr);
+        store.expire(start + 25h);
+        CHECK(store.size() == 0);
+    }
+    SUBCASE("retained, then published again")
+    {
+        store.retain(1, start + 14min);
+        store.insert({ 2, hostNumbered(1), { 1 } }, start + 15min);
+        CHECK(store.find(1, start + 31min) == nullptr);
+        CHECK(store.find(2, start + 31min)->host == 1);
+    }
+    SUBCASE("one that has expired is not retained")
+    {
+        store.retain(1, start + 16min);
+        CHECK(store.find(1, start + 16min) == nullptr);
+    }
+    SUBCASE("imported by a successor")
+    {
+        PointerStore successor(options);
+        for (const auto& exported : store.exportPublications())
+            successor.import(exported, start + 1min);
+        CHECK(successor.size() == 3);
+        CHECK(successor.find(3, start + 23h)->host == 2);
+        CHECK(successor.find(3, start + 25h) == nullptr);
+    }
+}
+
 TEST_CASE("failed targets are removed with their pending pointers")
 {
     Publisher publisher({}, hostNumbered(1), 99, 7);
--- a/src/celerystile/core/sidecar_directory.cpp
+++ b/src/celerystile/core/sidecar_directory.cpp
@@ -15,6 +15,7 @@
     hostsChangedAt_ = now;
     if (!options_.directoryEnabled)
         return;
+    retainUncertainPointers(*previous, now);
     std::vector<ServiceHost> hosts;
     for (const auto& [address, route] : routing_->routes)
         hosts.insert(hosts.end(), route->table.hosts().begin(), route->table.hosts().end());
@@ -22,6 +23,24 @@
     publishDisplaced(previous.get());
 }
 
+// An owner that is silent can't refresh its pointers. A new process at an owner publishes the flows that it has taken
+// over, but relearns others only when a packet of theirs follows a pointer there.
+void Sidecar::retainUncertainPointers(const Routing& previous, base::TimePoint now)
+{
+    for (const auto& [address, route] : routing_->routes) {
+        const auto* previousRoute = previous.find(address);
+        if (previousRoute == route.get())
+            continue;
+        for (const auto& host : route->table.hosts()) {
+            const auto* before = previousRoute ? previousRoute->table.find(host.id) : nullptr;
+            const bool silent = host.state == MemberState::Failed || host.state == MemberState::Unreachable;
+            const bool replaced = before && before->process != host.process;
+            if (replaced || (silent && (!before || before->state != host.state)))
+                pointers_.retain(host.id, now);
+        }
+    }
+}
+
 void Sidecar::publishDisplaced(const Routing* previous)
 {
     for (auto& [key, record] : table_.records()) {
@@ -67,7 +86,7 @@
         output_.acknowledge(publication.owner.traffic, publication.sequence);
 }
 
-void Sidecar::adopt(const Publication& pointers, base::TimePoint now) { pointers_.insert(pointers, now); }
+void Sidecar::adopt(const Publication& pointers, base::TimePoint now) { pointers_.import(pointers, now); }
 
 void Sidecar::onAcknowledgement(MemberId from, std::uint64_t sequence) { publisher_.acknowledge(from, sequence); }
 
--- a/src/celerystile/core/sidecar_lookup.cpp
+++ b/src/celerystile/core/sidecar_lookup.cpp
@@ -30,7 +30,12 @@
     if (!owner || owner->host == options_.self.host)
         return false;
     const auto* host = routing_->find(segment.key.service)->table.find(owner->host);
-    if (host && host->state == MemberState::Failed)
+    const bool silent = !host || host->state == MemberState::Failed || host->state == MemberState::Unreachable;
+    if (silent && segment.isInitialSyn()) {
+        pointers_.remove(segment.key.hash()); // the caller has given up the flow and uses its port again
+        return false;
+    }
+    if (!host || host->state == MemberState::Failed)
         return false;
     header.pointed = true;
     header.owner = owner->host;
--- a/src/celerystile/core/sidecar_test.cpp
+++ b/src/celerystile/core/sidecar_test.cpp
@@ -549,6 +549,20 @@
     CHECK(holder.recorder.forwarded.front().header.pointed);
 }
 
+TEST_CASE("a SYN from a port whose earlier flow has a silent owner opens a new flow, which follows no pointer")
+{
+    for (const auto state : { MemberState::Failed, MemberState::Unreachable }) {
+        const auto syn = segmentOf(5000, 100);
+        SingleHost holder;
+        holder.sidecar.setRouting(routingOf({ { 1, MemberState::Ready }, { 2, state } }, 2), start);
+        holder.sidecar.onPublication({ 1, { 2, trafficOf(2), true }, { syn.key.hash() } }, start);
+        holder.open(5000);
+        CHECK(holder.recorder.delivered == 2);
+        CHECK(holder.recorder.forwarded.empty());
+        CHECK(holder.sidecar.pointers().size() == 0);
+    }
+}
+
 // A late publication of a predecessor named its address, and packets went there until the next one of the successor.
 TEST_CASE("a packet follows a pointer to the address at which its owner is known")
 {
