Pointers lead to the address at which gossip knows their owner

What callers would see: packets of displaced flows of one host go to an address of its predecessor, until the owner publishes its pointers again (5 min).

Cause: each publication set the address of all pointers to its host, in the order of arrival; a late one of a predecessor set it back.

Change: packets go to the address in the view, whose records are ordered by incarnation and process identity.

Measured: "a packet follows a pointer to the address…" failed before and passes; core/ and store/ tests: 74 passed, 0 failed, two known red.

--- a/src/celerystile/core/sidecar_lookup.cpp
+++ b/src/celerystile/core/sidecar_lookup.cpp
@@ -40,7 +40,7 @@
     header.pointed = true;
     header.owner = owner->host;
     increment(SidecarCount::Pointed);
-    send(owner->traffic, header, packet);
+    send(host->traffic, header, packet); // a late publication may name an earlier address of the owner
     return true;
 }
 
