A process that ends does not remove its successor's entry

What would be seen: a process is suspended while its lease lapses, a successor at the same address writes its entry, and the first one is stopped after it has resumed: the key is gone until the successor verifies it (5 s and more), and other processes take the host for absent.

Cause: a removal that named an older revision was repeated with the newer one, as a write of a value is. That the revision differs was taken for a lost answer to a write of its own.

Change: after such a mismatch the entry is removed only if its value is the one that this process last tried to write.

--- a/include/celerystile/store/leased_entry.hpp
+++ b/include/celerystile/store/leased_entry.hpp
@@ -51,7 +51,8 @@
     /// @brief Runs until stop().
     boost::asio::awaitable<void> run();
 
-    /// @brief Writes a pending value, or deletes the key if `remove` is set. Makes one attempt.
+    /// @brief Writes a pending value, or deletes the key if `remove` is set, unless another process has written it
+    /// since. Makes one attempt.
     boost::asio::awaitable<void> finish(bool remove);
     void stop();
 
@@ -63,6 +64,7 @@
     boost::asio::awaitable<bool> step();
     boost::asio::awaitable<bool> writeOnce(std::optional<std::string> value);
     boost::asio::awaitable<bool> renew();
+    boost::asio::awaitable<bool> holdsOwnValue();
     boost::asio::awaitable<bool> verify();
     boost::asio::awaitable<void> waitFor(std::chrono::milliseconds duration);
     bool recordFailure(const base::Error& error);
@@ -73,6 +75,7 @@
     std::string key_;
     LeasedEntryOptions options_;
     std::optional<std::string> value_;
+    std::optional<std::string> attempted_; // by the last write, whatever its outcome
     bool dirty_ = false;
     bool stopped_ = false;
     LeaseId lease_ = 0;
--- a/src/celerystile/store/entry_and_prefix_test.cpp
+++ b/src/celerystile/store/entry_and_prefix_test.cpp
@@ -136,12 +136,19 @@
     EntryFixture fixture;
     fixture.entry.set("ready");
     REQUIRE(fixture.eventuallyHolds("ready"));
+    SUBCASE("whose last write was acknowledged") { }
+    SUBCASE("the answer to whose last write was lost")
+    {
+        fixture.store.responsesToLose = 1;
+        fixture.entry.set("draining");
+        REQUIRE(fixture.runUntil([&] { return fixture.store.responsesToLose == 0; }));
+    }
     fixture.entry.stop();
     fixture.context.run_for(milliseconds(50));
     boost::asio::co_spawn(fixture.context, fixture.entry.finish(true), boost::asio::detached);
     fixture.context.restart();
     fixture.context.run_for(milliseconds(100));
-    CHECK(fixture.store.value(key) != "ready");
+    CHECK(!fixture.store.value(key));
 }
 
 TEST_CASE("a value that another process has written under the same key is replaced")
--- a/src/celerystile/store/leased_entry.cpp
+++ b/src/celerystile/store/leased_entry.cpp
@@ -103,6 +103,8 @@
         lease_ = *granted;
         renewAt_ = clock_.now() + options_.renewInterval;
     }
+    if (value)
+        attempted_ = value;
     ConditionalWrite write { key_, value, revision_, value ? lease_ : 0 };
     const auto result = co_await store_.write(std::move(write));
     if (!result)
@@ -112,6 +114,11 @@
         co_return true;
     }
     revision_ = result->revision;
+    if (result->outcome == WriteOutcome::RevisionMismatch && !value) {
+        const bool own = co_await holdsOwnValue();
+        if (!own)
+            co_return true;
+    }
     if (result->outcome == WriteOutcome::RevisionMismatch) {
         const bool written = co_await writeOnce(std::move(value));
         co_return written;
@@ -122,6 +129,13 @@
     co_return true;
 }
 
+// A write of this process may have been applied although its answer was lost; otherwise the key is another process's.
+asio::awaitable<bool> LeasedEntry::holdsOwnValue()
+{
+    const auto item = co_await store_.get(key_, ReadConsistency::Latest);
+    co_return item&&* item && (*item)->value == attempted_;
+}
+
 asio::awaitable<bool> LeasedEntry::verify()
 {
     const auto item = co_await store_.get(key_, ReadConsistency::Stale);
