--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -100,6 +100,7 @@
         host.countsBefore[i] += host.sidecar->count(static_cast<core::SidecarCount>(i));
     auto options = options_.sidecar;
     options.self = { host.id, host.traffic, true };
+    options.process = host.id ^ host.process;
     options.admission.capacity = options_.capacity;
     options.admission.ramp = ramp;
     options.relearn = relearn;
@@ -201,8 +202,8 @@
     schedule(downTime, [this, id] {
         auto& restarted = *hosts_.at(id);
         restarted.sidecarDown = false;
-        startSidecar(restarted, true, {}, {});
         ++restarted.process;
+        startSidecar(restarted, true, {}, {});
         announce(id, restarted.state);
     });
 }
@@ -212,19 +213,20 @@
     auto& host = *hosts_.at(id);
     const bool leaving = host.state == core::MemberState::Leaving;
     const auto table = host.sidecar->flowsToHandOver(now_);
+    const bool relearning = host.sidecar->relearning();
     host.sidecarDown = true;
     host.pausedUntil = now_ + gap;
     const auto pointers
         = options_.handOverPointers ? host.sidecar->pointers().exportPublications() : std::vector<core::Publication> {};
-    schedule(gap, [this, id, table, pointers, leaving] {
+    schedule(gap, [this, id, table, relearning, pointers, leaving] {
         auto& successor = *hosts_.at(id);
         successor.sidecarDown = false;
-        startSidecar(successor, false, {}, table);
+        ++successor.process;
+        startSidecar(successor, relearning, {}, table);
         for (const auto& held : pointers)
             successor.sidecar->adopt(held, now_);
         if (leaving)
             successor.sidecar->beginLeaving();
-        ++successor.process;
         announce(id, successor.state);
     });
 }
--- a/include/celerystile/core/sidecar.hpp
+++ b/include/celerystile/core/sidecar.hpp
@@ -27,7 +27,7 @@
     FlowsClosed,
     FlowsRelearned, ///< flows adopted after a restart without hand-over
     SynRefused, ///< resets sent to callers in response to a SYN
-    FlowReset, ///< resets of flows whose owner failed, or that the drain limit ended
+    FlowReset, ///< resets of flows that their owner no longer holds, or that the drain limit ended
     ClaimDropped, ///< claims given up because the caller acknowledged another host's SYN-ACK
     BackendRefused, ///< SYNs that the backend server reset; they go to another candidate
     DropWrongService,
@@ -72,6 +72,7 @@
 /// @brief Settings of Sidecar.
 struct SidecarOptions {
     Candidate self; ///< this host; `accepts` is ignored
+    ProcessId process = 0; ///< random identity of this process
     AdmissionOptions admission;
     DirectoryOptions directory;
     std::size_t maxFlows = 1'000'000; ///< flow records in all states
@@ -82,7 +83,7 @@
     base::Duration closedLinger = std::chrono::seconds(5); ///< late packets of a closed flow are still delivered
     base::Duration resetQuietTime = std::chrono::seconds(60); ///< an RST takes effect after this long without packets
     base::Duration idleTimeout = std::chrono::hours(24);
-    base::Duration failureConfirmTime = std::chrono::seconds(30); ///< a failure or host change older than this is final
+    base::Duration settleTime = std::chrono::seconds(30); ///< flows are not reset sooner after a change of hosts
     base::Duration synRefusalDelay = std::chrono::seconds(3); ///< SYNs are not refused sooner after a change of hosts
     base::Duration pauseThreshold = std::chrono::seconds(2); ///< a gap between ticks that counts as a pause
     base::Duration deniedRetention = std::chrono::seconds(60); ///< how long a flow denied by the backend is recorded
@@ -124,7 +125,10 @@
 
     void recordHealthReport(const HealthReport& report) { admission_.recordHealthReport(report); }
 
-    /// @brief The flows for a successor process, without opening ones: their callers retransmit the SYN.
+    /// @brief Whether the backend server may have flows that are not known here.
+    bool relearning() const { return options_.relearn; }
+
+    /// @brief The flows for a successor process, without those whose SYN has not been answered: it is retransmitted.
     std::vector<HandOverFlow> flowsToHandOver(base::TimePoint now) const;
 
     /// @brief Adds a flow handed over by the predecessor process.
@@ -171,26 +175,28 @@
     void placeOrRefuse(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
     void refuse(const ForwardHeader& header, const Segment& segment, base::TimePoint now);
     bool isCurrentCandidate(const ForwardHeader& header) const;
+    void recordOpening(SavedPacket syn);
     void removeOpening(const FlowKey& key);
 
     void resolveOwner(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
     bool followPointer(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
+    void recordDenial(ForwardHeader& header) const;
     bool startTrial(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
     bool passOn(ForwardHeader& header, Bytes packet);
     void continueLookup(ForwardHeader& header, const Segment& segment, Bytes packet, base::TimePoint now);
     bool extendCandidates(ForwardHeader& header, const Segment& segment);
     void onUnclaimed(const ForwardHeader& header, const Segment& segment, base::TimePoint now);
-    bool ownerConfirmedFailed(const ForwardHeader& header, const Segment& segment, base::TimePoint now) const;
+    bool hasEnded(const ForwardHeader& header, const Segment& segment, base::TimePoint now) const;
     void send(const Endpoint& to, ForwardHeader& header, Bytes packet);
 
     void onAnswerWithoutFlow(const Segment& segment, Bytes packet, base::TimePoint now);
     void onBackendRefusal(const Segment& segment, base::TimePoint now);
     void relearnFlow(const Segment& segment, base::TimePoint now);
 
+    void retainUncertainPointers(const Routing& previous, base::TimePoint now);
     void publishDisplaced(const Routing* previous);
     void publishIfDisplaced(const FlowKey& key, FlowRecord& record, const CandidateTable* previous);
     void refreshPointers();
-    void recordFailures(const Routing& routing, base::TimePoint now);
     void detectPause(base::TimePoint now);
     void expireOpening(base::TimePoint now);
     void expireClosed(base::TimePoint now);
@@ -201,7 +207,6 @@
     base::TimePoint start_;
     RoutingPtr routing_;
     base::TimePoint hostsChangedAt_;
-    boost::unordered_flat_map<MemberId, base::TimePoint> failedSince_;
     Admission admission_;
     FlowTable table_;
     PointerStore pointers_;
--- a/src/celerystile/core/sidecar.cpp
+++ b/src/celerystile/core/sidecar.cpp
@@ -50,7 +50,7 @@
     , hostsChangedAt_(start)
     , admission_(options.admission, start)
     , pointers_(options.directory)
-    , publisher_(options.directory, options.self, options.seed)
+    , publisher_(options.directory, options.self, options.process, options.seed)
     , lastTick_(start)
     , nextExpiry_(start + expiryInterval)
     , nextRefresh_(start + options.directory.refreshInterval)
@@ -203,7 +203,7 @@
 {
     std::vector<HandOverFlow> flows;
     for (const auto& [key, record] : table_.records()) {
-        if (record.state == FlowState::Opening)
+        if (record.state == FlowState::Opening && !record.hostIsnKnown)
             continue;
         flows.push_back({ key, record });
         flows.back().record.lastSeen = secondsSinceStart(now) - record.lastSeen;
@@ -221,6 +221,8 @@
     added.lastSeen = secondsSinceStart(now) - flow.record.lastSeen;
     if (added.state == FlowState::Closed)
         closedQueue_.push_back({ flow.key, now });
+    if (added.state == FlowState::Opening)
+        recordOpening({ {}, { .key = flow.key }, {}, now });
 }
 
 void Sidecar::tick(base::TimePoint now)
--- a/src/celerystile/core/sidecar_directory.cpp
+++ b/src/celerystile/core/sidecar_directory.cpp
@@ -13,9 +13,9 @@
     const auto previous = std::move(routing_);
     routing_ = std::move(routing);
     hostsChangedAt_ = now;
-    recordFailures(*routing_, now);
     if (!options_.directoryEnabled)
         return;
+    retainUncertainPointers(*previous, now);
     std::vector<ServiceHost> hosts;
     for (const auto& [address, route] : routing_->routes)
         hosts.insert(hosts.end(), route->table.hosts().begin(), route->table.hosts().end());
@@ -23,18 +23,22 @@
     publishDisplaced(previous.get());
 }
 
-void Sidecar::recordFailures(const Routing& routing, base::TimePoint now)
+// An owner that is silent can't refresh its pointers. A new process at an owner publishes the flows that it has taken
+// over, but relearns others only when a packet of theirs follows a pointer there.
+void Sidecar::retainUncertainPointers(const Routing& previous, base::TimePoint now)
 {
-    boost::unordered_flat_map<MemberId, base::TimePoint> failed;
-    for (const auto& [address, route] : routing.routes) {
+    for (const auto& [address, route] : routing_->routes) {
+        const auto* previousRoute = previous.find(address);
+        if (previousRoute == route.get())
+            continue;
         for (const auto& host : route->table.hosts()) {
-            if (host.state != MemberState::Failed)
-                continue;
-            const auto known = failedSince_.find(host.id);
-            failed[host.id] = known == failedSince_.end() ? now : known->second;
+            const auto* before = previousRoute ? previousRoute->table.find(host.id) : nullptr;
+            const bool silent = host.state == MemberState::Failed || host.state == MemberState::Unreachable;
+            const bool replaced = before && before->process != host.process;
+            if (replaced || (silent && (!before || before->state != host.state)))
+                pointers_.retain(host.id, now);
         }
     }
-    failedSince_ = std::move(failed);
 }
 
 void Sidecar::publishDisplaced(const Routing* previous)
@@ -82,7 +86,7 @@
         output_.acknowledge(publication.owner.traffic, publication.sequence);
 }
 
-void Sidecar::adopt(const Publication& pointers, base::TimePoint now) { pointers_.insert(pointers, now); }
+void Sidecar::adopt(const Publication& pointers, base::TimePoint now) { pointers_.import(pointers, now); }
 
 void Sidecar::onAcknowledgement(MemberId from, std::uint64_t sequence) { publisher_.acknowledge(from, sequence); }
 
