Sidecar: a late first heartbeat resets none of the callers in the checkpoint

A new process took the first heartbeat that it read for the living host's. If it was a late one with a higher start time, the incarnation of the checkpoint counted as ended, and the callers of all its flows were reset although their host held them.

What was missing: a checkpoint was judged with any heartbeat, now it waits until an incarnation is present; and abandoned heartbeats alone, without one whose sender waits, show no end of the incarnation that held the flows, so that a host that only sends such ones resets callers when it is confirmed.

--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -106,6 +106,7 @@
 {
     if (!recordSequence(*present_, report, now))
         return HeartbeatOutcome::Stale;
+    present_->heardAlive = present_->heardAlive || !report.abandoned;
     forgetRivals();
     return applyState(report, now) ? HeartbeatOutcome::Changed : HeartbeatOutcome::Unchanged;
 }
@@ -186,7 +187,7 @@
 
 // A higher start time is believed without a second heartbeat if the host has just started and no other one was heard:
 // by its first heartbeat, or if the other incarnation was alive for longer than a heartbeat of an earlier one can be
-// late.
+// late. Abandoned heartbeats do not show that it is alive.
 bool HostStatus::hasEnded(std::uint64_t born, std::uint64_t heartbeats, base::TimePoint now) const
 {
     if (!present_ || born == present_->born)
@@ -196,7 +197,7 @@
     const bool longAlive = minAge(heartbeats) >= options_.maxHeartbeatDelay;
     const bool justStarted
         = !mayPredateProcess() || (longAlive && present_->firstSequence <= options_.maxStartupHeartbeats);
-    return others_.empty() && justStarted && born < present_->born;
+    return others_.empty() && justStarted && present_->heardAlive && born < present_->born;
 }
 
 bool HostStatus::serviceDisputed(base::TimePoint now) const
--- a/src/celerystile/fleet/host_status_test.cpp
+++ b/src/celerystile/fleet/host_status_test.cpp
@@ -156,6 +156,7 @@
         CHECK(abandoned(5, 9'000) == HeartbeatOutcome::FirstOfIncarnation);
         CHECK(status.born() == 9'000);
         CHECK(status.firstSequence() == 4);
+        CHECK(!status.hasEnded(1'000, 40, now));
     }
     SUBCASE("those that waited together while the process did not run count as one")
     {
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -87,8 +87,10 @@
     if (outcome == HeartbeatOutcome::FirstOfIncarnation)
         predecessorFlowsOpen_ = host_.replacedAnother();
     resetPredecessorFlows(now);
-    for (const auto& held : std::exchange(pendingHeldFlows_, {}))
-        adoptHeldFlows(held, now);
+    if (host_.heard()) {
+        for (const auto& held : std::exchange(pendingHeldFlows_, {}))
+            adoptHeldFlows(held, now);
+    }
     resolveUncertainFlows(now);
     if (outcome == HeartbeatOutcome::FirstOfIncarnation || outcome == HeartbeatOutcome::Changed) {
         announcedState_ = host_.state(now);
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1108,14 +1108,19 @@
     held.sequence = 12;
     held.flows.push_back({ synOf(caller).key, 900, 901, true });
     fixture.sidecar.onHeldFlows(held, fixture.now);
-    SUBCASE("its first heartbeat") { fixture.sidecar.onHeartbeat(report(1, 9'000), fixture.now); }
+    const auto late = [](std::uint64_t sequence) {
+        auto heartbeat = report(sequence, 9'000);
+        heartbeat.abandoned = true;
+        return heartbeat;
+    };
+    SUBCASE("its first heartbeat") { fixture.sidecar.onHeartbeat(late(1), fixture.now); }
     SUBCASE("its second one, some time after the start")
     {
         fixture.advance(milliseconds(500));
         fixture.advance(milliseconds(500));
         fixture.advance(milliseconds(500));
         fixture.advance(milliseconds(500));
-        fixture.sidecar.onHeartbeat(report(2, 9'000), fixture.now);
+        fixture.sidecar.onHeartbeat(late(2), fixture.now);
     }
     fixture.sequence = 12;
     fixture.advanceWithHeartbeats(std::chrono::seconds(6));
@@ -1123,6 +1128,23 @@
     CHECK(fixture.sidecar.flows().openFlows() == 1);
 }
 
+// Guards against trials and waiting callers: a checkpoint that was judged without the host would be used up.
+TEST_CASE("a checkpoint is judged with the first heartbeat that is believed, not with an abandoned one before it")
+{
+    Fixture fixture(0);
+    HeldFlows held;
+    held.born = 1'000;
+    held.complete = true;
+    held.sequence = 60;
+    fixture.sidecar.onHeldFlows(held, fixture.now);
+    auto late = report(12, 9'000);
+    late.abandoned = true;
+    fixture.sidecar.onHeartbeat(late, fixture.now);
+    fixture.sidecar.onHeartbeat(report(61), fixture.now);
+    fixture.sidecar.onForward(lookup(), dataOf(caller, 901), fixture.now);
+    CHECK(fixture.sidecar.count(SidecarCount::Trials) == 0);
+}
+
 // Guards against a living host being kept out because its start shows the same millisecond as its predecessor's.
 TEST_CASE("a host of the same id and start time whose count starts anew is heard")
 {
