Sidecar: a host that restarts with its former id and start time is heard

A host may start again under the id that it had, and its counts start anew. `born` is a millisecond of its clock, so after a step back two starts can show the same one. All heartbeats of the later run were stale until their number passed its predecessor's, and the host got no new flow until then.

A heartbeat of the present identity whose number was used before is a sign of a later run if it arrives later after the last one than a heartbeat can be late (maxHeartbeatDelay). With the second, higher one the later run replaces the earlier one, as any successor does: it is confirmed unless another incarnation sends heartbeats too, and the callers of the earlier run are reset. One alone, late or doubled ones, and those of a host that goes on change nothing. The earlier run is forgotten, since its heartbeats have the same identity. An incarnation that is not the present one is heard anew in the same way.

Why it cannot be the earlier run: a number not above the last one was sent no later than the last one, so that it would be late by more than the bound.

What this needed elsewhere: - A pause of the process is noticed before a heartbeat is judged; the silence would otherwise contain the pause if a heartbeat is read before the tick. - A last checkpoint is complete only for the host whose first heartbeat here follows its last one directly; a lower number is a later run's, whose flows a process in between may have accepted. - Balancers see the same `born` in the record; the flows of the earlier run reach them as ended ones.

--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -54,6 +54,11 @@
 ///   that sends only such heartbeats becomes the present one, while there is none, with a second one an interval later.
 /// - Any other incarnation becomes the present one when it goes on sending heartbeats while the present one is silent.
 ///
+/// - The numbers of an incarnation start anew if the host has restarted under the same id within the same millisecond
+/// of
+///   its clock. This is believed when two heartbeats show it that no heartbeat of the earlier run can be: they arrive
+///   later after its last one than a heartbeat can be late.
+///
 /// The present incarnation is confirmed once its heartbeats can't be late ones; it is disputed while another one was
 /// heard and it is not confirmed.
 class HostStatus {
@@ -135,6 +140,7 @@
         ServiceId service = 0;
         bool draining = false;
         base::TimePoint firstHeardAt {};
+        base::TimePoint lastHeardAt {};
         base::TimePoint earliestStart {};
         unsigned heartbeats = 0; // since the last heartbeat of the present one, or since it became the present one
         bool superseded = false;
@@ -145,11 +151,15 @@
     base::Duration minAge(std::uint64_t heartbeats) const;
     static bool isFrom(const HostReport& report, const Incarnation& incarnation);
     HeartbeatOutcome recordPresent(const HostReport& report, base::TimePoint now);
+    HeartbeatOutcome recordNextRun(const HostReport& report, base::TimePoint now);
+    Incarnation startIncarnation(const HostReport& report, base::TimePoint now) const;
+    bool isOfNextRun(const Incarnation& incarnation, const HostReport& report, base::TimePoint now) const;
     std::size_t findOrAddOther(const HostReport& report, base::TimePoint now);
     bool recordSequence(Incarnation& incarnation, const HostReport& report, base::TimePoint now) const;
     bool isSuccessor(const Incarnation& other, bool firstHeardAlive, base::TimePoint now) const;
     bool isSuccessorCertain(const Incarnation& other, base::TimePoint now) const;
     void makePresent(std::size_t index, base::TimePoint now);
+    void setPresent(Incarnation next, base::TimePoint now);
     void forgetRivals();
     bool applyState(const HostReport& report, base::TimePoint now);
 
@@ -157,6 +167,7 @@
     base::TimePoint start_;
     bool left_ = false;
     std::optional<Incarnation> present_;
+    std::optional<Incarnation> nextRun_; // of the present incarnation's identity, whose count has started anew
     std::vector<Incarnation> others_; // in the order in which they were heard first
     base::TimePoint presentSince_ {};
     bool confirmed_ = false;
--- a/src/celerystile/fleet/host_status.cpp
+++ b/src/celerystile/fleet/host_status.cpp
@@ -1,6 +1,7 @@
 #include "celerystile/fleet/host_status.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace celerystile::fleet {
 
@@ -55,16 +56,28 @@
         return static_cast<std::size_t>(found - others_.begin());
     if (others_.size() >= maxOthers)
         others_.erase(others_.begin());
-    Incarnation other;
-    other.id = report.id;
-    other.born = report.born;
-    other.firstSequence = report.sequence;
-    other.firstHeardAt = now;
-    other.earliestStart = now - maxAge(report.sequence);
-    others_.push_back(std::move(other));
+    others_.push_back(startIncarnation(report, now));
     return others_.size() - 1;
 }
 
+HostStatus::Incarnation HostStatus::startIncarnation(const HostReport& report, base::TimePoint now) const
+{
+    Incarnation incarnation;
+    incarnation.id = report.id;
+    incarnation.born = report.born;
+    incarnation.firstSequence = report.sequence;
+    incarnation.firstHeardAt = now;
+    incarnation.earliestStart = now - maxAge(report.sequence);
+    return incarnation;
+}
+
+// Whether the heartbeat can only be that of a host that has restarted with the identity of the incarnation. Its number
+// was used before, at the latest when the last heartbeat was sent.
+bool HostStatus::isOfNextRun(const Incarnation& incarnation, const HostReport& report, base::TimePoint now) const
+{
+    return report.sequence <= incarnation.sequence && now - incarnation.lastHeardAt >= options_.maxHeartbeatDelay;
+}
+
 // @return whether the heartbeat is newer than the incarnation's last one.
 bool HostStatus::recordSequence(Incarnation& incarnation, const HostReport& report, base::TimePoint now) const
 {
@@ -76,6 +89,7 @@
     if (report.sequence <= incarnation.firstSequence + correcting)
         incarnation.earliestStart = std::min(incarnation.earliestStart, now - maxAge(report.sequence));
     incarnation.sequence = report.sequence;
+    incarnation.lastHeardAt = now;
     incarnation.service = core::hashName(report.service);
     incarnation.draining = report.draining;
     ++incarnation.heartbeats;
@@ -88,6 +102,12 @@
         return recordPresent(report, now);
     const auto index = findOrAddOther(report, now);
     auto& other = others_[index];
+    if (isOfNextRun(other, report, now)) {
+        auto next = startIncarnation(report, now);
+        next.superseded = other.superseded;
+        next.heardAlive = other.heardAlive; // so that its start time is no hint once more
+        other = std::move(next);
+    }
     if (!recordSequence(other, report, now))
         return HeartbeatOutcome::Stale;
     const bool firstHeardAlive = !report.abandoned && !other.heardAlive;
@@ -104,13 +124,34 @@
 
 HeartbeatOutcome HostStatus::recordPresent(const HostReport& report, base::TimePoint now)
 {
+    if (isOfNextRun(*present_, report, now))
+        return recordNextRun(report, now);
     if (!recordSequence(*present_, report, now))
         return HeartbeatOutcome::Stale;
+    nextRun_.reset();
     present_->heardAlive = present_->heardAlive || !report.abandoned;
     forgetRivals();
     return applyState(report, now) ? HeartbeatOutcome::Changed : HeartbeatOutcome::Unchanged;
 }
 
+// The earlier run is forgotten: its heartbeats have the same identity, so that it could not be told apart.
+HeartbeatOutcome HostStatus::recordNextRun(const HostReport& report, base::TimePoint now)
+{
+    if (!nextRun_ || report.sequence <= nextRun_->sequence)
+        nextRun_ = startIncarnation(report, now);
+    recordSequence(*nextRun_, report, now);
+    nextRun_->heardAlive = nextRun_->heardAlive || !report.abandoned;
+    if (nextRun_->heartbeats < confirmingHeartbeats) {
+        lastOtherHeartbeatAt_ = now;
+        confirmed_ = false;
+        return HeartbeatOutcome::Stale;
+    }
+    replacedAnother_ = true;
+    setPresent(*std::exchange(nextRun_, std::nullopt), now);
+    applyState(report, now);
+    return HeartbeatOutcome::FirstOfIncarnation;
+}
+
 // @return whether the state differs.
 bool HostStatus::applyState(const HostReport& report, base::TimePoint now)
 {
@@ -143,8 +184,8 @@
 // present incarnation started.
 bool HostStatus::isSuccessorCertain(const Incarnation& other, base::TimePoint now) const
 {
-    const bool rivalled = std::any_of(others_.begin(), others_.end(),
-        [&](const Incarnation& rival) { return &rival != &other && rival.heartbeats > 0; });
+    const bool rivalled
+        = std::any_of(others_.begin(), others_.end(), [](const Incarnation& rival) { return rival.heartbeats > 0; });
     if (rivalled)
         return false;
     if (other.heartbeats >= confirmingHeartbeats)
@@ -156,16 +197,24 @@
 void HostStatus::makePresent(std::size_t index, base::TimePoint now)
 {
     auto next = others_[index];
-    confirmed_ = present_ && isSuccessorCertain(others_[index], now);
     replacedAnother_ = present_ && !next.superseded;
     others_.erase(others_.begin() + static_cast<std::ptrdiff_t>(index));
-    if (present_) {
-        present_->superseded = true;
-        others_.push_back(std::move(*present_));
+    auto previous = present_;
+    setPresent(std::move(next), now);
+    if (previous) {
+        previous->superseded = true;
+        previous->heartbeats = 0;
+        others_.push_back(std::move(*previous));
     }
+}
+
+void HostStatus::setPresent(Incarnation next, base::TimePoint now)
+{
+    confirmed_ = present_ && isSuccessorCertain(next, now);
     present_ = std::move(next);
     present_->heartbeats = 1;
     presentSince_ = now;
+    nextRun_.reset();
     forgetRivals();
 }
 
@@ -227,8 +276,12 @@
     lastHeartbeatAt_ += gap;
     lastOtherHeartbeatAt_ += gap;
     presentSince_ += gap;
-    if (present_)
+    if (present_) {
         present_->firstHeardAt += gap;
+        present_->lastHeardAt += gap;
+    }
+    for (auto& other : others_)
+        other.lastHeardAt += gap;
 }
 
 HostState HostStatus::state(base::TimePoint now) const
--- a/src/celerystile/fleet/host_status_test.cpp
+++ b/src/celerystile/fleet/host_status_test.cpp
@@ -202,6 +202,89 @@
     }
 }
 
+TEST_CASE("a host that restarts with its former id and start time is the present one after two of its heartbeats")
+{
+    HostStatus status({}, start);
+    auto now = start;
+    const auto beat = [&](std::uint64_t sequence, std::uint64_t born = 1'000) {
+        const auto outcome = status.recordHeartbeat(heartbeat(sequence, born), now);
+        now += heartbeatInterval;
+        return outcome;
+    };
+    for (std::uint64_t sequence = 1; sequence <= 20; ++sequence)
+        beat(sequence);
+    const auto ended = now - heartbeatInterval;
+    SUBCASE("the host has restarted")
+    {
+        std::uint64_t sequence = 0;
+        while (now - ended < maxDelay) {
+            CHECK(beat(++sequence) == HeartbeatOutcome::Stale);
+            CHECK(!status.replacedAnother());
+        }
+        CHECK(beat(++sequence) == HeartbeatOutcome::Stale);
+        CHECK(beat(++sequence) == HeartbeatOutcome::FirstOfIncarnation);
+        CHECK(status.replacedAnother());
+        CHECK(status.confirmed(now));
+        CHECK(status.sequence() == sequence);
+        CHECK((status.state(now) == HostState::Ready));
+        SUBCASE("it goes on")
+        {
+            CHECK(beat(++sequence) == HeartbeatOutcome::Unchanged);
+            CHECK(!status.disputed(now));
+        }
+        SUBCASE("another incarnation replaces it, and it comes back")
+        {
+            CHECK(beat(1, 2'000) == HeartbeatOutcome::FirstOfIncarnation); // a late one
+            while (status.born() != 1'000 && sequence < 15)
+                beat(++sequence);
+            CHECK(status.born() == 1'000);
+            CHECK(!status.replacedAnother());
+        }
+    }
+    SUBCASE("late or doubled heartbeats of the same run")
+    {
+        for (std::uint64_t sequence : { 18U, 19U, 20U, 19U, 20U }) {
+            now = ended + milliseconds(sequence * 190); // up to 3'800 ms after the last one
+            CHECK(beat(sequence) == HeartbeatOutcome::Stale);
+        }
+        now = ended + maxDelay;
+        CHECK(beat(20) == HeartbeatOutcome::Stale); // one alone shows nothing
+        CHECK(beat(26) == HeartbeatOutcome::Changed);
+        CHECK(beat(21) == HeartbeatOutcome::Stale);
+        CHECK(!status.replacedAnother());
+    }
+    SUBCASE("a late heartbeat during the present run")
+    {
+        for (std::uint64_t sequence = 21; sequence < 40; ++sequence) {
+            CHECK(beat(sequence) == HeartbeatOutcome::Unchanged);
+            CHECK(status.recordHeartbeat(heartbeat(sequence - 20, 1'000), now) == HeartbeatOutcome::Stale);
+        }
+        CHECK(!status.replacedAnother());
+    }
+    SUBCASE("a pause of this process is no silence of the host")
+    {
+        status.recordPause(maxDelay);
+        now += maxDelay;
+        CHECK(beat(19) == HeartbeatOutcome::Stale);
+        CHECK(beat(20) == HeartbeatOutcome::Stale);
+        CHECK(!status.replacedAnother());
+    }
+}
+
+TEST_CASE("an incarnation that is not the present one is heard if its count starts anew")
+{
+    HostStatus status({}, start);
+    auto now = start;
+    for (std::uint64_t sequence = 1; sequence <= 20; ++sequence)
+        status.recordHeartbeat(heartbeat(sequence, 1'000), now += heartbeatInterval);
+    for (std::uint64_t sequence = 1; sequence <= 6; ++sequence)
+        status.recordHeartbeat(heartbeat(sequence, 2'000), now += heartbeatInterval);
+    for (std::uint64_t sequence = 1; sequence <= 5; ++sequence)
+        status.recordHeartbeat(heartbeat(sequence, 1'000), now += heartbeatInterval);
+    CHECK(status.born() == 1'000);
+    CHECK(status.sequence() == 5);
+}
+
 // Guards against resets of flows of a host that is heard already, but is not the present one yet.
 TEST_CASE("a late heartbeat with a higher start time confirms nothing while a third incarnation sends heartbeats")
 {
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -79,6 +79,7 @@
 
 HeartbeatOutcome Sidecar::onHeartbeat(const HostReport& report, base::TimePoint now)
 {
+    detectPause(now);
     if (report.abandoned)
         increment(SidecarCount::HeartbeatsAbandoned);
     const auto outcome = host_.recordHeartbeat(report, now);
@@ -197,7 +198,7 @@
         return; // without the incarnation it is not known whether their host has ended
     // A process that ran between the author of the checkpoint and this one would have received a heartbeat before it
     // accepted a flow, so consecutive heartbeat numbers show that there was none.
-    const bool noProcessBetween = host_.firstSequence() <= held.sequence + 1;
+    const bool noProcessBetween = host_.firstSequence() == held.sequence + 1;
     if (held.complete && held.born == host_.born() && noProcessBetween)
         completeIncarnation_ = held.born;
     const auto attributed = held.flows.size() - std::min<std::size_t>(held.unattributed, held.flows.size());
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1162,6 +1162,78 @@
     CHECK(ready);
 }
 
+// Guards against callers that are never told, and balancers that go on sending packets of flows that have ended.
+TEST_CASE("callers of a host that has restarted with its former id and start time are reset, and it takes new flows")
+{
+    Fixture fixture;
+    fixture.open();
+    fixture.advanceWithHeartbeats(std::chrono::seconds(6));
+    fixture.sequence = 0; // the host has restarted
+    const auto beat = [&] {
+        fixture.sidecar.onHeartbeat(report(++fixture.sequence), fixture.now);
+        for (int i = 0; i < 7; ++i)
+            fixture.advance(milliseconds(110));
+    };
+    for (int i = 0; i < 30; ++i)
+        fixture.advance(milliseconds(100));
+    fixture.sidecar.onHello({ balancer, 5, 3 }, fixture.now);
+    fixture.output.sent.clear();
+    for (int i = 0; i < 4; ++i)
+        beat();
+    REQUIRE(fixture.output.resets.size() == 1);
+    CHECK(fixture.output.resets.front().key == synOf(caller).key);
+    CHECK(fixture.sidecar.flows().openFlows() == 0);
+    std::size_t ended = 0;
+    for (const auto& report : fixture.output.sentOf<FlowReport>()) {
+        ended += report.ended.size();
+        CHECK(report.host.born == 1'000);
+    }
+    CHECK(ended == 1);
+    CHECK((fixture.sidecar.record(fixture.now).state == HostState::Ready));
+    fixture.open("100.64.0.8:1", 700);
+    CHECK(fixture.sidecar.flows().openFlows() == 1);
+    const auto checkpoint = fixture.sidecar.checkpoint();
+    CHECK(checkpoint.born == 1'000);
+    CHECK(checkpoint.sequence == fixture.sequence);
+    for (int i = 0; i < 8; ++i)
+        beat();
+    CHECK(fixture.output.resets.size() == 1);
+}
+
+// Guards against unclaimed packets: the flows of the later run that a process in between had accepted are not in the
+// checkpoint.
+TEST_CASE("a last checkpoint of an earlier run with the same id and start time is not complete for the later one")
+{
+    Fixture before(0);
+    for (int i = 0; i < 30; ++i)
+        before.advance(milliseconds(100));
+    before.advanceWithHeartbeats(std::chrono::seconds(6));
+    before.open();
+    before.sidecar.announceRestart(before.now);
+    const auto checkpoint = before.sidecar.checkpoint();
+    REQUIRE(checkpoint.complete);
+
+    Fixture after(0);
+    after.sidecar.onHeldFlows(checkpoint, after.now);
+    after.sidecar.onHeartbeat(report(5), after.now);
+    after.sidecar.onForward(lookup(), dataOf("100.64.0.8:1", 701), after.now);
+    CHECK(after.sidecar.count(SidecarCount::Trials) == 1);
+}
+
+// Guards against late heartbeats of a living host that are read after a pause, before it is noticed.
+TEST_CASE("heartbeats that are read before a pause is noticed do not show that the host's count has started anew")
+{
+    Fixture fixture;
+    fixture.open();
+    fixture.advanceWithHeartbeats(std::chrono::seconds(6));
+    fixture.now += std::chrono::seconds(5);
+    CHECK(fixture.sidecar.onHeartbeat(report(3), fixture.now) == HeartbeatOutcome::Stale);
+    CHECK(fixture.sidecar.onHeartbeat(report(4), fixture.now) == HeartbeatOutcome::Stale);
+    fixture.advanceWithHeartbeats(std::chrono::seconds(3));
+    CHECK(fixture.output.resets.empty());
+    CHECK(fixture.sidecar.flows().openFlows() == 1);
+}
+
 // Guards against resets of flows that a restarted host accepted before its first heartbeat, while the checkpoint named
 // its predecessor.
 TEST_CASE("a flow opened before a restarted host's first heartbeat survives two starts of its sidecar")
