A listing after a gap without requests is incomplete

What would be seen: a balancer that was suspended while the store was away for longer than a lease takes the first listing after it for complete, hosts that are still to register again for absent, and refuses callers.

Cause: only a failed call made the listing incomplete; a process that does not run has none.

Change: if more than a poll interval and two call timeouts lie between two requests, the time in which entries are written again starts anew.

--- a/include/celerystile/store/list_completeness.hpp
+++ b/include/celerystile/store/list_completeness.hpp
@@ -18,6 +18,9 @@
     std::chrono::milliseconds reregistrationTime {
         2'500
     }; ///< time for entries to be written again; the platform specifies about two seconds
+    std::chrono::milliseconds maxGap {
+        4'500
+    }; ///< between two requests: a poll interval and two call timeouts; in a longer gap an outage may pass unnoticed
 };
 
 /// @brief The completeness check. Not thread-safe.
@@ -43,6 +46,7 @@
 private:
     ListCompletenessOptions options_;
     std::optional<base::TimePoint> availableSince_;
+    std::optional<base::TimePoint> lastRequestedAt_;
     bool complete_ = false;
 };
 
--- a/src/celerystile/store/list_completeness.cpp
+++ b/src/celerystile/store/list_completeness.cpp
@@ -4,8 +4,10 @@
 
 void ListCompleteness::recordSuccess(base::TimePoint requestedAt)
 {
-    if (!availableSince_)
+    const bool gap = lastRequestedAt_ && requestedAt - *lastRequestedAt_ > options_.maxGap;
+    if (!availableSince_ || gap)
         availableSince_ = requestedAt;
+    lastRequestedAt_ = requestedAt;
     complete_ = requestedAt - *availableSince_ >= options_.reregistrationTime;
 }
 
