A process test failed once: what was seen, and the state of each process beside the logs

"processes: kills, suspension, hand-over…" failed in one of some twenty runs. The log shows that the suspended sidecar wrote no line after SIGCONT, though it logs a pause and each change of a member: it did not run. The harness did not say whether it had ended or was stopped; it does now.

--- a/tests/fleet.cpp
+++ b/tests/fleet.cpp
@@ -121,6 +121,18 @@
     return exitCode_;
 }
 
+std::string Process::state() const
+{
+    if (exitCode_)
+        return "exited with code " + std::to_string(*exitCode_);
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("State:"))
+            return line;
+    }
+    return "unknown";
+}
+
 std::string Process::output() const
 {
     std::ifstream file(logFile_);
@@ -316,6 +328,12 @@
         text << file.rdbuf();
         all += "--- " + entry.path().filename().string() + "\n" + text.str();
     }
+    for (const auto* processes : { &balancers_, &backends_, &sidecars_ }) {
+        for (const auto& process : *processes) {
+            if (process)
+                all += process->name() + ": " + process->state() + "\n";
+        }
+    }
     return all;
 }
 
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -36,6 +36,9 @@
     /// @brief Whether the process has blocked, ignored or handled a signal that would end it otherwise.
     bool survives(int signal) const;
     std::string output() const;
+
+    /// @brief The exit code, or the state that the operating system shows (running, sleeping, stopped, zombie).
+    std::string state() const;
     const std::string& name() const { return name_; }
 
 private:
@@ -113,7 +116,7 @@
     /// @brief Returns the `role` object of a sidecar's dump; empty when the sidecar does not answer.
     boost::json::object sidecarRole(int index) const;
 
-    /// @brief Returns the output of all processes.
+    /// @brief Returns the output of all processes and their states.
     std::string logs() const;
     const std::string& folder() const { return folder_; }
 
