--- a/include/celerystile/fleet/host_status.hpp
+++ b/include/celerystile/fleet/host_status.hpp
@@ -49,15 +49,12 @@
 /// Incarnations of the host are ordered by the arrival of their heartbeats, not by their start times: a clock may step
 /// between two starts, and a late heartbeat may arrive after its sender has ended and another incarnation has started.
 /// - A higher start time makes an incarnation that was never heard before the present one at once.
-/// - An abandoned heartbeat makes no incarnation the present one at once, because its sender may have ended. An
-/// incarnation
-///   that sends only such heartbeats becomes the present one, while there is none, with a second one an interval later.
+/// - An abandoned heartbeat makes no incarnation the present one at once, because its sender may have ended; while
+///   there is no present one, a second one an interval later does.
 /// - Any other incarnation becomes the present one when it goes on sending heartbeats while the present one is silent.
-///
 /// - The numbers of an incarnation start anew if the host has restarted under the same id within the same millisecond
-/// of
-///   its clock. This is believed when two heartbeats show it that no heartbeat of the earlier run can be: they arrive
-///   later after its last one than a heartbeat can be late.
+///   of its clock. Two such heartbeats are believed when they arrive later after the last one than a heartbeat can be
+///   late.
 ///
 /// The present incarnation is confirmed once its heartbeats can't be late ones; it is disputed while another one was
 /// heard and it is not confirmed.
--- a/src/celerystile/store/leased_entry.cpp
+++ b/src/celerystile/store/leased_entry.cpp
@@ -133,7 +133,9 @@
 asio::awaitable<bool> LeasedEntry::holdsOwnValue()
 {
     const auto item = co_await store_.get(key_, ReadConsistency::Latest);
-    co_return item&&* item && (*item)->value == attempted_;
+    if (!item || !*item)
+        co_return false;
+    co_return (*item)->value == attempted_;
 }
 
 asio::awaitable<bool> LeasedEntry::verify()
