Store client: log and metrics of suspended calls

They can't tell whether calls are held back in the process (by a probe of the circuit breaker, and by which), sent on connections that are dead, or sent and answered with old data.

Change: the circuit breaker knows the kind of its probe. Event 3103 (platform_calls_resumed) is written when calls were held back for over a second: for how long, the number of probes, the longest one and its kind, calls that failed without having been sent. Metrics store_suspended, store_suspensions, store_probe_ms; the dump names the probe. No decision changes.

--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -23,6 +23,7 @@
     // The platform may replace the file without sending SIGHUP.
     constexpr std::chrono::seconds settingsPollInterval { 2 };
     constexpr std::chrono::milliseconds taskRestartDelay { 100 };
+    constexpr std::chrono::seconds minLoggedSuspension { 1 }; // shorter ones recur while the store rejects some calls
     constexpr int exitFailure = 1;
 
     std::uint64_t unixMilliseconds(const base::WallClock& clock)
@@ -31,6 +32,11 @@
         return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
     }
 
+    std::int64_t toMilliseconds(base::Duration duration)
+    {
+        return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
+    }
+
     // One line per number; strings and nested objects appear only in the dump.
     std::string metricsText(const boost::json::object& state)
     {
@@ -48,7 +54,7 @@
     : settings_(settings)
     , epoch_(unixMilliseconds(wallClock))
     , processId_(base::makeProcessId(clock_.now()))
-    , store_(settings.node.storeEndpoint, clock_, storeTimeout, core::hashName(settings.node.name) ^ processId_)
+    , store_(settings.node.storeEndpoint, clock_, storeTimeout, core::hashName(settings.node.name) ^ processId_, *this)
     , stopSignals_(controlContext_, SIGTERM, SIGINT)
     , reloadSignals_(controlContext_, SIGHUP)
     , tickTimer_(trafficContext_)
@@ -133,8 +139,7 @@
     if (!step)
         return;
     ++clockStepCount_;
-    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(*step).count();
-    logEvent(Event::ClockStepped, { { "step_ms", std::to_string(milliseconds) } });
+    logEvent(Event::ClockStepped, { { "step_ms", std::to_string(toMilliseconds(*step)) } });
 }
 
 FleetProcess::Task FleetProcess::watchSettings()
@@ -239,6 +244,12 @@
     state["store_renewals"] = calls.renewals;
     state["store_calls_held_back"] = calls.shortCircuited;
     state["store_failures"] = calls.failures;
+    const auto& breaker = store_.breaker();
+    const auto probe = breaker.probe();
+    state["store_suspensions"] = breaker.suspensions();
+    state["store_suspended"] = breaker.open() ? 1 : 0;
+    state["store_probe_ms"] = probe ? toMilliseconds(clock_.now() - probe->startedAt) : 0;
+    state["store_probe"] = probe ? toString(probe->kind) : std::string_view();
     state["log_lines_dropped"] = base::droppedLines();
     state["clock_steps"] = clockStepCount_;
 }
@@ -284,4 +295,16 @@
         logEvent(Event::PlatformUnavailable, { { "detail", detail } });
 }
 
+void FleetProcess::onCallsResumed(const store::CallSuspension& suspension)
+{
+    if (suspension.duration < minLoggedSuspension)
+        return;
+    logEvent(Event::PlatformCallsResumed,
+        { { "suspended_ms", std::to_string(toMilliseconds(suspension.duration)) },
+            { "probes", std::to_string(suspension.probes) },
+            { "longest_probe", std::string(toString(suspension.longestProbe.kind)) },
+            { "longest_probe_ms", std::to_string(toMilliseconds(suspension.longestProbeTime)) },
+            { "held_back", std::to_string(suspension.heldBack) } });
+}
+
 } // namespace celerystile::daemon
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -26,12 +26,12 @@
 inline constexpr std::string_view flowsPrefix = "celerystile/flows/";
 
 /// @brief A process of the fleet. The main thread runs the traffic context, a second thread the control context.
-class FleetProcess {
+class FleetProcess : private store::CallObserver {
 public:
     using Task = boost::asio::awaitable<void>;
 
     FleetProcess(const FleetSettings& settings, const base::WallClock& wallClock);
-    virtual ~FleetProcess();
+    ~FleetProcess() override;
 
     /// @brief Runs until a stop signal has been handled. @return exit code of the process
     int run();
@@ -97,6 +97,7 @@
     platform::StoreClient store_;
 
 private:
+    void onCallsResumed(const store::CallSuspension& suspension) override;
     Task stopOnSignal();
     Task watchSettings();
     void checkClock();
--- a/include/celerystile/base/events.hpp
+++ b/include/celerystile/base/events.hpp
@@ -39,6 +39,7 @@
     ConfigurationUnreadable = 3004,
     PlatformUnavailable = 3101,
     PlatformBack = 3102,
+    PlatformCallsResumed = 3103,
     DrainStarted = 4001,
     DrainFinished = 4002,
     DrainLimitReached = 4003,
--- a/include/celerystile/store/circuit_breaker.hpp
+++ b/include/celerystile/store/circuit_breaker.hpp
@@ -2,6 +2,7 @@
 
 #include "celerystile/base/clock.hpp"
 #include "celerystile/base/random.hpp"
+#include "celerystile/store/call_suspension.hpp"
 
 #include <optional>
 
@@ -36,33 +37,48 @@
 
     /// @brief Returns whether a call may be made now. While the breaker is open, at most one call at a time is allowed
     /// as a probe, and no other is allowed until its result has been recorded.
-    bool allow(base::TimePoint now);
+    bool allow(CallKind kind, base::TimePoint now);
 
     /// @brief Records that the store answered a call. Closes the breaker.
-    void recordSuccess();
+    /// @return the suspension that this ends, if the breaker was open
+    std::optional<CallSuspension> recordSuccess(base::TimePoint now);
 
     /// @brief Records a call without an answer, or one that the store did not execute. Opens the breaker.
     void recordFailure(base::TimePoint now);
 
+    /// @brief Records a call that was not made because allow() refused it.
+    void recordHeldBack();
+
     /// @brief Sets whether the process still waits for the state that it starts from.
     void setStarting(bool starting) { starting_ = starting; }
 
     bool open() const { return open_; }
 
+    /// @return how often the breaker has opened.
+    std::uint64_t suspensions() const { return suspensions_; }
+
+    /// @return the probe in progress.
+    std::optional<Probe> probe() const { return probe_; }
+
     /// @return when allow() has to be asked again: the time of the next probe, or none while a probe is in progress.
     std::optional<base::TimePoint> nextProbeAt() const
     {
-        return probing_ ? std::optional<base::TimePoint> {} : nextProbeAt_;
+        return probe_ ? std::optional<base::TimePoint> {} : nextProbeAt_;
     }
 
 private:
+    void endProbe(base::TimePoint now);
+
     CircuitBreakerOptions options_;
     base::Random random_;
     bool open_ = false;
-    bool probing_ = false;
+    std::optional<Probe> probe_; // in progress
     bool starting_ = false;
     base::Duration backoff_ { 0 };
     base::TimePoint nextProbeAt_ {};
+    base::TimePoint openedAt_ {};
+    CallSuspension suspension_; // the present or the last one
+    std::uint64_t suspensions_ = 0;
 };
 
 } // namespace celerystile::store
--- a/src/celerystile/store/circuit_breaker.cpp
+++ b/src/celerystile/store/circuit_breaker.cpp
@@ -4,31 +4,52 @@
 
 namespace celerystile::store {
 
-bool CircuitBreaker::allow(base::TimePoint now)
+bool CircuitBreaker::allow(CallKind kind, base::TimePoint now)
 {
     if (!open_)
         return true;
-    if (probing_ || now < nextProbeAt_)
+    if (probe_ || now < nextProbeAt_)
         return false;
-    probing_ = true;
+    probe_ = Probe { kind, now };
+    ++suspension_.probes;
     return true;
 }
 
-void CircuitBreaker::recordSuccess()
+void CircuitBreaker::recordHeldBack() { ++suspension_.heldBack; }
+
+void CircuitBreaker::endProbe(base::TimePoint now)
 {
+    if (probe_ && now - probe_->startedAt >= suspension_.longestProbeTime) {
+        suspension_.longestProbe = *probe_;
+        suspension_.longestProbeTime = now - probe_->startedAt;
+    }
+    probe_.reset();
+}
+
+std::optional<CallSuspension> CircuitBreaker::recordSuccess(base::TimePoint now)
+{
+    if (!open_)
+        return std::nullopt;
+    endProbe(now);
     open_ = false;
-    probing_ = false;
+    suspension_.duration = now - openedAt_;
+    return suspension_;
 }
 
 // Failures of calls that were in progress when the breaker opened don't extend the backoff.
 void CircuitBreaker::recordFailure(base::TimePoint now)
 {
-    if (open_ && !probing_)
+    if (open_ && !probe_)
         return;
+    if (!open_) {
+        openedAt_ = now;
+        suspension_ = {};
+        ++suspensions_;
+    }
+    endProbe(now);
     const auto longest = starting_ ? options_.maxBackoffWhileStarting : options_.maxBackoff;
     backoff_ = open_ ? std::min<base::Duration>(backoff_ * 2, longest) : base::Duration(options_.initialBackoff);
     open_ = true;
-    probing_ = false;
     // Jitter between half of the backoff and all of it: processes that failed together don't probe together.
     const std::chrono::duration<double, std::nano> jittered(
         static_cast<double>(backoff_.count()) * (1 + random_.unit()) / 2);
