--- a/fakes/metadata_store.cpp
+++ b/fakes/metadata_store.cpp
@@ -55,6 +55,10 @@
 boost::asio::awaitable<base::HttpReply> MetadataStore::handle(base::HttpRequest request)
 {
     ++calls_;
+    if (faults_.silent) {
+        boost::asio::steady_timer never(co_await boost::asio::this_coro::executor, base::TimePoint::max());
+        co_await never.async_wait(base::useNothrowAwaitable);
+    }
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor, faults_.delay);
     co_await timer.async_wait(base::useNothrowAwaitable);
     if (faults_.status != 0)
--- a/fakes/metadata_store.hpp
+++ b/fakes/metadata_store.hpp
@@ -16,6 +16,7 @@
 
 /// @brief Faults injected into all further calls.
 struct MetadataStoreFaults {
+    bool silent = false; ///< calls get no answer, and neither do later ones on the same connection
     unsigned status = 0; ///< not 0: every call is answered with this status and has no effect
     std::chrono::milliseconds delay { 2 }; ///< before every answer
     double lostResponseShare = 0; ///< share of the writes that take effect but are answered with a failure
--- a/include/celerystile/store/circuit_breaker.hpp
+++ b/include/celerystile/store/circuit_breaker.hpp
@@ -26,6 +26,13 @@
     }; ///< maxBackoff of a process that can't serve callers before the store answers
 };
 
+/// @brief Permission to make a call.
+struct CallPermit {
+    bool probe = false; ///< all other calls wait for the outcome of this one, so it has to be a short call
+
+    bool operator==(const CallPermit&) const = default;
+};
+
 /// @brief The circuit breaker. Not thread-safe.
 class CircuitBreaker {
 public:
@@ -35,9 +42,9 @@
     {
     }
 
-    /// @brief Returns whether a call may be made now. While the breaker is open, at most one call at a time is allowed
-    /// as a probe, and no other is allowed until its result has been recorded.
-    bool allow(CallKind kind, base::TimePoint now);
+    /// @brief Returns a permit if a call may be made now. While the breaker is open, at most one call at a time is
+    /// allowed as a probe, and no other is allowed until its result has been recorded.
+    std::optional<CallPermit> admit(CallKind kind, base::TimePoint now);
 
     /// @brief Records that the store answered a call. Closes the breaker.
     /// @return the suspension that this ends, if the breaker was open
@@ -46,7 +53,7 @@
     /// @brief Records a call without an answer, or one that the store did not execute. Opens the breaker.
     void recordFailure(base::TimePoint now);
 
-    /// @brief Records a call that was not made because allow() refused it.
+    /// @brief Records a call that was not made because admit() refused it.
     void recordHeldBack();
 
     /// @brief Sets whether the process still waits for the state that it starts from.
@@ -60,7 +67,7 @@
     /// @return the probe in progress.
     std::optional<Probe> probe() const { return probe_; }
 
-    /// @return when allow() has to be asked again: the time of the next probe, or none while a probe is in progress.
+    /// @return when admit() has to be asked again: the time of the next probe, or none while a probe is in progress.
     std::optional<base::TimePoint> nextProbeAt() const
     {
         return probe_ ? std::optional<base::TimePoint> {} : nextProbeAt_;
--- a/src/celerystile/store/circuit_breaker.cpp
+++ b/src/celerystile/store/circuit_breaker.cpp
@@ -4,15 +4,15 @@
 
 namespace celerystile::store {
 
-bool CircuitBreaker::allow(CallKind kind, base::TimePoint now)
+std::optional<CallPermit> CircuitBreaker::admit(CallKind kind, base::TimePoint now)
 {
     if (!open_)
-        return true;
+        return CallPermit {};
     if (probe_ || now < nextProbeAt_)
-        return false;
+        return std::nullopt;
     probe_ = Probe { kind, now };
     ++suspension_.probes;
-    return true;
+    return CallPermit { true };
 }
 
 void CircuitBreaker::recordHeldBack() { ++suspension_.heldBack; }
--- a/src/celerystile/store/circuit_breaker_test.cpp
+++ b/src/celerystile/store/circuit_breaker_test.cpp
@@ -48,7 +48,7 @@
                     if (now < next || process.recoveredAt != base::TimePoint {})
                         continue;
                     next = now + localRetry;
-                    if (!process.breaker.allow(CallKind::Read, now))
+                    if (!process.breaker.admit(CallKind::Read, now))
                         continue;
                     ++outage.calls;
                     ++outage.callsPerSecond[(now - start) / std::chrono::seconds(1)];
@@ -70,20 +70,20 @@
 TEST_CASE("after a failure: one probe at a time with exponential backoff until the store answers")
 {
     CircuitBreaker breaker({ milliseconds(100), milliseconds(1'000) }, 3);
-    CHECK(breaker.allow(CallKind::Read, start));
-    CHECK(breaker.allow(CallKind::Read, start)); // closed: concurrent calls are allowed
+    CHECK(breaker.admit(CallKind::Read, start));
+    CHECK(breaker.admit(CallKind::Read, start)); // closed: concurrent calls are allowed
     breaker.recordFailure(start);
     CHECK(breaker.open());
     breaker.recordFailure(start); // of the concurrent call: ignored
-    CHECK(!breaker.allow(CallKind::Read, start + milliseconds(49)));
-    CHECK(breaker.allow(CallKind::Read, start + milliseconds(100)));
-    CHECK(!breaker.allow(CallKind::Read, start + milliseconds(100))); // the probe is in progress
+    CHECK(!breaker.admit(CallKind::Read, start + milliseconds(49)));
+    CHECK(breaker.admit(CallKind::Read, start + milliseconds(100)));
+    CHECK(!breaker.admit(CallKind::Read, start + milliseconds(100))); // the probe is in progress
     breaker.recordFailure(start + milliseconds(100));
-    CHECK(!breaker.allow(CallKind::Read, start + milliseconds(199)));
-    CHECK(breaker.allow(CallKind::Read, start + milliseconds(300)));
+    CHECK(!breaker.admit(CallKind::Read, start + milliseconds(199)));
+    CHECK(breaker.admit(CallKind::Read, start + milliseconds(300)));
     breaker.recordSuccess(start + milliseconds(300));
     CHECK(!breaker.open());
-    CHECK(breaker.allow(CallKind::Read, start + milliseconds(300)));
+    CHECK(breaker.admit(CallKind::Read, start + milliseconds(300)));
 }
 
 TEST_CASE("the suspension that an answer ends names its probes, the longest of them and the calls held back")
@@ -93,12 +93,12 @@
     breaker.recordFailure(start);
     CHECK(!breaker.probe());
     const auto firstAt = start + milliseconds(100);
-    REQUIRE(breaker.allow(CallKind::Watch, firstAt));
+    REQUIRE(breaker.admit(CallKind::Watch, firstAt));
     CHECK(breaker.probe() == Probe { CallKind::Watch, firstAt });
-    CHECK(!breaker.allow(CallKind::Read, start + milliseconds(700)));
+    CHECK(!breaker.admit(CallKind::Read, start + milliseconds(700)));
     breaker.recordHeldBack();
     breaker.recordFailure(start + milliseconds(800));
-    REQUIRE(breaker.allow(CallKind::Write, start + milliseconds(1'000)));
+    REQUIRE(breaker.admit(CallKind::Write, start + milliseconds(1'000)));
     const auto suspension = breaker.recordSuccess(start + milliseconds(1'100));
     CHECK(suspension
         == CallSuspension { milliseconds(1'100), 2, Probe { CallKind::Watch, firstAt }, milliseconds(700), 1 });
@@ -118,7 +118,7 @@
             REQUIRE(next);
             longest = std::max(longest, *next - now);
             now = *next;
-            REQUIRE(breaker.allow(CallKind::Read, now));
+            REQUIRE(breaker.admit(CallKind::Read, now));
             CHECK(!breaker.nextProbeAt());
             breaker.recordFailure(now);
         }
