Circuit breaker: an older call's failure is not that of the probe

Cause: while a probe is in progress, recordFailure() took any failure for the probe's. Calls sent before the breaker opened end later, each by its own timeout; each of them freed the place of the probe, so that a second one went out beside it, and doubled the backoff.

Change: the permit of a call carries the number of its probe, and outcomes name the permit. While the breaker is open, only the failure of the probe in progress counts. An answer to any call still closes it: the store answers.

Test: "while a probe is in progress, the failure of an older call neither permits another one nor extends the backoff". The existing tests pass permits and check what they did.

--- a/include/celerystile/store/circuit_breaker.hpp
+++ b/include/celerystile/store/circuit_breaker.hpp
@@ -28,7 +28,10 @@
 
 /// @brief Permission to make a call.
 struct CallPermit {
-    bool probe = false; ///< all other calls wait for the outcome of this one, so it has to be a short call
+    std::uint64_t probe = 0; ///< number of the probe that the call is; 0: an ordinary call
+
+    /// @return whether all other calls wait for the outcome of this one, so that it has to be a short call.
+    bool isProbe() const { return probe != 0; }
 
     bool operator==(const CallPermit&) const = default;
 };
@@ -50,8 +53,9 @@
     /// @return the suspension that this ends, if the breaker was open
     std::optional<CallSuspension> recordSuccess(base::TimePoint now);
 
-    /// @brief Records a call without an answer, or one that the store did not execute. Opens the breaker.
-    void recordFailure(base::TimePoint now);
+    /// @brief Records a call without an answer, or one that the store did not execute. Opens the breaker; while it is
+    /// open, only the failure of the probe in progress counts.
+    void recordFailure(const CallPermit& permit, base::TimePoint now);
 
     /// @brief Records a call that was not made because admit() refused it.
     void recordHeldBack();
@@ -80,6 +84,7 @@
     base::Random random_;
     bool open_ = false;
     std::optional<Probe> probe_; // in progress
+    std::uint64_t probeNumber_ = 0; // of the last probe
     bool starting_ = false;
     base::Duration backoff_ { 0 };
     base::TimePoint nextProbeAt_ {};
--- a/src/celerystile/store/circuit_breaker.cpp
+++ b/src/celerystile/store/circuit_breaker.cpp
@@ -12,7 +12,7 @@
         return std::nullopt;
     probe_ = Probe { kind, now };
     ++suspension_.probes;
-    return CallPermit { true };
+    return CallPermit { ++probeNumber_ };
 }
 
 void CircuitBreaker::recordHeldBack() { ++suspension_.heldBack; }
@@ -36,10 +36,12 @@
     return suspension_;
 }
 
-// Failures of calls that were in progress when the breaker opened don't extend the backoff.
-void CircuitBreaker::recordFailure(base::TimePoint now)
+// Failures of calls that were in progress when the breaker opened don't extend the backoff, whether a probe is in
+// progress or not.
+void CircuitBreaker::recordFailure(const CallPermit& permit, base::TimePoint now)
 {
-    if (open_ && !probe_)
+    const bool ofProbeInProgress = probe_ && permit.probe == probeNumber_;
+    if (open_ && !ofProbeInProgress)
         return;
     if (!open_) {
         openedAt_ = now;
--- a/src/celerystile/store/circuit_breaker_test.cpp
+++ b/src/celerystile/store/circuit_breaker_test.cpp
@@ -48,12 +48,13 @@
                     if (now < next || process.recoveredAt != base::TimePoint {})
                         continue;
                     next = now + localRetry;
-                    if (!process.breaker.admit(CallKind::Read, now))
+                    const auto permit = process.breaker.admit(CallKind::Read, now);
+                    if (!permit)
                         continue;
                     ++outage.calls;
                     ++outage.callsPerSecond[(now - start) / std::chrono::seconds(1)];
                     if (now < end) {
-                        process.breaker.recordFailure(now);
+                        process.breaker.recordFailure(*permit, now);
                     } else {
                         process.breaker.recordSuccess(now);
                         process.recoveredAt = now;
@@ -70,15 +71,18 @@
 TEST_CASE("after a failure: one probe at a time with exponential backoff until the store answers")
 {
     CircuitBreaker breaker({ milliseconds(100), milliseconds(1'000) }, 3);
-    CHECK(breaker.admit(CallKind::Read, start));
-    CHECK(breaker.admit(CallKind::Read, start)); // closed: concurrent calls are allowed
-    breaker.recordFailure(start);
+    const auto first = breaker.admit(CallKind::Read, start);
+    const auto second = breaker.admit(CallKind::Read, start); // closed: concurrent calls are allowed
+    REQUIRE(first);
+    REQUIRE(second);
+    breaker.recordFailure(*first, start);
     CHECK(breaker.open());
-    breaker.recordFailure(start); // of the concurrent call: ignored
+    breaker.recordFailure(*second, start); // of the concurrent call: ignored
     CHECK(!breaker.admit(CallKind::Read, start + milliseconds(49)));
-    CHECK(breaker.admit(CallKind::Read, start + milliseconds(100)));
+    const auto probe = breaker.admit(CallKind::Read, start + milliseconds(100));
+    REQUIRE(probe);
     CHECK(!breaker.admit(CallKind::Read, start + milliseconds(100))); // the probe is in progress
-    breaker.recordFailure(start + milliseconds(100));
+    breaker.recordFailure(*probe, start + milliseconds(100));
     CHECK(!breaker.admit(CallKind::Read, start + milliseconds(199)));
     CHECK(breaker.admit(CallKind::Read, start + milliseconds(300)));
     breaker.recordSuccess(start + milliseconds(300));
@@ -86,18 +90,38 @@
     CHECK(breaker.admit(CallKind::Read, start + milliseconds(300)));
 }
 
+// The failure of a call sent before the outage freed the place of the probe and doubled the backoff.
+TEST_CASE(
+    "while a probe is in progress, the failure of an older call neither permits another one nor extends the backoff")
+{
+    CircuitBreaker breaker({ milliseconds(100), milliseconds(1'000) }, 3);
+    const auto failing = breaker.admit(CallKind::Read, start);
+    const auto older = breaker.admit(CallKind::Watch, start);
+    REQUIRE(failing);
+    REQUIRE(older);
+    breaker.recordFailure(*failing, start);
+    const auto probedAt = start + milliseconds(100);
+    const auto probe = breaker.admit(CallKind::Read, probedAt);
+    REQUIRE(probe);
+    breaker.recordFailure(*older, probedAt);
+    CHECK(!breaker.admit(CallKind::Read, probedAt + milliseconds(500)));
+    breaker.recordFailure(*probe, probedAt + milliseconds(500));
+    CHECK(breaker.admit(CallKind::Read, probedAt + milliseconds(700)));
+}
+
 TEST_CASE("the suspension that an answer ends names its probes, the longest of them and the calls held back")
 {
     CircuitBreaker breaker({ milliseconds(100), milliseconds(1'000) }, 3);
     CHECK(!breaker.recordSuccess(start));
-    breaker.recordFailure(start);
+    breaker.recordFailure({}, start);
     CHECK(!breaker.probe());
     const auto firstAt = start + milliseconds(100);
-    REQUIRE(breaker.admit(CallKind::Watch, firstAt));
+    const auto watch = breaker.admit(CallKind::Watch, firstAt);
+    REQUIRE(watch);
     CHECK(breaker.probe() == Probe { CallKind::Watch, firstAt });
     CHECK(!breaker.admit(CallKind::Read, start + milliseconds(700)));
     breaker.recordHeldBack();
-    breaker.recordFailure(start + milliseconds(800));
+    breaker.recordFailure(*watch, start + milliseconds(800));
     REQUIRE(breaker.admit(CallKind::Write, start + milliseconds(1'000)));
     const auto suspension = breaker.recordSuccess(start + milliseconds(1'100));
     CHECK(suspension
@@ -112,15 +136,16 @@
         breaker.setStarting(starting);
         base::Duration longest { 0 };
         auto now = start;
-        breaker.recordFailure(now);
+        breaker.recordFailure({}, now);
         for (int i = 0; i < 20; ++i) {
             const auto next = breaker.nextProbeAt();
             REQUIRE(next);
             longest = std::max(longest, *next - now);
             now = *next;
-            REQUIRE(breaker.admit(CallKind::Read, now));
+            const auto probe = breaker.admit(CallKind::Read, now);
+            REQUIRE(probe);
             CHECK(!breaker.nextProbeAt());
-            breaker.recordFailure(now);
+            breaker.recordFailure(*probe, now);
         }
         return longest;
     };
