Circuit breaker: a probe without an outcome is given up

Cause: the breaker relied on each probe to end soon by itself. The timeout of a call limits the wait for the first bytes of its answer only; a wide configuration on a slow link, or an answer that trickles, takes longer. An exception in the call (runWithRestart() starts the task again) left the place of the probe taken.

Change: a probe that lasts longer than maxProbeTime, the timeout of a call, counts as failed, and the next one follows after the backoff. The outcome of the given up call is not taken for that of the next probe. nextProbeAt() is nextAdmissionAt(): while a probe is in progress, the time at which it is given up, so that waiting calls wake then.

"a process that still starts probes more often..." checked that no next time is known while a probe is in progress; it now checks that it is the time of giving up and that no call is permitted until then.

--- a/include/celerystile/store/circuit_breaker.hpp
+++ b/include/celerystile/store/circuit_breaker.hpp
@@ -24,6 +24,7 @@
     std::chrono::milliseconds maxBackoffWhileStarting {
         300
     }; ///< maxBackoff of a process that can't serve callers before the store answers
+    std::chrono::milliseconds maxProbeTime { 900 }; ///< a probe that lasts longer counts as failed
 };
 
 /// @brief Permission to make a call.
@@ -46,7 +47,7 @@
     }
 
     /// @brief Returns a permit if a call may be made now. While the breaker is open, at most one call at a time is
-    /// allowed as a probe, and no other is allowed until its result has been recorded.
+    /// allowed as a probe, and no other is allowed until its outcome has been recorded or maxProbeTime has passed.
     std::optional<CallPermit> admit(CallKind kind, base::TimePoint now);
 
     /// @brief Records that the store answered a call. Closes the breaker.
@@ -71,14 +72,16 @@
     /// @return the probe in progress.
     std::optional<Probe> probe() const { return probe_; }
 
-    /// @return when admit() has to be asked again: the time of the next probe, or none while a probe is in progress.
-    std::optional<base::TimePoint> nextProbeAt() const
+    /// @return when admit() may give another answer without a recorded outcome; only while the breaker is open.
+    base::TimePoint nextAdmissionAt() const
     {
-        return probe_ ? std::optional<base::TimePoint> {} : nextProbeAt_;
+        return probe_ ? probe_->startedAt + options_.maxProbeTime : nextProbeAt_;
     }
 
 private:
     void endProbe(base::TimePoint now);
+    void giveUpOverdueProbe(base::TimePoint now);
+    void scheduleProbe(base::TimePoint failedAt, base::Duration backoff);
 
     CircuitBreakerOptions options_;
     base::Random random_;
--- a/src/celerystile/store/circuit_breaker.cpp
+++ b/src/celerystile/store/circuit_breaker.cpp
@@ -8,6 +8,7 @@
 {
     if (!open_)
         return CallPermit {};
+    giveUpOverdueProbe(now);
     if (probe_ || now < nextProbeAt_)
         return std::nullopt;
     probe_ = Probe { kind, now };
@@ -36,6 +37,16 @@
     return suspension_;
 }
 
+// Without a limit, a probe whose outcome is recorded late or never would hold back all other calls.
+void CircuitBreaker::giveUpOverdueProbe(base::TimePoint now)
+{
+    if (!probe_ || now - probe_->startedAt < options_.maxProbeTime)
+        return;
+    const auto givenUpAt = probe_->startedAt + options_.maxProbeTime;
+    endProbe(givenUpAt);
+    scheduleProbe(givenUpAt, backoff_ * 2);
+}
+
 // Failures of calls that were in progress when the breaker opened don't extend the backoff, whether a probe is in
 // progress or not.
 void CircuitBreaker::recordFailure(const CallPermit& permit, base::TimePoint now)
@@ -44,18 +55,24 @@
     if (open_ && !ofProbeInProgress)
         return;
     if (!open_) {
+        open_ = true;
         openedAt_ = now;
         suspension_ = {};
         ++suspensions_;
+        return scheduleProbe(now, options_.initialBackoff);
     }
     endProbe(now);
+    scheduleProbe(now, backoff_ * 2);
+}
+
+void CircuitBreaker::scheduleProbe(base::TimePoint failedAt, base::Duration backoff)
+{
     const auto longest = starting_ ? options_.maxBackoffWhileStarting : options_.maxBackoff;
-    backoff_ = open_ ? std::min<base::Duration>(backoff_ * 2, longest) : base::Duration(options_.initialBackoff);
-    open_ = true;
+    backoff_ = std::min<base::Duration>(backoff, longest);
     // Jitter between half of the backoff and all of it: processes that failed together don't probe together.
     const std::chrono::duration<double, std::nano> jittered(
         static_cast<double>(backoff_.count()) * (1 + random_.unit()) / 2);
-    nextProbeAt_ = now + std::chrono::duration_cast<base::Duration>(jittered);
+    nextProbeAt_ = failedAt + std::chrono::duration_cast<base::Duration>(jittered);
 }
 
 } // namespace celerystile::store
--- a/src/celerystile/store/circuit_breaker_test.cpp
+++ b/src/celerystile/store/circuit_breaker_test.cpp
@@ -109,6 +109,30 @@
     CHECK(breaker.admit(CallKind::Read, probedAt + milliseconds(700)));
 }
 
+// A probe whose answer arrived in small pieces, or whose call ended with an exception, held all other calls back for
+// good.
+TEST_CASE("a probe without an outcome is given up, and its late failure is not taken for that of the next one")
+{
+    CircuitBreakerOptions options;
+    options.maxProbeTime = milliseconds(900);
+    CircuitBreaker breaker(options, 3);
+    breaker.recordFailure({}, start);
+    const auto first = breaker.admit(CallKind::Read, start + milliseconds(100));
+    REQUIRE(first);
+    const auto givenUpAt = start + milliseconds(1'000);
+    CHECK(!breaker.admit(CallKind::Read, givenUpAt - milliseconds(1)));
+    CHECK(!breaker.admit(CallKind::Read, givenUpAt)); // a failure: the backoff follows
+    const auto second = breaker.admit(CallKind::Read, givenUpAt + milliseconds(200));
+    REQUIRE(second);
+    breaker.recordFailure(*first, givenUpAt + milliseconds(300));
+    CHECK(breaker.probe() == Probe { CallKind::Read, givenUpAt + milliseconds(200) });
+    CHECK(!breaker.admit(CallKind::Read, givenUpAt + milliseconds(700)));
+    const auto suspension = breaker.recordSuccess(givenUpAt + milliseconds(800));
+    REQUIRE(suspension);
+    CHECK(suspension->probes == 2);
+    CHECK(suspension->longestProbeTime == milliseconds(900));
+}
+
 TEST_CASE("the suspension that an answer ends names its probes, the longest of them and the calls held back")
 {
     CircuitBreaker breaker({ milliseconds(100), milliseconds(1'000) }, 3);
@@ -138,13 +162,14 @@
         auto now = start;
         breaker.recordFailure({}, now);
         for (int i = 0; i < 20; ++i) {
-            const auto next = breaker.nextProbeAt();
-            REQUIRE(next);
-            longest = std::max(longest, *next - now);
-            now = *next;
+            const auto next = breaker.nextAdmissionAt();
+            longest = std::max(longest, next - now);
+            now = next;
             const auto probe = breaker.admit(CallKind::Read, now);
             REQUIRE(probe);
-            CHECK(!breaker.nextProbeAt());
+            const auto givenUpAt = now + CircuitBreakerOptions().maxProbeTime;
+            CHECK(breaker.nextAdmissionAt() == givenUpAt);
+            CHECK(!breaker.admit(CallKind::Read, givenUpAt - milliseconds(1)));
             breaker.recordFailure(*probe, now);
         }
         return longest;
