--- a/include/celerystile/base/http.hpp
+++ b/include/celerystile/base/http.hpp
@@ -43,8 +43,10 @@
 /// @brief Client connection that is kept open between requests and reopened after a failure. One request at a time.
 class HttpConnection {
 public:
-    explicit HttpConnection(Endpoint to)
+    /// @param maxConnectTime limits the wait for the connection beside the timeout of a request
+    explicit HttpConnection(Endpoint to, std::chrono::milliseconds maxConnectTime = std::chrono::milliseconds::max())
         : to_(to)
+        , maxConnectTime_(maxConnectTime)
     {
     }
 
@@ -62,6 +64,7 @@
         const HttpRequest& request, std::chrono::milliseconds timeout);
 
     Endpoint to_;
+    std::chrono::milliseconds maxConnectTime_;
     std::optional<boost::beast::tcp_stream> stream_;
     bool receiving_ = false;
 };
--- a/src/celerystile/base/http.cpp
+++ b/src/celerystile/base/http.cpp
@@ -105,7 +105,7 @@
 asio::awaitable<Result<HttpReply>> HttpConnection::exchange(HttpRequest request, std::chrono::milliseconds timeout)
 {
     if (!stream_) {
-        auto opened = co_await connect(to_, timeout);
+        auto opened = co_await connect(to_, std::min(timeout, maxConnectTime_));
         if (!opened)
             co_return tl::make_unexpected(opened.error());
         stream_.emplace(std::move(*opened));
