--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -244,6 +244,7 @@
     state["store_renewals"] = calls.renewals;
     state["store_calls_held_back"] = calls.shortCircuited;
     state["store_failures"] = calls.failures;
+    state["store_watches_renewed"] = calls.renewedWatches;
     const auto& breaker = store_.breaker();
     const auto probe = breaker.probe();
     state["store_suspensions"] = breaker.suspensions();
--- a/include/celerystile/base/http.hpp
+++ b/include/celerystile/base/http.hpp
@@ -56,6 +56,9 @@
     /// longest pause, at most maxTransferPause, so that a large reply on a slow link is read to its end.
     boost::asio::awaitable<Result<HttpReply>> exchange(HttpRequest request, std::chrono::milliseconds timeout);
 
+    /// @brief Ends the request in progress, which fails; has no effect while the connection is being opened.
+    void cancel();
+
     /// @return whether a part of a reply has been received and the rest is expected.
     bool receiving() const { return receiving_; }
 
--- a/src/celerystile/base/http.cpp
+++ b/src/celerystile/base/http.cpp
@@ -118,6 +118,12 @@
     co_return reply;
 }
 
+void HttpConnection::cancel()
+{
+    if (stream_)
+        stream_->cancel();
+}
+
 asio::awaitable<Result<HttpReply>> HttpConnection::exchangeOnStream(
     const HttpRequest& request, std::chrono::milliseconds timeout)
 {
