Store client: an unreadable item no longer hides the others

Here one item of a listing or one event of a watch that could not be read (a field missing or of another type, a number too large, a value that is no base64) made the whole call fail, each time again: the registry's list and the configuration were followed no more. Only the envelope counts, which the store writes; what the entry itself holds is sealed, and an odd one was skipped before, too.

Cause: list() and watch() returned the error of the first item.

Change: such an item is left out and reported once a key (6202), all are counted (store_items_unreadable). The balancer logs an unreadable registry entry once a revision instead of at each change of the registry.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -234,14 +234,20 @@
         void onRegistry(const std::vector<store::Item>& items, bool complete)
         {
             std::vector<fleet::HostRecord> records;
+            std::map<std::string, store::Revision> unreadable;
             for (const auto& item : items) {
                 const auto report = decodeFromString<fleet::FlowReport>(item.value, settings_.keyring);
-                if (report)
+                if (report) {
                     records.push_back(report->host);
-                else
+                    continue;
+                }
+                unreadable[item.key] = item.revision;
+                const auto logged = unreadableEntries_.find(item.key);
+                if (logged == unreadableEntries_.end() || logged->second != item.revision)
                     logEvent(
                         Event::RegistryEntryUnreadable, { { "key", item.key }, { "detail", report.error().detail } });
             }
+            unreadableEntries_ = std::move(unreadable);
             logEvent(Event::RegistryChanged,
                 { { "hosts", std::to_string(records.size()) }, { "complete", complete ? "yes" : "no" } });
             registryComplete_ = complete;
@@ -337,6 +343,7 @@
         std::uint64_t configurationVersion_ = 0;
         std::string configurationText_;
         std::weak_ptr<TransferToken> configurationTransfer_; // from another process; expires at its end
+        std::map<std::string, store::Revision> unreadableEntries_; // of the registry, already logged
         bool registryComplete_ = false;
         bool storeAvailable_ = true;
 
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -244,6 +244,7 @@
     state["store_renewals"] = calls.renewals;
     state["store_calls_held_back"] = calls.shortCircuited;
     state["store_failures"] = calls.failures;
+    state["store_items_unreadable"] = calls.unreadableItems;
     state["store_watches_renewed"] = calls.renewedWatches;
     const auto& breaker = store_.breaker();
     const auto probe = breaker.probe();
@@ -296,6 +297,11 @@
         logEvent(Event::PlatformUnavailable, { { "detail", detail } });
 }
 
+void FleetProcess::onItemUnreadable(const std::string& key, const std::string& detail)
+{
+    logEvent(Event::RegistryEntryUnreadable, { { "key", key }, { "detail", detail } });
+}
+
 void FleetProcess::onCallsResumed(const store::CallSuspension& suspension)
 {
     if (suspension.duration < minLoggedSuspension)
--- a/apps/celerystiled/fleet_process.hpp
+++ b/apps/celerystiled/fleet_process.hpp
@@ -98,6 +98,7 @@
 
 private:
     void onCallsResumed(const store::CallSuspension& suspension) override;
+    void onItemUnreadable(const std::string& key, const std::string& detail) override;
     Task stopOnSignal();
     Task watchSettings();
     void checkClock();
--- a/include/celerystile/store/call_suspension.hpp
+++ b/include/celerystile/store/call_suspension.hpp
@@ -40,13 +40,4 @@
     bool operator==(const CallSuspension&) const = default;
 };
 
-/// @brief Is told of suspended calls. Called on the thread of the client that makes them.
-class CallObserver {
-public:
-    virtual ~CallObserver() = default;
-
-    /// @brief Calls go on; `suspension` describes the time before.
-    virtual void onCallsResumed(const CallSuspension& suspension) = 0;
-};
-
 } // namespace celerystile::store
