Soak: silent outages of the store, changes in force in time, odd entries

Cause: the soak declared a bound for changes of the configuration but checked none, and had no outage in which connections are reset first and calls then stay unanswered.

Kinds of faults: store-silence (reset, then silent for 2 to 4.6 s, a change 5.2 s after the return) and foreign-entries (odd entries among those of the hosts: nested 100,000 deep, numbers too large, a port out of range, empty).

--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -32,6 +32,8 @@
     constexpr int firstCallerAddressIndex = 200;
     constexpr auto stopTimeout = 6s;
     constexpr int maxMissedProbes = 2;
+    constexpr auto readTime = 200ms; // of the version in force
+    const std::string hostsPrefix = "celerystile/hosts/";
     constexpr auto patientRequestInterval = 3'500ms;
     constexpr auto patientConnectionLifetime = 25s;
     constexpr const char* desk = "desk";
@@ -153,6 +155,7 @@
     for (int i = 0; i < plan_.balancers; ++i) {
         missedProbes_[i] = maxMissedProbes;
         asio::co_spawn(context_, probe(i), asio::detached);
+        asio::co_spawn(context_, watchConfiguration(i), asio::detached);
     }
     return true;
 }
@@ -180,6 +183,7 @@
         std::vector<std::string> { std::string(CELERYSTILE_BINARY_DIR) + "/celerystile-soak-daemon",
             instance.balancer ? "balancer" : "sidecar", "--settings-file", file, "--key", "a passphrase for the soak" },
         folder_ + "/" + instance.name + ".log", instance.timeOfDay->environment());
+    instance.launchedAt = clock_.now();
     instance.down = instance.killed = instance.stopping = instance.paused = instance.stoppedAtStart = false;
 }
 
@@ -197,6 +201,20 @@
     store_.put("op/config",
         json::serialize(json::object { { "version", version_ }, { "routes", routes }, { "services", json::array {} },
             { "limits", { { "idleTimeoutMs", 15'000 } } } }));
+    configuredAt_ = clock_.now();
+}
+
+void Deployment::leaveForeignEntries()
+{
+    constexpr std::size_t depth = 100'000;
+    const auto leave = [this](const std::string& name, const std::string& value) {
+        store_.put(hostsPrefix + name, value);
+        foreignEntries_.insert(name);
+    };
+    leave("10.9.9.9:8080", std::string(depth, '[') + std::string(depth, ']'));
+    leave("10.9.9.10:8080", R"({"id":"i-1","slots":1e999,"sequence":99999999999999999999999})");
+    leave("10.9.9.11:99999", R"({"id":"i-2","address":"10.9.9.11:99999"})");
+    leave("", "");
 }
 
 // Rendezvous hashing over the balancers in rotation, or over all balancers when none is in rotation.
@@ -250,6 +268,39 @@
     }
 }
 
+// The version in force is read from the balancer's metrics, which it takes from its data path.
+asio::awaitable<void> Deployment::watchConfiguration(int balancer)
+{
+    constexpr auto interval = 250ms;
+    constexpr auto timeout = 1s;
+    constexpr std::string_view name = "celerystile_configuration_version ";
+    const auto& instance = instances_[static_cast<std::size_t>(balancer)];
+    asio::steady_timer timer(context_);
+    while (true) {
+        const auto reply = co_await base::httpExchange(
+            endpointOf(firstBalancerAddressIndex + balancer, portInternal), "/metrics", "", timeout);
+        const auto at = reply ? reply->body.find(name) : std::string::npos;
+        if (at != std::string::npos)
+            checkConfiguration(instance, std::strtoull(reply->body.c_str() + at + name.size(), nullptr, 10));
+        timer.expires_after(interval);
+        co_await timer.async_wait(base::useNothrowAwaitable);
+    }
+}
+
+void Deployment::checkConfiguration(const Instance& balancer, std::uint64_t inForce) const
+{
+    const auto age = clock_.now() - configuredAt_;
+    const bool running = !balancer.down && !balancer.killed && !balancer.stopping && !balancer.paused;
+    const bool excused = !running || !checker_.undisturbed(balancer.place())
+        || !checker_.undisturbed({ Place::Kind::Store, 0 })
+        || clock_.now() - balancer.launchedAt < checker_.options().contactTime;
+    if (inForce >= version_ || excused || age < checker_.options().configurationBound + readTime)
+        return;
+    checker_.recordViolation(balancer.name + " has version " + std::to_string(inForce) + " in force, "
+        + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count()) + " ms after version "
+        + std::to_string(version_) + " was acknowledged");
+}
+
 void Deployment::kill(Instance& instance, std::chrono::milliseconds down)
 {
     if (instance.down || instance.killed)
@@ -368,7 +419,7 @@
 {
     const bool inRotation
         = std::all_of(missedProbes_.begin(), missedProbes_.end(), [](const auto& entry) { return entry.second == 0; });
-    return inRotation && store_.count("celerystile/hosts/") == hosts_.size();
+    return inRotation && store_.count(hostsPrefix) == hosts_.size() + foreignEntries_.size();
 }
 
 } // namespace celerystile::soak
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -41,6 +41,7 @@
     int index = 0;
     std::unique_ptr<SteppedClock> timeOfDay; ///< of the processes, and of the host on the same instance
     std::unique_ptr<tests::Process> process;
+    base::TimePoint launchedAt {}; ///< when the present process was started
     base::TimePoint startAt {}; ///< when a process that is down is started again
     base::TimePoint killAt {}; ///< when a process that received SIGTERM is killed
     std::chrono::milliseconds restartDelay { 50 }; ///< from the end of a process to its next start
@@ -83,6 +84,10 @@
     /// @brief Writes a new version of the operator's configuration with `extra` additional routes to the desk.
     void configure(int extra);
 
+    /// @brief Writes odd entries among those of the hosts, as another writer may: deeply nested, with a number too
+    /// large, with a port out of range, empty.
+    void leaveForeignEntries();
+
     /// @brief Whether all balancers answer their readiness probes and the registry has an entry for every host.
     bool complete() const;
 
@@ -107,6 +112,8 @@
     boost::asio::awaitable<void> deliverLater(base::DatagramSocket& from, base::Endpoint to,
         std::vector<std::uint8_t> packet, std::chrono::milliseconds delay);
     boost::asio::awaitable<void> probe(int balancer);
+    boost::asio::awaitable<void> watchConfiguration(int balancer);
+    void checkConfiguration(const Instance& balancer, std::uint64_t inForce) const;
 
     boost::asio::io_context& context_;
     const base::Clock& clock_;
@@ -124,6 +131,8 @@
     std::vector<std::unique_ptr<Caller>> callers_;
     std::map<int, int> missedProbes_; ///< consecutive failed probes by balancer; two take it out of rotation
     std::uint64_t version_ = 0;
+    base::TimePoint configuredAt_ {}; ///< when the present version was acknowledged
+    std::set<std::string> foreignEntries_;
 };
 
 } // namespace celerystile::soak
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -34,7 +34,8 @@
         { "late-heartbeat", &Schedule::lateHeartbeats }, { "series", &Schedule::seriesOfWork },
         { "store-connections", &Schedule::disruptStoreConnections }, { "store-calls", &Schedule::failStoreCalls },
         { "store-history", &Schedule::compactStore }, { "links", &Schedule::degradeLinks },
-        { "isolation", &Schedule::isolateBalancer } };
+        { "isolation", &Schedule::isolateBalancer }, { "store-silence", &Schedule::silenceStore },
+        { "foreign-entries", &Schedule::leaveForeignEntries } };
     return faults;
 }
 
@@ -318,6 +319,26 @@
         [this] { deployment_.proxy().setFault(ConnectionFault::None); });
 }
 
+// The store's connections are reset, and new ones stay unanswered. A change follows when the outage is no excuse any
+// more.
+void Schedule::silenceStore(base::TimePoint at)
+{
+    constexpr auto resetTime = 100ms;
+    constexpr auto calmTime = 5'200ms;
+    add(at, "connections to the store are reset", [this] { deployment_.proxy().setFault(ConnectionFault::Reset); });
+    add(at + resetTime, "the store is silent", [this] { deployment_.proxy().setFault(ConnectionFault::Blackhole); });
+    const auto end = at + randomDuration(2'000, 4'600);
+    add(end, "the store answers again", [this] { deployment_.proxy().setFault(ConnectionFault::None); });
+    extendFaults(end);
+    changeConfiguration(end + calmTime);
+}
+
+void Schedule::leaveForeignEntries(base::TimePoint at)
+{
+    add(at, "another writer leaves odd entries among those of the hosts",
+        [this] { deployment_.leaveForeignEntries(); });
+}
+
 void Schedule::failStoreCalls(base::TimePoint at)
 {
     const auto status = random_.below(2) == 0 ? 503U : 429U;
--- a/soak/schedule.hpp
+++ b/soak/schedule.hpp
@@ -74,6 +74,8 @@
     void lateHeartbeats(base::TimePoint at);
     void seriesOfWork(base::TimePoint at);
     void disruptStoreConnections(base::TimePoint at);
+    void silenceStore(base::TimePoint at);
+    void leaveForeignEntries(base::TimePoint at);
     void failStoreCalls(base::TimePoint at);
     void compactStore(base::TimePoint at);
     void degradeLinks(base::TimePoint at);
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -64,6 +64,21 @@
     checkSoak({ "--seed", "4", "--seconds", "8", "--fault", "restart-around-step" });
 }
 
+// review/1: the long poll of a watch held back all other calls to the store for 21 s after an outage.
+TEST_CASE("soak: a change after an outage in which the store stayed silent is in force in time")
+{
+    Run first({ "--seed", "1", "--seconds", "8", "--fault", "store-silence" });
+    Run second({ "--seed", "2", "--seconds", "8", "--fault", "store-silence" });
+    first.check();
+    second.check();
+}
+
+// Guards against processes that end, or follow the list of hosts no more, because of another writer's entry in it.
+TEST_CASE("soak: odd entries among those of the hosts end no process and hide no host")
+{
+    checkSoak({ "--seed", "4", "--seconds", "8", "--fault", "foreign-entries", "--fault", "kill" });
+}
+
 // The heartbeats and reports of a host whose `born` was lower than before were ignored as those of an older
 // incarnation.
 TEST_CASE("soak: hosts that start again after the time of day has stepped back serve as before")
