--- a/include/celerystile/base/http.hpp
+++ b/include/celerystile/base/http.hpp
@@ -56,8 +56,9 @@
     /// longest pause, at most maxTransferPause, so that a large reply on a slow link is read to its end.
     boost::asio::awaitable<Result<HttpReply>> exchange(HttpRequest request, std::chrono::milliseconds timeout);
 
-    /// @brief Ends the request in progress, which fails; has no effect while the connection is being opened.
-    void cancel();
+    /// @brief Ends the request in progress, which fails.
+    /// @return false if there is nothing to end: no connection, or one that is still being opened
+    bool cancel();
 
     /// @return whether a part of a reply has been received and the rest is expected.
     bool receiving() const { return receiving_; }
--- a/src/celerystile/base/http.cpp
+++ b/src/celerystile/base/http.cpp
@@ -118,10 +118,11 @@
     co_return reply;
 }
 
-void HttpConnection::cancel()
+bool HttpConnection::cancel()
 {
     if (stream_)
         stream_->cancel();
+    return stream_.has_value();
 }
 
 asio::awaitable<Result<HttpReply>> HttpConnection::exchangeOnStream(
