--- a/include/celerystile/fleet/host_record.hpp
+++ b/include/celerystile/fleet/host_record.hpp
@@ -51,6 +51,8 @@
     std::uint32_t reportMilliseconds = 0; ///< maximum interval of the sidecar's reports; 0: unknown
     std::uint64_t configurationVersion = 0; ///< of the sidecar's configuration replica; 0: none
     bool restarting = false; ///< planned restart of the sidecar while the host keeps running
+    std::uint32_t waitMilliseconds = 0; ///< expected wait of a new request at the host; below 65,536
+    std::uint32_t answerMilliseconds = 0; ///< mean answer time of requests; below 65,536; 0: unknown
 
     bool operator==(const HostRecord&) const = default;
 };
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celerystile/core/segment.hpp"
+#include "celerystile/fleet/evacuation.hpp"
 #include "celerystile/fleet/host_record.hpp"
 
 #include <boost/container/static_vector.hpp>
@@ -47,6 +48,8 @@
     std::optional<ShortestWait> shortestWait; ///< of the saturated candidates visited so far
     bool settled = false; ///< all candidates were visited; the receiver has the shortest wait and accepts the flow
     bool unanswered = false; ///< a host visited before has not answered the SYN, but may still accept it
+    bool deferred = false; ///< a host visited before declined the SYN only because of its slow start
+    bool repeatable = false; ///< the route's requests may be run twice
     CandidateList candidates; ///< sidecars in the order of the visits
     core::Bytes packet; ///< not owned; refers to the received datagram
 };
@@ -88,6 +91,7 @@
     bool wantsFlows = false; ///< requests all claims of the receiver, because some were missed
     std::uint64_t configurationVersion = 0; ///< in force; 0: none yet
     KnownProcess known; ///< at the receiver's address
+    std::uint32_t coldOpeningsPerSecond = 0; ///< limit of the receiver's host in slow start; 0: none
 
     bool operator==(const BalancerHello&) const = default;
 };
@@ -115,6 +119,7 @@
 struct SynDeclined {
     core::FlowKey key;
     bool unanswered = false; ///< a host that has not answered the SYN may still accept it
+    bool deferred = false; ///< a candidate declined only because of its slow start, and may accept the SYN soon
 
     bool operator==(const SynDeclined&) const = default;
 };
@@ -123,13 +128,23 @@
 struct FleetSnapshot {
     std::string configuration; ///< the operators' configuration as the store holds it; empty: unknown
     std::vector<HostRecord> hosts;
+    EvacuationState evacuation;
 
     bool operator==(const FleetSnapshot&) const = default;
 };
 
+/// @brief The evacuated failure domains that the sender knows of; between balancers and sidecars, in both directions.
+struct EvacuationNotice {
+    Endpoint sender;
+    EvacuationState state;
+
+    bool operator==(const EvacuationNotice&) const = default;
+};
+
 /// @brief Maximum number of flows in one datagram, which then stays below 1,500 bytes.
 inline constexpr std::size_t maxFlowsPerDatagram = 48;
 
-using Message = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot>;
+using Message = std::variant<Forward, FlowReport, BalancerHello, SidecarHello, HeldFlows, SynDeclined, FleetSnapshot,
+    EvacuationNotice>;
 
 } // namespace celerystile::fleet
--- a/include/celerystile/fleet/route_table.hpp
+++ b/include/celerystile/fleet/route_table.hpp
@@ -30,6 +30,7 @@
     std::uint32_t priority = 0; ///< 0 is the most important
     std::chrono::milliseconds latencyObjective { 0 }; ///< time within which callers want an answer
     std::chrono::milliseconds timeout { 0 }; ///< after which callers give up a request; 0: unknown
+    bool repeatable = false; ///< requests may be run twice
 
     bool operator==(const Route&) const = default;
 
@@ -39,13 +40,25 @@
     ServiceId select(std::uint64_t flowHash) const;
 };
 
+/// @brief Limits of the hosts of a service.
+struct ServiceLimits {
+    double coldRequestsPerSecond = 0; ///< that a host bears in slow start; 0: no limit
+    std::uint32_t maxFlows = 0; ///< that a host holds; 0: unknown
+
+    bool operator==(const ServiceLimits&) const = default;
+};
+
 /// @brief All routes of one accepted version.
 struct RouteTable {
     std::uint64_t version = 0;
     base::Duration idleTimeout = std::chrono::seconds(60); ///< flows without a packet for this time may be removed
     boost::unordered_flat_map<Endpoint, Route, core::EndpointHash> routes;
+    boost::unordered_flat_map<ServiceId, ServiceLimits> services; ///< those without limits may be missing
 
     const Route* find(const Endpoint& address) const;
+
+    /// @return the limits of the service; default values if it has none.
+    ServiceLimits limitsOf(ServiceId service) const;
 };
 
 using RouteTablePtr = std::shared_ptr<const RouteTable>;
--- a/src/celerystile/fleet/route_table.cpp
+++ b/src/celerystile/fleet/route_table.cpp
@@ -28,4 +28,10 @@
     return found == routes.end() ? nullptr : &found->second;
 }
 
+ServiceLimits RouteTable::limitsOf(ServiceId service) const
+{
+    const auto found = services.find(service);
+    return found == services.end() ? ServiceLimits {} : found->second;
+}
+
 } // namespace celerystile::fleet
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -3,6 +3,8 @@
 #include "celerystile/peer/schema/fleet.capnp.h"
 #include "tagged_message.hpp"
 
+#include <algorithm>
+
 namespace celerystile::peer {
 
 namespace {
@@ -34,6 +36,8 @@
         to.setTimeoutMilliseconds(value.timeoutMilliseconds);
         to.setSettled(value.settled);
         to.setUnanswered(value.unanswered);
+        to.setDeferred(value.deferred);
+        to.setRepeatable(value.repeatable);
         to.setWaitKnown(value.shortestWait.has_value());
         to.setWaitPosition(value.shortestWait.value_or(fleet::ShortestWait {}).position);
         to.setWaitMilliseconds(value.shortestWait.value_or(fleet::ShortestWait {}).milliseconds);
@@ -64,6 +68,8 @@
             value.candidates.push_back(read(candidate));
         value.settled = from.getSettled();
         value.unanswered = from.getUnanswered();
+        value.deferred = from.getDeferred();
+        value.repeatable = from.getRepeatable();
         if (from.getWaitKnown())
             value.shortestWait = fleet::ShortestWait { from.getWaitPosition(), from.getWaitMilliseconds() };
         if (value.shortestWait && value.shortestWait->position >= value.candidates.size())
@@ -102,6 +108,7 @@
         to.setServiceIp(value.key.service.address.toV4());
         to.setServicePort(value.key.service.port);
         to.setUnanswered(value.unanswered);
+        to.setDeferred(value.deferred);
     }
 
     fleet::SynDeclined read(schema::SynDeclined::Reader from)
@@ -110,6 +117,7 @@
         value.key.caller = { base::IpAddress::fromV4(from.getCallerIp()), from.getCallerPort() };
         value.key.service = { base::IpAddress::fromV4(from.getServiceIp()), from.getServicePort() };
         value.unanswered = from.getUnanswered();
+        value.deferred = from.getDeferred();
         return value;
     }
 
@@ -147,6 +155,8 @@
         to.setConfigurationVersion(value.configurationVersion);
         to.setRestarting(value.restarting);
         to.setFailurePermille(static_cast<std::uint16_t>(value.failurePermille));
+        to.setWaitMilliseconds(static_cast<std::uint16_t>(value.waitMilliseconds));
+        to.setAnswerMilliseconds(static_cast<std::uint16_t>(value.answerMilliseconds));
     }
 
     base::Result<fleet::HostRecord> read(schema::HostRecord::Reader from)
@@ -171,9 +181,38 @@
         value.configurationVersion = from.getConfigurationVersion();
         value.restarting = from.getRestarting();
         value.failurePermille = from.getFailurePermille();
+        value.waitMilliseconds = from.getWaitMilliseconds();
+        value.answerMilliseconds = from.getAnswerMilliseconds();
         return value;
     }
 
+    void write(schema::EvacuationState::Builder to, const fleet::EvacuationState& value)
+    {
+        to.setRevision(value.revision);
+        auto domains = to.initDomains(static_cast<unsigned>(value.domains.size()));
+        for (unsigned i = 0; i < domains.size(); ++i)
+            domains.set(i, value.domains[i]);
+    }
+
+    base::Result<fleet::EvacuationState> read(schema::EvacuationState::Reader from)
+    {
+        fleet::EvacuationState value;
+        value.revision = from.getRevision();
+        for (const auto domain : from.getDomains())
+            value.domains.push_back(domain);
+        if (!std::is_sorted(value.domains.begin(), value.domains.end()))
+            return failure(ErrorCode::Malformed, "evacuated failure domains are not sorted");
+        return value;
+    }
+
+    base::Result<fleet::Message> read(schema::EvacuationNotice::Reader from)
+    {
+        auto state = read(from.getState());
+        if (!state)
+            return tl::make_unexpected(state.error());
+        return fleet::Message { fleet::EvacuationNotice { read(from.getSender()), std::move(*state) } };
+    }
+
     base::Result<fleet::Message> read(schema::FlowReport::Reader from)
     {
         auto host = read(from.getHost());
@@ -193,6 +232,10 @@
                 return tl::make_unexpected(record.error());
             value.hosts.push_back(*record);
         }
+        auto evacuation = read(from.getEvacuation());
+        if (!evacuation)
+            return tl::make_unexpected(evacuation.error());
+        value.evacuation = std::move(*evacuation);
         return fleet::Message { std::move(value) };
     }
 
@@ -207,7 +250,8 @@
             const auto hello = from.getBalancerHello();
             return fleet::Message { fleet::BalancerHello { read(hello.getBalancer()), hello.getProcess(),
                 hello.getHosts(), hello.getIntervalMilliseconds(), hello.getWantsFlows(),
-                hello.getConfigurationVersion(), { hello.getKnownProcess(), hello.getKnownEpoch() } } };
+                hello.getConfigurationVersion(), { hello.getKnownProcess(), hello.getKnownEpoch() },
+                hello.getColdOpeningsPerSecond() } };
         }
         case schema::FleetMessage::SIDECAR_HELLO:
             return fleet::Message { fleet::SidecarHello { read(from.getSidecarHello()) } };
@@ -220,6 +264,8 @@
             return fleet::Message { read(from.getSynDeclined()) };
         case schema::FleetMessage::SNAPSHOT:
             return read(from.getSnapshot());
+        case schema::FleetMessage::EVACUATION_NOTICE:
+            return read(from.getEvacuationNotice());
         }
         return failure(ErrorCode::Malformed, "unknown message type");
     }
@@ -246,6 +292,7 @@
             hello.setIntervalMilliseconds(value.intervalMilliseconds);
             hello.setKnownProcess(value.known.process);
             hello.setKnownEpoch(value.known.epoch);
+            hello.setColdOpeningsPerSecond(value.coldOpeningsPerSecond);
         }
         void operator()(const fleet::SidecarHello& value) { write(root.initSidecarHello(), value.sidecar); }
         void operator()(const fleet::HeldFlows& value)
@@ -266,8 +313,16 @@
             auto hosts = snapshot.initHosts(static_cast<unsigned>(value.hosts.size()));
             for (unsigned i = 0; i < hosts.size(); ++i)
                 write(hosts[i], value.hosts[i]);
+            if (value.evacuation.revision != 0)
+                write(snapshot.initEvacuation(), value.evacuation);
         }
         void operator()(const fleet::SynDeclined& value) { write(root.initSynDeclined(), value); }
+        void operator()(const fleet::EvacuationNotice& value)
+        {
+            auto notice = root.initEvacuationNotice();
+            write(notice.initSender(), value.sender);
+            write(notice.initState(), value.state);
+        }
     };
 
     template <typename Write> void encodeRoot(const Keyring& keyring, DatagramBuffer& out, Write writeRoot)
--- a/src/celerystile/peer/fleet_message_test.cpp
+++ b/src/celerystile/peer/fleet_message_test.cpp
@@ -39,6 +39,8 @@
         record.busyFlows = 2;
         record.failurePermille = 250;
         record.configurationVersion = 9;
+        record.waitMilliseconds = 120;
+        record.answerMilliseconds = 25;
         return record;
     }
 
@@ -49,12 +51,16 @@
 TEST_CASE("fleet messages survive a round trip")
 {
     roundTrip(fleet::FlowReport { host(), { claim(), claim() }, { claim() } });
-    roundTrip(fleet::BalancerHello { endpoint("10.9.0.1:7720"), 4, 10, 9'600, true, 7, { 0x5eed, 11 } });
+    roundTrip(fleet::BalancerHello { endpoint("10.9.0.1:7720"), 4, 10, 9'600, true, 7, { 0x5eed, 11 }, 20 });
     roundTrip(fleet::SidecarHello { endpoint("10.9.0.1:7720") });
     roundTrip(fleet::HeldFlows { 7, 12, true, 9, { claim() }, 1 });
     roundTrip(fleet::SynDeclined { claim().key });
     roundTrip(fleet::SynDeclined { claim().key, true });
-    roundTrip(fleet::FleetSnapshot { "text", { host() } });
+    roundTrip(fleet::SynDeclined { claim().key, false, true });
+    roundTrip(fleet::FleetSnapshot { "text", { host() }, {} });
+    roundTrip(fleet::FleetSnapshot { "text", { host() }, { 12, { 3, 5 } } });
+    roundTrip(fleet::EvacuationNotice { endpoint("10.9.0.1:7720"), { 12, { 3, 5 } } });
+    roundTrip(fleet::EvacuationNotice { endpoint("10.9.0.1:7720"), { 13, {} } });
 }
 
 TEST_CASE("a forwarded packet survives a round trip with its header")
@@ -71,6 +77,8 @@
     forward.timeoutMilliseconds = 900;
     forward.settled = true;
     forward.unanswered = true;
+    forward.deferred = true;
+    forward.repeatable = true;
     forward.shortestWait = fleet::ShortestWait { 1, 70 };
     forward.candidates = { endpoint("10.0.0.1:80"), endpoint("10.0.0.2:80") };
     forward.packet = packet;
@@ -87,6 +95,8 @@
     CHECK(read.timeoutMilliseconds == 900);
     CHECK(read.settled);
     CHECK(read.unanswered);
+    CHECK(read.deferred);
+    CHECK(read.repeatable);
     CHECK(read.shortestWait == forward.shortestWait);
     CHECK(std::equal(read.packet.begin(), read.packet.end(), packet.begin(), packet.end()));
 }
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -26,6 +26,8 @@
   waitPosition @12 :UInt8;
   waitMilliseconds @13 :UInt32;
   unanswered @14 :Bool;
+  deferred @15 :Bool;
+  repeatable @16 :Bool;
 }
 
 struct HostRecord {
@@ -46,6 +48,8 @@
   configurationVersion @14 :UInt64;
   process @15 :UInt64;
   sequence @16 :UInt64;
+  waitMilliseconds @17 :UInt16;
+  answerMilliseconds @18 :UInt16;
 }
 
 struct FlowClaim {
@@ -65,6 +69,7 @@
   callerPort @2 :UInt16;
   servicePort @3 :UInt16;
   unanswered @4 :Bool;
+  deferred @5 :Bool;
 }
 
 struct FlowReport {
@@ -82,6 +87,7 @@
   configurationVersion @5 :UInt64;
   knownProcess @6 :UInt64;
   knownEpoch @7 :UInt64;
+  coldOpeningsPerSecond @8 :UInt32;
 }
 
 struct HeldFlows {
@@ -93,9 +99,20 @@
   unattributed @5 :UInt32;
 }
 
+struct EvacuationState {
+  revision @0 :UInt64;
+  domains @1 :List(UInt64);
+}
+
+struct EvacuationNotice {
+  sender @0 :Address;
+  state @1 :EvacuationState;
+}
+
 struct FleetSnapshot {
   configuration @0 :Data;
   hosts @1 :List(HostRecord);
+  evacuation @2 :EvacuationState;
 }
 
 struct FleetMessage {
@@ -107,5 +124,6 @@
     heldFlows @4 :HeldFlows;
     synDeclined @5 :SynDeclined;
     snapshot @6 :FleetSnapshot;
+    evacuationNotice @7 :EvacuationNotice;
   }
 }
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -24,6 +24,8 @@
 CAPNP_DECLARE_SCHEMA(ded8aa68a8056ded);
 CAPNP_DECLARE_SCHEMA(dff0407799e40763);
 CAPNP_DECLARE_SCHEMA(db708e03ebf1fbc1);
+CAPNP_DECLARE_SCHEMA(ec33237a57e6f2e9);
+CAPNP_DECLARE_SCHEMA(a85d10505e3ed1d4);
 CAPNP_DECLARE_SCHEMA(c56842d120d60211);
 CAPNP_DECLARE_SCHEMA(a6eac2e750961be4);
 
@@ -154,6 +156,36 @@
   };
 };
 
+struct EvacuationState {
+  EvacuationState() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(ec33237a57e6f2e9, 1, 1)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct EvacuationNotice {
+  EvacuationNotice() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a85d10505e3ed1d4, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct FleetSnapshot {
   FleetSnapshot() = delete;
 
@@ -162,7 +194,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(c56842d120d60211, 0, 2)
+    CAPNP_DECLARE_STRUCT_HEADER(c56842d120d60211, 0, 3)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -183,6 +215,7 @@
     HELD_FLOWS,
     SYN_DECLINED,
     SNAPSHOT,
+    EVACUATION_NOTICE,
   };
 
   struct _capnpPrivate {
@@ -326,6 +359,10 @@
 
   inline bool getUnanswered() const;
 
+  inline bool getDeferred() const;
+
+  inline bool getRepeatable() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -411,6 +448,12 @@
   inline bool getUnanswered();
   inline void setUnanswered(bool value);
 
+  inline bool getDeferred();
+  inline void setDeferred(bool value);
+
+  inline bool getRepeatable();
+  inline void setRepeatable(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -490,6 +533,10 @@
 
   inline  ::uint64_t getSequence() const;
 
+  inline  ::uint16_t getWaitMilliseconds() const;
+
+  inline  ::uint16_t getAnswerMilliseconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -573,6 +620,12 @@
   inline  ::uint64_t getSequence();
   inline void setSequence( ::uint64_t value);
 
+  inline  ::uint16_t getWaitMilliseconds();
+  inline void setWaitMilliseconds( ::uint16_t value);
+
+  inline  ::uint16_t getAnswerMilliseconds();
+  inline void setAnswerMilliseconds( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -733,6 +786,8 @@
 
   inline bool getUnanswered() const;
 
+  inline bool getDeferred() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -776,6 +831,9 @@
   inline bool getUnanswered();
   inline void setUnanswered(bool value);
 
+  inline bool getDeferred();
+  inline void setDeferred(bool value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -938,6 +996,8 @@
 
   inline  ::uint64_t getKnownEpoch() const;
 
+  inline  ::uint32_t getColdOpeningsPerSecond() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -994,6 +1054,9 @@
   inline  ::uint64_t getKnownEpoch();
   inline void setKnownEpoch( ::uint64_t value);
 
+  inline  ::uint32_t getColdOpeningsPerSecond();
+  inline void setColdOpeningsPerSecond( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1127,6 +1190,186 @@
 };
 #endif  // !CAPNP_LITE
 
+class EvacuationState::Reader {
+public:
+  typedef EvacuationState Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision() const;
+
+  inline bool hasDomains() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getDomains() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EvacuationState::Builder {
+public:
+  typedef EvacuationState Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline  ::uint64_t getRevision();
+  inline void setRevision( ::uint64_t value);
+
+  inline bool hasDomains();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getDomains();
+  inline void setDomains( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setDomains(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initDomains(unsigned int size);
+  inline void adoptDomains(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownDomains();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EvacuationState::Pipeline {
+public:
+  typedef EvacuationState Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class EvacuationNotice::Reader {
+public:
+  typedef EvacuationNotice Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender() const;
+  inline  ::celerystile::peer::schema::Address::Reader getSender() const;
+
+  inline bool hasState() const;
+  inline  ::celerystile::peer::schema::EvacuationState::Reader getState() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class EvacuationNotice::Builder {
+public:
+  typedef EvacuationNotice Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasSender();
+  inline  ::celerystile::peer::schema::Address::Builder getSender();
+  inline void setSender( ::celerystile::peer::schema::Address::Reader value);
+  inline  ::celerystile::peer::schema::Address::Builder initSender();
+  inline void adoptSender(::capnp::Orphan< ::celerystile::peer::schema::Address>&& value);
+  inline ::capnp::Orphan< ::celerystile::peer::schema::Address> disownSender();
+
+  inline bool hasState();
+  inline  ::celerystile::peer::schema::EvacuationState::Builder getState();
+  inline void setState( ::celerystile::peer::schema::EvacuationState::Reader value);
+  inline  ::celerystile::peer::schema::EvacuationState::Builder initState();
+  inline void adoptState(::capnp::Orphan< ::celerystile::peer::schema::EvacuationState>&& value);
+  inline ::capnp::Orphan< ::celerystile::peer::schema::EvacuationState> disownState();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class EvacuationNotice::Pipeline {
+public:
+  typedef EvacuationNotice Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+  inline  ::celerystile::peer::schema::Address::Pipeline getSender();
+  inline  ::celerystile::peer::schema::EvacuationState::Pipeline getState();
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class FleetSnapshot::Reader {
 public:
   typedef FleetSnapshot Reads;
@@ -1150,6 +1393,9 @@
   inline bool hasHosts() const;
   inline  ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>::Reader getHosts() const;
 
+  inline bool hasEvacuation() const;
+  inline  ::celerystile::peer::schema::EvacuationState::Reader getEvacuation() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1192,6 +1438,13 @@
   inline void adoptHosts(::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::celerystile::peer::schema::HostRecord,  ::capnp::Kind::STRUCT>> disownHosts();
 
+  inline bool hasEvacuation();
+  inline  ::celerystile::peer::schema::EvacuationState::Builder getEvacuation();
+  inline void setEvacuation( ::celerystile::peer::schema::EvacuationState::Reader value);
+  inline  ::celerystile::peer::schema::EvacuationState::Builder initEvacuation();
+  inline void adoptEvacuation(::capnp::Orphan< ::celerystile::peer::schema::EvacuationState>&& value);
+  inline ::capnp::Orphan< ::celerystile::peer::schema::EvacuationState> disownEvacuation();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1210,6 +1463,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::celerystile::peer::schema::EvacuationState::Pipeline getEvacuation();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -1264,6 +1518,10 @@
   inline bool hasSnapshot() const;
   inline  ::celerystile::peer::schema::FleetSnapshot::Reader getSnapshot() const;
 
+  inline bool isEvacuationNotice() const;
+  inline bool hasEvacuationNotice() const;
+  inline  ::celerystile::peer::schema::EvacuationNotice::Reader getEvacuationNotice() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1349,6 +1607,14 @@
   inline void adoptSnapshot(::capnp::Orphan< ::celerystile::peer::schema::FleetSnapshot>&& value);
   inline ::capnp::Orphan< ::celerystile::peer::schema::FleetSnapshot> disownSnapshot();
 
+  inline bool isEvacuationNotice();
+  inline bool hasEvacuationNotice();
+  inline  ::celerystile::peer::schema::EvacuationNotice::Builder getEvacuationNotice();
+  inline void setEvacuationNotice( ::celerystile::peer::schema::EvacuationNotice::Reader value);
+  inline  ::celerystile::peer::schema::EvacuationNotice::Builder initEvacuationNotice();
+  inline void adoptEvacuationNotice(::capnp::Orphan< ::celerystile::peer::schema::EvacuationNotice>&& value);
+  inline ::capnp::Orphan< ::celerystile::peer::schema::EvacuationNotice> disownEvacuationNotice();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1680,6 +1946,34 @@
       ::capnp::bounded<18>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool FleetForward::Reader::getDeferred() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetForward::Builder::getDeferred() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS);
+}
+inline void FleetForward::Builder::setDeferred(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool FleetForward::Reader::getRepeatable() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+
+inline bool FleetForward::Builder::getRepeatable() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
+}
+inline void FleetForward::Builder::setRepeatable(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool HostRecord::Reader::hasSidecar() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -1943,6 +2237,34 @@
       ::capnp::bounded<10>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t HostRecord::Reader::getWaitMilliseconds() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<30>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t HostRecord::Builder::getWaitMilliseconds() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<30>() * ::capnp::ELEMENTS);
+}
+inline void HostRecord::Builder::setWaitMilliseconds( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<30>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint16_t HostRecord::Reader::getAnswerMilliseconds() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<31>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t HostRecord::Builder::getAnswerMilliseconds() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<31>() * ::capnp::ELEMENTS);
+}
+inline void HostRecord::Builder::setAnswerMilliseconds( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<31>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t FlowClaim::Reader::getCallerIp() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2111,6 +2433,20 @@
       ::capnp::bounded<96>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool SynDeclined::Reader::getDeferred() const {
+  return _reader.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+
+inline bool SynDeclined::Builder::getDeferred() {
+  return _builder.getDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS);
+}
+inline void SynDeclined::Builder::setDeferred(bool value) {
+  _builder.setDataField<bool>(
+      ::capnp::bounded<97>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool FlowReport::Reader::hasHost() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2355,6 +2691,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint32_t BalancerHello::Reader::getColdOpeningsPerSecond() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t BalancerHello::Builder::getColdOpeningsPerSecond() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS);
+}
+inline void BalancerHello::Builder::setColdOpeningsPerSecond( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t HeldFlows::Reader::getBorn() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2459,6 +2809,136 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t EvacuationState::Reader::getRevision() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t EvacuationState::Builder::getRevision() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void EvacuationState::Builder::setRevision( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool EvacuationState::Reader::hasDomains() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EvacuationState::Builder::hasDomains() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader EvacuationState::Reader::getDomains() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder EvacuationState::Builder::getDomains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EvacuationState::Builder::setDomains( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline void EvacuationState::Builder::setDomains(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder EvacuationState::Builder::initDomains(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void EvacuationState::Builder::adoptDomains(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> EvacuationState::Builder::disownDomains() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EvacuationNotice::Reader::hasSender() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool EvacuationNotice::Builder::hasSender() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celerystile::peer::schema::Address::Reader EvacuationNotice::Reader::getSender() const {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celerystile::peer::schema::Address::Builder EvacuationNotice::Builder::getSender() {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celerystile::peer::schema::Address::Pipeline EvacuationNotice::Pipeline::getSender() {
+  return  ::celerystile::peer::schema::Address::Pipeline(_typeless.getPointerField(0));
+}
+#endif  // !CAPNP_LITE
+inline void EvacuationNotice::Builder::setSender( ::celerystile::peer::schema::Address::Reader value) {
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celerystile::peer::schema::Address::Builder EvacuationNotice::Builder::initSender() {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void EvacuationNotice::Builder::adoptSender(
+    ::capnp::Orphan< ::celerystile::peer::schema::Address>&& value) {
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celerystile::peer::schema::Address> EvacuationNotice::Builder::disownSender() {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::Address>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool EvacuationNotice::Reader::hasState() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool EvacuationNotice::Builder::hasState() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celerystile::peer::schema::EvacuationState::Reader EvacuationNotice::Reader::getState() const {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::celerystile::peer::schema::EvacuationState::Builder EvacuationNotice::Builder::getState() {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celerystile::peer::schema::EvacuationState::Pipeline EvacuationNotice::Pipeline::getState() {
+  return  ::celerystile::peer::schema::EvacuationState::Pipeline(_typeless.getPointerField(1));
+}
+#endif  // !CAPNP_LITE
+inline void EvacuationNotice::Builder::setState( ::celerystile::peer::schema::EvacuationState::Reader value) {
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::celerystile::peer::schema::EvacuationState::Builder EvacuationNotice::Builder::initState() {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void EvacuationNotice::Builder::adoptState(
+    ::capnp::Orphan< ::celerystile::peer::schema::EvacuationState>&& value) {
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celerystile::peer::schema::EvacuationState> EvacuationNotice::Builder::disownState() {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline bool FleetSnapshot::Reader::hasConfiguration() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -2527,6 +3007,45 @@
       ::capnp::bounded<1>() * ::capnp::POINTERS));
 }
 
+inline bool FleetSnapshot::Reader::hasEvacuation() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetSnapshot::Builder::hasEvacuation() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celerystile::peer::schema::EvacuationState::Reader FleetSnapshot::Reader::getEvacuation() const {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::celerystile::peer::schema::EvacuationState::Builder FleetSnapshot::Builder::getEvacuation() {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::celerystile::peer::schema::EvacuationState::Pipeline FleetSnapshot::Pipeline::getEvacuation() {
+  return  ::celerystile::peer::schema::EvacuationState::Pipeline(_typeless.getPointerField(2));
+}
+#endif  // !CAPNP_LITE
+inline void FleetSnapshot::Builder::setEvacuation( ::celerystile::peer::schema::EvacuationState::Reader value) {
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::celerystile::peer::schema::EvacuationState::Builder FleetSnapshot::Builder::initEvacuation() {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void FleetSnapshot::Builder::adoptEvacuation(
+    ::capnp::Orphan< ::celerystile::peer::schema::EvacuationState>&& value) {
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celerystile::peer::schema::EvacuationState> FleetSnapshot::Builder::disownEvacuation() {
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationState>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
 inline  ::celerystile::peer::schema::FleetMessage::Which FleetMessage::Reader::which() const {
   return _reader.getDataField<Which>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -2914,6 +3433,60 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool FleetMessage::Reader::isEvacuationNotice() const {
+  return which() == FleetMessage::EVACUATION_NOTICE;
+}
+inline bool FleetMessage::Builder::isEvacuationNotice() {
+  return which() == FleetMessage::EVACUATION_NOTICE;
+}
+inline bool FleetMessage::Reader::hasEvacuationNotice() const {
+  if (which() != FleetMessage::EVACUATION_NOTICE) return false;
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool FleetMessage::Builder::hasEvacuationNotice() {
+  if (which() != FleetMessage::EVACUATION_NOTICE) return false;
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::celerystile::peer::schema::EvacuationNotice::Reader FleetMessage::Reader::getEvacuationNotice() const {
+  KJ_IREQUIRE((which() == FleetMessage::EVACUATION_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationNotice>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::celerystile::peer::schema::EvacuationNotice::Builder FleetMessage::Builder::getEvacuationNotice() {
+  KJ_IREQUIRE((which() == FleetMessage::EVACUATION_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationNotice>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::setEvacuationNotice( ::celerystile::peer::schema::EvacuationNotice::Reader value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::EVACUATION_NOTICE);
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationNotice>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::celerystile::peer::schema::EvacuationNotice::Builder FleetMessage::Builder::initEvacuationNotice() {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::EVACUATION_NOTICE);
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationNotice>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void FleetMessage::Builder::adoptEvacuationNotice(
+    ::capnp::Orphan< ::celerystile::peer::schema::EvacuationNotice>&& value) {
+  _builder.setDataField<FleetMessage::Which>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, FleetMessage::EVACUATION_NOTICE);
+  ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationNotice>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::celerystile::peer::schema::EvacuationNotice> FleetMessage::Builder::disownEvacuationNotice() {
+  KJ_IREQUIRE((which() == FleetMessage::EVACUATION_NOTICE),
+              "Must check which() before get()ing a union member.");
+  return ::capnp::_::PointerHelpers< ::celerystile::peer::schema::EvacuationNotice>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
 }  // namespace
 }  // namespace
 }  // namespace
