--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -2,6 +2,7 @@
 #include "celerystile/fleet/configuration_replica.hpp"
 #include "celerystile/store/prefix_poll.hpp"
 #include "celerystile/store/prefix_watch.hpp"
+#include "evacuation_status.hpp"
 #include "fleet_process.hpp"
 #include "fleet_transport.hpp"
 #include "platform/operator_config.hpp"
@@ -39,7 +40,7 @@
             , balancer_(makeOptions(settings, processId_), *placement_, *this, clock_.now())
             , configurationWatch_(
                   store_, controlContext_, std::string(platform::configurationPrefix), {},
-                  [this](const auto& items) { onConfiguration(items); },
+                  [this](const auto& items, auto revision) { onOperatorKeys(items, revision); },
                   [this](bool available, const auto& detail) {
                       storeAvailable_ = available;
                       logStoreHealth(available, detail);
@@ -117,6 +118,8 @@
                 balancer_.onSidecarHello(*hello);
             else if (const auto* declined = std::get_if<fleet::SynDeclined>(&message))
                 balancer_.onDeclined(*declined, now);
+            else if (const auto* notice = std::get_if<fleet::EvacuationNotice>(&message))
+                recordEvacuation(balancer_.onEvacuationNotice(*notice, now), notice->sender.toString());
             scheduleWakeup();
         }
 
@@ -171,6 +174,7 @@
             transfer.reset();
             if (!snapshot)
                 co_return;
+            applyEvacuation(snapshot->evacuation, process.toString());
             applyConfiguration(snapshot->configuration, process.toString());
             postToTrafficThread([this, records = snapshot->hosts] {
                 balancer_.addHosts(records, clock_.now());
@@ -187,23 +191,43 @@
             fleet::FleetSnapshot snapshot;
             if (configurationVersion_ > query->newerThan)
                 snapshot.configuration = configurationText_;
-            snapshot.hosts = co_await asio::co_spawn(
+            co_await asio::co_spawn(
                 trafficContext_,
-                [this]() -> asio::awaitable<std::vector<fleet::HostRecord>> {
-                    co_return balancer_.hostRecords(clock_.now());
+                [&]() -> Task {
+                    snapshot.hosts = balancer_.hostRecords(clock_.now());
+                    snapshot.evacuation = balancer_.evacuation().state();
+                    co_return;
                 },
                 asio::use_awaitable);
             co_return base::HttpReply { 200, encodeToString(std::move(snapshot), settings_.keyring),
                 "application/octet-stream" };
         }
 
-        void onConfiguration(const store::PrefixWatch::Items& items)
+        // The evacuations take effect before the configuration makes the balancer ready.
+        void onOperatorKeys(const store::PrefixWatch::Items& items, store::Revision revision)
         {
+            auto evacuations = platform::readEvacuations(items, revision, settings_.node.failureDomains);
+            ignoredEvacuationKeys_.update(evacuations.ignored);
+            applyEvacuation(std::move(evacuations.state), "store");
             const auto found = items.find(platform::configurationKey);
             if (found != items.end())
                 applyConfiguration(found->second.value, "store");
         }
 
+        void applyEvacuation(fleet::EvacuationState state, std::string source)
+        {
+            postToTrafficThread([this, state = std::move(state), source = std::move(source)] {
+                recordEvacuation(balancer_.onEvacuation(state, clock_.now()), source);
+                transport_.flush();
+                scheduleWakeup();
+            });
+        }
+
+        void recordEvacuation(const fleet::EvacuationChange& change, const std::string& source) const
+        {
+            logEvacuation(change, balancer_.evacuation().state().revision, source, settings_.node);
+        }
+
         void applyConfiguration(const std::string& text, const std::string& source)
         {
             if (text.empty() || text == configurationText_)
@@ -300,6 +324,8 @@
             state["send_failures"] = transport_.sendFailures();
             state["known_flows"] = balancer_.owners().size();
             state["configuration_version"] = balancer_.routes().version;
+            addEvacuation(state, balancer_.evacuation().state(), settings_.node);
+            state["evacuation_keys_ignored"] = ignoredEvacuationKeys_.count();
             boost::json::array hosts;
             for (const auto& [sidecar, host] : balancer_.hostTable().hosts()) {
                 hosts.push_back(boost::json::object { { "sidecar", sidecar.toString() },
@@ -344,6 +370,7 @@
         std::string configurationText_;
         std::weak_ptr<TransferToken> configurationTransfer_; // from another process; expires at its end
         std::map<std::string, store::Revision> unreadableEntries_; // of the registry, already logged
+        IgnoredEvacuationKeys ignoredEvacuationKeys_;
         bool registryComplete_ = false;
         bool storeAvailable_ = true;
 
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -2,6 +2,7 @@
 
 #include "celerystile/fleet/configuration_replica.hpp"
 #include "celerystile/store/leased_entry.hpp"
+#include "evacuation_status.hpp"
 #include "fleet_process.hpp"
 #include "fleet_transport.hpp"
 #include "platform/host_api.hpp"
@@ -211,10 +212,17 @@
                     });
             } else if (const auto* held = std::get_if<fleet::HeldFlows>(&message)) {
                 sidecar_.onHeldFlows(*held, now);
+            } else if (const auto* notice = std::get_if<fleet::EvacuationNotice>(&message)) {
+                recordEvacuation(sidecar_.onEvacuationNotice(*notice, now), notice->sender.toString());
             }
             tickNoLaterThan(sidecar_.nextTick(now));
         }
 
+        void recordEvacuation(const fleet::EvacuationChange& change, const std::string& source) const
+        {
+            logEvacuation(change, sidecar_.evacuation().state().revision, source, settings_.node);
+        }
+
         Task fetchConfiguration(base::Endpoint from)
         {
             const auto snapshot = co_await fetchSnapshot(from, { configurationVersion_ });
@@ -231,7 +239,8 @@
                 configurationVersion_ = table->version;
                 configurationText_ = snapshot->configuration;
             }
-            postToTrafficThread([this, version = table->version] {
+            postToTrafficThread([this, version = table->version, evacuation = snapshot->evacuation, from] {
+                recordEvacuation(sidecar_.onEvacuation(evacuation, clock_.now()), from.toString());
                 replica_.recordFetched(version);
                 sidecar_.recordConfiguration(replica_.version());
             });
@@ -258,6 +267,10 @@
                 fleet::FleetSnapshot snapshot;
                 if (configurationVersion_ > query->newerThan)
                     snapshot.configuration = configurationText_;
+                snapshot.evacuation = co_await asio::co_spawn(
+                    trafficContext_,
+                    [this]() -> asio::awaitable<fleet::EvacuationState> { co_return sidecar_.evacuation().state(); },
+                    asio::use_awaitable);
                 co_return base::HttpReply { 200, encodeToString(std::move(snapshot), settings_.keyring),
                     "application/octet-stream" };
             }
@@ -322,6 +335,7 @@
             state["host_born"] = record.born;
             state["balancers"] = sidecar_.balancers();
             state["mistaken_balancers"] = sidecar_.mistakenBalancers();
+            addEvacuation(state, sidecar_.evacuation().state(), settings_.node);
             return state;
         }
 
--- a/fakes/memory_store.hpp
+++ b/fakes/memory_store.hpp
@@ -24,6 +24,7 @@
         = 0; ///< number of writes that fail and take effect in applyDelayedWrites(), if their condition holds
     bool reportCompaction = false; ///< the next watch reports that the history was compacted
     bool watchesStalled = false; ///< watches deliver no changes
+    std::optional<store::Listing> staleListing; ///< result of stale listings, if set
     std::uint64_t calls = 0;
     std::uint64_t listings = 0;
     std::chrono::milliseconds longestWatch { 0 }; ///< the longest wait that a watch asked for
@@ -37,19 +38,15 @@
         co_return found == items_.end() ? std::optional<store::Item> {} : std::optional<store::Item>(found->second);
     }
 
-    Call<store::Listing> list(std::string prefix, store::ReadConsistency) override
+    Call<store::Listing> list(std::string prefix, store::ReadConsistency consistency) override
     {
         ++calls;
         ++listings;
         if (down)
             co_return unavailable();
-        store::Listing listing;
-        listing.revision = revision_;
-        for (const auto& [key, item] : items_) {
-            if (key.starts_with(prefix))
-                listing.items.push_back(item);
-        }
-        co_return listing;
+        if (consistency == store::ReadConsistency::Stale && staleListing)
+            co_return *staleListing;
+        co_return listingOf(prefix);
     }
 
     Call<store::Changes> watch(std::string prefix, store::Revision after, std::chrono::milliseconds wait) override
@@ -136,6 +133,18 @@
             applyWrite(write);
     }
 
+    /// @brief Returns the present items under a prefix, for a later stale listing.
+    store::Listing listingOf(const std::string& prefix) const
+    {
+        store::Listing listing;
+        listing.revision = revision_;
+        for (const auto& [key, item] : items_) {
+            if (key.starts_with(prefix))
+                listing.items.push_back(item);
+        }
+        return listing;
+    }
+
     std::optional<std::string> value(const std::string& key) const
     {
         const auto found = items_.find(key);
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -32,6 +32,8 @@
     ClaimsAsked, ///< requests to sidecars for all their claims
     ReportsOutdated, ///< reports that were not applied, because the host table holds a later one
     HostsOutdated, ///< records of other processes in the registry or a snapshot that were not applied for that reason
+    EvacuationAvoided, ///< flows placed while usable hosts of their service were left out because of an evacuation
+    EvacuationRefused, ///< SYNs refused because all usable hosts are in evacuated failure domains
     Count_,
 };
 
@@ -107,6 +109,13 @@
     /// @brief Places a declined SYN among the hosts that have not been tried.
     void onDeclined(const SynDeclined& declined, base::TimePoint now);
 
+    /// @brief Applies the evacuations that the store or a snapshot names. A change of the set of domains is sent to all
+    /// sidecars. @return that change
+    EvacuationChange onEvacuation(const EvacuationState& state, base::TimePoint now);
+
+    /// @brief Applies a sidecar's notice; answers it if the sender lacks a later change. @return the change here
+    EvacuationChange onEvacuationNotice(const EvacuationNotice& notice, base::TimePoint now);
+
     /// @return all hosts that are registered or have reported recently, for a snapshot to another balancer.
     std::vector<HostRecord> hostRecords(base::TimePoint now) const;
 
@@ -124,6 +133,7 @@
     const HostTable& hostTable() const { return hostTable_; }
     const OwnerTable& owners() const { return owners_; }
     const RouteTable& routes() const { return *routes_; }
+    const EvacuationTracker& evacuation() const { return evacuation_; }
     std::uint64_t count(BalancerCount which) const { return counts_[static_cast<std::size_t>(which)]; }
 
 private:
@@ -157,7 +167,13 @@
     void resetReplacedFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now);
     void setUrgency(Forward& forward, const core::Segment& segment) const;
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
-    BalancerHello makeHello(const Endpoint& sidecar, bool wantsFlows = false) const;
+    BalancerHello makeHello(const Endpoint& sidecar, bool wantsFlows) const;
+    EvacuationNotice makeNotice() const;
+    void sendHello(const Endpoint& sidecar, bool wantsFlows = false);
+    bool inEvacuatedDomain(const Endpoint& sidecar) const;
+    void removeEvacuated(PendingSyn& pending);
+    bool onlyEvacuatedHosts(ServiceId service, base::TimePoint now) const;
+    void countPlacedElsewhere(ServiceId service, base::TimePoint now);
     void onOutdatedRecord(const OutdatedRecord& record, base::TimePoint now);
     void repairClaims(base::TimePoint now);
     void sendHellos(base::TimePoint now);
@@ -169,10 +185,13 @@
     BalancerOutput& output_;
     RouteTablePtr routes_ = std::make_shared<const RouteTable>();
     bool hostsComplete_ = false; // the last registry list was complete
+    bool hostsOnceComplete_ = false; // at least one registry list was complete
     HostTable hostTable_;
     OwnerTable owners_;
     ClaimRepair repair_;
     LookupTracker lookups_;
+    EvacuationTracker evacuation_;
+    bool sendsNotices_ = false; // with each hello, once any domain was evacuated
     LogTimes ejectionLoggedAt_; // by the host's sidecar
     LogTimes outdatedLoggedAt_; // by the host's sidecar
     boost::unordered_flat_map<core::FlowKey, PendingSyn, core::FlowKeyHash> pending_;
--- a/include/celerystile/fleet/host_table.hpp
+++ b/include/celerystile/fleet/host_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "celerystile/core/routing.hpp"
+#include "celerystile/fleet/evacuation.hpp"
 #include "celerystile/fleet/host_record.hpp"
 
 #include <boost/unordered/unordered_flat_map.hpp>
@@ -91,8 +92,10 @@
     /// @brief Removes hosts that are not registered and have not reported for the retention time.
     void expire(base::TimePoint now);
 
-    /// @return the ready hosts of a service. Suspected ones are included only if there is no other.
-    std::vector<const KnownHost*> usable(ServiceId service, base::TimePoint now) const;
+    /// @return the ready hosts of a service outside the evacuated domains. Suspected ones are included only if there is
+    /// no other.
+    std::vector<const KnownHost*> usable(
+        ServiceId service, base::TimePoint now, const EvacuationState& evacuated = {}) const;
 
     /// @return the hosts of a service that may hold open flows.
     std::vector<const KnownHost*> possibleOwners(ServiceId service) const;
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -41,6 +41,7 @@
     DropTableFull,
     EpochRaised, ///< hellos of balancers that took another process for the latest at this address
     HeartbeatsAbandoned, ///< heartbeats whose sender had given up or ended when they were read
+    EvacuationDeclined, ///< SYNs declined while the host's failure domain was evacuated
     Count_,
 };
 
@@ -146,6 +147,12 @@
     /// takes another process at this address for the latest raises this process's epoch.
     void onHello(const BalancerHello& hello, base::TimePoint now);
 
+    /// @brief Applies the evacuations that a snapshot names. @return the change of the set of domains
+    EvacuationChange onEvacuation(const EvacuationState& state, base::TimePoint now);
+
+    /// @brief Applies a balancer's notice; answers it if the sender lacks a later change. @return the change here
+    EvacuationChange onEvacuationNotice(const EvacuationNotice& notice, base::TimePoint now);
+
     /// @brief Adopts flows held before the start, or resets their callers once it is certain that the host that held
     /// them has ended. Before the first heartbeat the flows are only stored, because the host's incarnation is not
     /// known yet.
@@ -184,6 +191,7 @@
     /// @return the host's record, with the sequence number of the last one that was sent.
     HostRecord record(base::TimePoint now) const;
     const HostStatus& host() const { return host_; }
+    const EvacuationTracker& evacuation() const { return evacuation_; }
     const core::FlowTable& flows() const { return table_; }
     const SidecarLatencies& latencies() const { return latencies_; }
     std::uint64_t count(SidecarCount which) const { return counts_[static_cast<std::size_t>(which)]; }
@@ -232,6 +240,8 @@
     void releaseHeldRequests(const core::FlowKey& key, base::TimePoint now);
     void admitQueued(base::TimePoint now);
     std::string_view declineReason(const Forward& forward, base::TimePoint now) const;
+    bool evacuated() const;
+    void answerHello(const BalancerHello& hello, bool newProcess);
     void onUnknownFlow(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     bool startTrial(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void passOn(Forward forward, const core::Segment& segment, base::TimePoint now);
@@ -295,6 +305,9 @@
     std::deque<TimedFlow> closedQueue_;
     boost::unordered_flat_map<core::FlowKey, base::TimePoint, core::FlowKeyHash> lastTrialAt_;
     boost::unordered_flat_map<Endpoint, KnownBalancer, core::EndpointHash> balancers_;
+    EvacuationTracker evacuation_;
+    boost::unordered_flat_map<Endpoint, std::uint64_t, core::EndpointHash>
+        noticedRevisions_; // of evacuation_ that a balancer is known to have
     std::vector<HeldFlows> pendingHeldFlows_; // received before the first heartbeat
     boost::unordered_flat_map<core::FlowKey, UncertainFlow, core::FlowKeyHash> uncertainFlows_;
     boost::unordered_flat_set<core::FlowKey, core::FlowKeyHash> unattributedFlows_; // opened after the last heartbeat
--- a/include/celerystile/store/prefix_watch.hpp
+++ b/include/celerystile/store/prefix_watch.hpp
@@ -26,8 +26,9 @@
 public:
     using Items = std::map<std::string, Item, std::less<>>;
 
-    /// @brief Called after every change with all current items.
-    using Handler = std::function<void(const Items&)>;
+    /// @brief Called after every change with all current items. They include all changes up to the revision, and may
+    /// include later values of single keys.
+    using Handler = std::function<void(const Items&, Revision)>;
 
     /// @brief Called when the store stops answering and when it answers again.
     using HealthHandler = std::function<void(bool available, const std::string& detail)>;
@@ -47,6 +48,7 @@
     boost::asio::awaitable<bool> listAll();
     boost::asio::awaitable<bool> pollChanges();
     bool apply(const Change& change);
+    Revision knownRevision(const std::string& key) const;
     bool tooLargeToRecheck() const;
     bool reportHealth(bool available, const std::string& detail);
 
@@ -58,7 +60,9 @@
     Handler handler_;
     HealthHandler health_;
     Items items_;
-    Revision revision_ = 0;
+    std::map<std::string, Revision, std::less<>> removedAt_; // keys removed since the last listing
+    Revision listRevision_ = 0; // of the last listing; keys that it lacks were removed at or before it
+    Revision revision_ = 0; // all changes up to it have been applied
     bool listed_ = false;
     bool available_ = true;
     bool stopped_ = false;
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-// Packet path of a balancer. Host list, reports and hellos: balancer_membership.cpp.
+// Packet path of a balancer. Host list, reports and hellos: balancer_membership.cpp; evacuation:
+// balancer_evacuation.cpp.
 
 namespace celerystile::fleet {
 
@@ -24,6 +25,8 @@
         "claims_asked",
         "reports_outdated",
         "hosts_outdated",
+        "evacuation_avoided",
+        "evacuation_refused",
     };
 
     // The acknowledgement field of a SYN holds the number of earlier copies, which callers send at fixed times.
@@ -164,14 +167,15 @@
         std::erase_if(hosts, [&](const KnownHost* host) { return contains(pending.tried, host->record.sidecar); });
         return hosts;
     };
-    const auto usable = hostTable_.usable(pending.service, now);
+    const auto usable = hostTable_.usable(pending.service, now, evacuation_.state());
     const auto eligible = withoutOutliers(usable, options_.outliers);
     if (eligible.size() < usable.size())
         recordEjected(pending, usable, eligible, now);
     auto hosts = untried(eligible);
     if (hosts.empty())
         hosts = untried(usable); // ejected hosts are used if no other is left
-    if (hosts.empty() && holdForHosts(pending, now))
+    const bool evacuated = hosts.empty() && onlyEvacuatedHosts(pending.service, now);
+    if (hosts.empty() && !evacuated && holdForHosts(pending, now))
         return;
     if (hosts.empty() && pending.unanswered) {
         increment(BalancerCount::DropNoHost);
@@ -180,10 +184,14 @@
     }
     if (hosts.empty()) {
         increment(BalancerCount::DropNoHost);
+        if (evacuated)
+            increment(BalancerCount::EvacuationRefused);
         const auto segment = pending.segment;
         pending_.erase(segment.key);
-        return refuse(segment, "no host accepts the flow");
+        return refuse(segment,
+            evacuated ? "all hosts of the service are in evacuated failure domains" : "no host accepts the flow");
     }
+    countPlacedElsewhere(pending.service, now);
     pending.candidates = placement_.order(hosts, { pending.segment.key.hash(), options_.failureDomain, now });
     pending.position = 0;
     sendSyn(pending, reason, now);
--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -9,6 +9,7 @@
 namespace {
 
     constexpr double helloBytes = 136; // a BalancerHello with its tag and its UDP and IP headers
+    constexpr double noticeBytes = 128; // the same for an EvacuationNotice with up to two domains
 
 } // namespace
 
@@ -24,6 +25,7 @@
 void Balancer::setRegistry(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now)
 {
     hostsComplete_ = extent == ListExtent::Complete;
+    hostsOnceComplete_ = hostsOnceComplete_ || hostsComplete_;
     applyHostList(records, extent, now);
 }
 
@@ -44,7 +46,7 @@
         onOutdatedRecord(outdated, now);
     }
     for (const auto& sidecar : newSidecars)
-        output_.send(sidecar, makeHello(sidecar));
+        sendHello(sidecar);
     if (!newSidecars.empty()) {
         helloRetryDelay_ = options_.initialHelloRetryDelay;
         nextHelloRetry_ = now + helloRetryDelay_;
@@ -68,7 +70,7 @@
         // A live sidecar raises its epoch in answer to the hello; the report of one that has ended is late.
         if (outdated->received.process != outdated->known.process) {
             onOutdatedRecord(*outdated, now);
-            output_.send(report.host.sidecar, makeHello(report.host.sidecar));
+            sendHello(report.host.sidecar);
         }
     }
     for (const auto& claim : report.held) {
@@ -87,7 +89,7 @@
 
 void Balancer::onSidecarHello(const SidecarHello& from)
 {
-    output_.send(from.sidecar, makeHello(from.sidecar));
+    sendHello(from.sidecar);
     const auto* host = hostTable_.find(from.sidecar);
     for (const auto& [instance, flows] : owners_.flowsHeldBy(from.sidecar)) {
         for (std::size_t at = 0; at < flows.size(); at += maxFlowsPerDatagram) {
@@ -116,7 +118,7 @@
 {
     for (const auto& sidecar : repair_.check(hostTable_.hosts(), owners_.claimCounts(), now)) {
         increment(BalancerCount::ClaimsAsked);
-        output_.send(sidecar, makeHello(sidecar, true));
+        sendHello(sidecar, true);
     }
 }
 
@@ -124,7 +126,7 @@
 void Balancer::sendHellos(base::TimePoint now)
 {
     for (const auto& [sidecar, host] : hostTable_.hosts())
-        output_.send(sidecar, makeHello(sidecar));
+        sendHello(sidecar);
     nextHello_ = now + helloInterval();
 }
 
@@ -138,7 +140,7 @@
     for (const auto& [sidecar, host] : hostTable_.hosts()) {
         if (host.lastReportAt != base::TimePoint {} || !hostTable_.isCurrent(host, now))
             continue;
-        output_.send(sidecar, makeHello(sidecar));
+        sendHello(sidecar);
         missing = true;
     }
     helloRetryDelay_ = std::min(helloRetryDelay_ * 2, helloInterval());
@@ -147,8 +149,9 @@
 
 base::Duration Balancer::helloInterval() const
 {
+    const auto bytes = helloBytes + (sendsNotices_ ? noticeBytes : 0);
     const std::chrono::duration<double> paced(
-        static_cast<double>(hostTable_.hosts().size()) * helloBytes / options_.controlBytesPerSecond);
+        static_cast<double>(hostTable_.hosts().size()) * bytes / options_.controlBytesPerSecond);
     return std::max(options_.minHelloInterval, std::chrono::duration_cast<base::Duration>(paced));
 }
 
--- a/src/celerystile/fleet/host_table.cpp
+++ b/src/celerystile/fleet/host_table.cpp
@@ -128,14 +128,15 @@
     });
 }
 
-std::vector<const KnownHost*> HostTable::usable(ServiceId service, base::TimePoint now) const
+std::vector<const KnownHost*> HostTable::usable(
+    ServiceId service, base::TimePoint now, const EvacuationState& evacuated) const
 {
     std::vector<const KnownHost*> hosts;
     std::vector<const KnownHost*> suspected;
     for (const auto& [sidecar, host] : hosts_) {
         if (host.record.service != service || host.record.state != HostState::Ready)
             continue;
-        if (!isCurrent(host, now))
+        if (!isCurrent(host, now) || evacuated.contains(host.record.failureDomain))
             continue;
         (now < host.suspectedUntil ? suspected : hosts).push_back(&host);
     }
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -5,7 +5,7 @@
 #include <algorithm>
 
 // Packet path of a sidecar. New flows: sidecar_opening.cpp; admission queue: sidecar_admission.cpp; reports and
-// recovery of flows: sidecar_reports.cpp.
+// recovery of flows: sidecar_reports.cpp; evacuation: sidecar_evacuation.cpp.
 
 namespace celerystile::fleet {
 
@@ -32,6 +32,7 @@
         "drop_table_full",
         "epoch_raised",
         "heartbeats_abandoned",
+        "evacuation_declined",
     };
 
 } // namespace
@@ -277,6 +278,7 @@
         trials_, [&](const auto& entry) { return now - entry.second.at >= options_.openingLifetime; });
     boost::unordered::erase_if(
         balancers_, [&](const auto& entry) { return now - entry.second.lastReceivedAt >= entry.second.lifetime; });
+    boost::unordered::erase_if(noticedRevisions_, [&](const auto& entry) { return !balancers_.contains(entry.first); });
 }
 
 base::TimePoint Sidecar::nextTick(base::TimePoint now) const
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -27,8 +27,11 @@
         endFlow(segment.key); // the caller has reused its port
     }
     const auto reason = declineReason(forward, now);
-    if (!reason.empty())
+    if (!reason.empty()) {
+        if (evacuated())
+            increment(SidecarCount::EvacuationDeclined);
         return passSynOn(forward, segment, reason, now);
+    }
     if (saturated() && !forward.settled)
         return passSynOn(withOwnWait(forward), segment, "the host is saturated", now);
     if (!saturated())
@@ -42,6 +45,8 @@
         return "no heartbeat from the host yet";
     if (restarting_)
         return "the sidecar is about to restart"; // its successor would not know the flow
+    if (evacuated())
+        return "the host's failure domain is evacuated";
     // The balancer's record may predate this host, if a host of another service had the address before.
     if (forward.service != host_.service())
         return "the host serves another service";
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -149,6 +149,7 @@
     known.mistaken = mistaken;
     if (mistaken)
         raiseEpoch(hello.known.epoch, now);
+    answerHello(hello, known.process != hello.process);
     if (known.process == hello.process && !hello.wantsFlows)
         return;
     const bool first = known.process == 0;
--- a/src/celerystile/store/entry_and_prefix_test.cpp
+++ b/src/celerystile/store/entry_and_prefix_test.cpp
@@ -171,7 +171,11 @@
         void start()
         {
             watch.emplace(
-                store, context, "op/", options, [this](const PrefixWatch::Items& items) { received = items; },
+                store, context, "op/", options,
+                [this](const PrefixWatch::Items& items, Revision revision) {
+                    received = items;
+                    receivedRevision = revision;
+                },
                 [this](bool available, const std::string&) { health.push_back(available); });
             boost::asio::co_spawn(context, watch->run(), boost::asio::detached);
             boost::asio::co_spawn(context, watch->recheck(), boost::asio::detached);
@@ -197,6 +201,7 @@
         PrefixWatchOptions options;
         std::optional<PrefixWatch> watch;
         PrefixWatch::Items received;
+        Revision receivedRevision = 0;
         std::vector<bool> health;
     };
 
@@ -261,6 +266,80 @@
     }
 }
 
+// Guards against an evacuation that a stale read restores after its key was removed, or ends while its key exists.
+TEST_CASE("a stale listing neither restores a removed key nor removes an existing one")
+{
+    constexpr auto* key = "op/evacuate/z1";
+    WatchFixture fixture;
+    fixture.store.put("op/config", "1");
+    fixture.store.staleListing = fixture.store.listingOf("op/");
+    fixture.store.put(key, "{}");
+    bool present = true;
+    SUBCASE("written before the watch started") { fixture.start(); }
+    SUBCASE("written later")
+    {
+        fixture.store.removeKey(key);
+        fixture.start();
+        fixture.runSteps();
+        fixture.store.put(key, "{}");
+    }
+    SUBCASE("removed")
+    {
+        fixture.start();
+        fixture.runSteps();
+        fixture.store.staleListing = fixture.store.listingOf("op/");
+        fixture.store.removeKey(key);
+        present = false;
+    }
+    SUBCASE("removed before the watch started")
+    {
+        fixture.store.staleListing = fixture.store.listingOf("op/");
+        fixture.store.removeKey(key);
+        fixture.start();
+        present = false;
+    }
+    SUBCASE("removed while the store was unavailable and its history was compacted")
+    {
+        fixture.start();
+        fixture.runSteps();
+        fixture.store.staleListing = fixture.store.listingOf("op/");
+        fixture.store.removeKey(key);
+        fixture.store.compact();
+        present = false;
+    }
+    SUBCASE("removed and written again")
+    {
+        fixture.start();
+        fixture.runSteps();
+        fixture.store.staleListing = fixture.store.listingOf("op/");
+        fixture.store.removeKey(key);
+        fixture.store.staleListing->items.pop_back();
+        fixture.store.put(key, "{}");
+    }
+    fixture.runSteps();
+    CHECK(fixture.received.contains(key) == present);
+    CHECK(fixture.receivedRevision >= fixture.store.listingOf("op/").revision);
+}
+
+// Guards against an evacuation that takes effect only after the timeout of a watch whose connection is dead.
+TEST_CASE("a stale listing adds a key that was removed and written again")
+{
+    constexpr auto* key = "op/evacuate/z1";
+    WatchFixture fixture;
+    fixture.store.put(key, "{}");
+    fixture.start();
+    fixture.runSteps();
+    fixture.store.removeKey(key);
+    fixture.runSteps();
+    CHECK_FALSE(fixture.received.contains(key));
+    const auto removedAt = fixture.receivedRevision;
+    fixture.store.watchesStalled = true;
+    fixture.store.put(key, "{}");
+    fixture.runSteps();
+    CHECK(fixture.received.contains(key));
+    CHECK(fixture.receivedRevision == removedAt); // a change in between may be missing
+}
+
 TEST_CASE("a polled prefix reports changes only, and keeps the last listing during an outage")
 {
     boost::asio::io_context context;
--- a/src/celerystile/store/prefix_watch.cpp
+++ b/src/celerystile/store/prefix_watch.cpp
@@ -63,11 +63,13 @@
     if (stopped_ || !listing)
         co_return reportHealth(false, listing ? "stopped" : listing.error().detail);
     items_.clear();
+    removedAt_.clear();
     for (const auto& item : listing->items)
         items_[item.key] = item;
+    listRevision_ = listing->revision;
     revision_ = listing->revision;
     listed_ = true;
-    handler_(items_);
+    handler_(items_, revision_);
     co_return reportHealth(true, "");
 }
 
@@ -85,25 +87,38 @@
         apply(change);
     revision_ = std::max(revision_, changes->revision);
     if (!changes->changes.empty())
-        handler_(items_);
+        handler_(items_, revision_);
     co_return reportHealth(true, "");
 }
 
-// A listing of several pages may contain changes later than the revision from which the watch starts, so changes that
-// are not newer than the known item are ignored. Returns whether an item changed.
+// Revision up to which the state of the key is known: of its value, of its removal or of the listing without it.
+Revision PrefixWatch::knownRevision(const std::string& key) const
+{
+    if (const auto found = items_.find(key); found != items_.end())
+        return found->second.revision;
+    const auto removed = removedAt_.find(key);
+    return removed == removedAt_.end() ? listRevision_ : removed->second;
+}
+
+// A listing of several pages may contain changes later than the revision from which the watch starts, and a stale one
+// changes older than it, so changes that are not newer than what is known of the key are ignored. Returns whether an
+// item changed.
 bool PrefixWatch::apply(const Change& change)
 {
-    const auto found = items_.find(change.item.key);
-    if (found != items_.end() && found->second.revision >= change.item.revision)
+    const auto& item = change.item;
+    if (knownRevision(item.key) >= item.revision)
         return false;
-    if (!change.deleted)
-        items_[change.item.key] = change.item;
-    else if (found != items_.end())
-        items_.erase(found);
+    if (!change.deleted) {
+        removedAt_.erase(item.key);
+        items_[item.key] = item;
+    } else {
+        items_.erase(item.key);
+        removedAt_[item.key] = item.revision;
+    }
     return true;
 }
 
-// A stale listing may be older than the known items: it adds newer values and never removes a key.
+// A stale listing may be older than the known items: it adds newer values, never removes a key and restores none.
 asio::awaitable<void> PrefixWatch::recheck()
 {
     while (!stopped_) {
@@ -118,7 +133,7 @@
                 changed = apply({ item, false }) || changed;
         }
         if (changed && !stopped_)
-            handler_(items_);
+            handler_(items_, revision_);
         reportHealth(listing.has_value(), listing ? "" : listing.error().detail);
     }
 }
