--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -9,7 +9,7 @@
 namespace {
 
     constexpr double helloBytes = 136; // a BalancerHello with its tag and its UDP and IP headers
-    constexpr double noticeBytes = 128; // the same for an EvacuationNotice with up to two domains
+    constexpr double noticeBytes = 132; // the same for an EvacuationNotice with two domains
 
 } // namespace
 
