Limit on new flows to a host in slow start

A sliding window at the sidecar, which hands every SYN to its host; the balancer announces the limit in its hellos and places a SYN again that hosts declined only because of their slow start.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -58,6 +58,7 @@
             options.self = settings.node.statusEndpoint; // messages use the status endpoint over UDP
             options.failureDomain = core::hashName(settings.node.failureDomain);
             options.process = process;
+            options.slowStart = { settings.node.coldOvershoot, settings.node.coldSlack };
             return options;
         }
 
@@ -226,6 +227,7 @@
                     { "routes", std::to_string(table->routes.size()) }, { "source", source } });
             postToTrafficThread([this, routes = std::make_shared<const fleet::RouteTable>(std::move(*table))] {
                 balancer_.setRoutes(routes);
+                transport_.flush();
                 updateReady(clock_.now());
                 scheduleWakeup();
             });
@@ -305,8 +307,8 @@
                 hosts.push_back(boost::json::object { { "sidecar", sidecar.toString() },
                     { "state", fleet::toString(host.record.state) }, { "open_flows", host.record.openFlows },
                     { "registered", host.registered }, { "suspected", now < host.suspectedUntil },
-                    { "instance", host.record.instance }, { "born", host.record.born },
-                    { "process", host.record.process }, { "epoch", host.record.epoch },
+                    { "slow_start", now < host.coldUntil }, { "instance", host.record.instance },
+                    { "born", host.record.born }, { "process", host.record.process }, { "epoch", host.record.epoch },
                     { "report_age_ms", reportAge(host, now) } });
             }
             state["hosts"] = std::move(hosts);
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -204,7 +204,7 @@
                 else
                     ++malformed_;
             } else if (const auto* hello = std::get_if<fleet::BalancerHello>(&message)) {
-                sidecar_.onHello(*hello, now);
+                onHello(*hello, now);
                 if (replica_.tryBeginFetch(*hello, sidecar_.fleetHosts()))
                     asio::post(controlContext_, [this, from = hello->balancer] {
                         spawn("configuration copy", [this, from] { return fetchConfiguration(from); });
@@ -215,6 +215,18 @@
             tickNoLaterThan(sidecar_.nextTick(now));
         }
 
+        void onHello(const fleet::BalancerHello& hello, base::TimePoint now)
+        {
+            const auto before = sidecar_.openings().limit();
+            sidecar_.onHello(hello, now);
+            const auto limit = sidecar_.openings().limit();
+            if (limit != before)
+                logEvent(Event::OpeningLimitChanged,
+                    { { "limit", std::to_string(limit) }, { "before", std::to_string(before) },
+                        { "balancer", hello.balancer.toString() },
+                        { "configuration", std::to_string(hello.configurationVersion) } });
+        }
+
         Task fetchConfiguration(base::Endpoint from)
         {
             const auto snapshot = co_await fetchSnapshot(from, { configurationVersion_ });
@@ -320,6 +332,10 @@
             state["busy_flows"] = record.busyFlows;
             state["host_state"] = fleet::toString(record.state);
             state["host_born"] = record.born;
+            state["slow_start"] = sidecar_.inSlowStart(now);
+            state["slow_start_left_ms"] = record.coldMilliseconds;
+            state["opening_limit"] = sidecar_.openings().limit();
+            state["openings_in_window"] = sidecar_.openings().openings(now);
             state["balancers"] = sidecar_.balancers();
             state["mistaken_balancers"] = sidecar_.mistakenBalancers();
             return state;
--- a/include/celerystile/base/events.hpp
+++ b/include/celerystile/base/events.hpp
@@ -67,6 +67,7 @@
     HostLeft = 6104,
     CheckpointRead = 6105,
     ProcessMistaken = 6106,
+    OpeningLimitChanged = 6110,
     RegistryChanged = 6201,
     RegistryEntryUnreadable = 6202,
     HostRecordOutdated = 6203,
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -7,6 +7,7 @@
 #include "celerystile/fleet/owner_table.hpp"
 #include "celerystile/fleet/placement.hpp"
 #include "celerystile/fleet/route_table.hpp"
+#include "celerystile/fleet/slow_start_limit.hpp"
 
 #include <array>
 
@@ -29,6 +30,8 @@
     DropNoHost, ///< packets for a service without a known host
     DropUnsettled, ///< SYNs without a known configuration or above maxPendingSyns
     SynHeld, ///< SYNs without a host while the host list is incomplete
+    SynDeferred, ///< pauses of SYNs that only wait for hosts in slow start
+    SynDeferredExpired, ///< SYNs whose caller gave up during such a pause
     ClaimsAsked, ///< requests to sidecars for all their claims
     ReportsOutdated, ///< reports that were not applied, because the host table holds a later one
     HostsOutdated, ///< records of other processes in the registry or a snapshot that were not applied for that reason
@@ -73,6 +76,12 @@
     base::Duration hostRetryDelay
         = std::chrono::milliseconds(50); ///< between attempts while the host list is incomplete
     base::Duration synLifetime = std::chrono::milliseconds(1500); ///< callers give up a SYN after 1.4 s
+    SlowStartOptions slowStart;
+    base::Duration initialDeferralPause
+        = std::chrono::milliseconds(50); ///< of SYNs that wait for hosts in slow start; doubles with each pause
+    base::Duration maxDeferralPause = std::chrono::milliseconds(200);
+    base::Duration deferredSynLifetime
+        = std::chrono::milliseconds(1350); ///< no later placement, so that the answer arrives while the caller waits
     std::size_t maxPendingSyns = 4'096;
     std::size_t maxFlows = 400'000; ///< entries of the owner table; 64 bytes each
     base::Duration minHelloInterval = std::chrono::seconds(1); ///< between two hellos to a sidecar
@@ -87,7 +96,8 @@
 public:
     Balancer(BalancerOptions options, const Placement& placement, BalancerOutput& output, base::TimePoint start);
 
-    void setRoutes(RouteTablePtr routes) { routes_ = std::move(routes); }
+    /// @brief Applies a configuration. Sidecars whose limits it changes are told at once.
+    void setRoutes(RouteTablePtr routes);
 
     /// @brief Applies the entries of the host registry.
     void setRegistry(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
@@ -137,6 +147,9 @@
         std::vector<Endpoint> tried;
         std::uint8_t position = 0;
         bool unanswered = false; // a host may have accepted it: it left the SYN unanswered
+        bool deferred = false; // a host declined since the last pause, only because of its slow start
+        std::uint8_t deferrals = 0; // pauses for hosts in slow start
+        std::string_view holdReason; // of the last pause
         base::TimePoint firstCopyAt {};
         base::TimePoint retryAt {};
         base::TimePoint expiresAt {};
@@ -150,6 +163,9 @@
     void place(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void applyHostList(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
     bool holdForHosts(PendingSyn& pending, base::TimePoint now);
+    bool holdForSlowStart(PendingSyn& pending, base::TimePoint now);
+    void hold(PendingSyn& pending, std::string_view reason, base::TimePoint until);
+    void dropExpired(const PendingSyn& pending);
     void scheduleWakeup(base::TimePoint at) { wakeupAt_ = std::min(wakeupAt_, at); }
     void sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void retry(PendingSyn& pending, base::TimePoint now);
@@ -158,6 +174,8 @@
     void setUrgency(Forward& forward, const core::Segment& segment) const;
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     BalancerHello makeHello(const Endpoint& sidecar, bool wantsFlows = false) const;
+    std::uint32_t openingLimitOf(const HostRecord& host) const;
+    void announceLimit(const HostRecord& host);
     void onOutdatedRecord(const OutdatedRecord& record, base::TimePoint now);
     void repairClaims(base::TimePoint now);
     void sendHellos(base::TimePoint now);
@@ -172,6 +190,7 @@
     HostTable hostTable_;
     OwnerTable owners_;
     ClaimRepair repair_;
+    AnnouncedLimits announcedLimits_;
     LookupTracker lookups_;
     LogTimes ejectionLoggedAt_; // by the host's sidecar
     LogTimes outdatedLoggedAt_; // by the host's sidecar
--- a/include/celerystile/fleet/decision.hpp
+++ b/include/celerystile/fleet/decision.hpp
@@ -21,8 +21,8 @@
     FlowLost, ///< the host no longer holds the flow
     FlowReset, ///< the caller of an open flow was reset because its host has ended
     PacketUnclaimed, ///< no sidecar holds the packet's flow; the caller will retransmit
-    FlowWaits, ///< a request entered the admission queue
-    WaitExpired, ///< a request left the queue because its caller has given up; no host has run it
+    FlowWaits, ///< a request entered the admission queue, or a SYN waits at a balancer for hosts in slow start
+    WaitExpired, ///< a waiting request or SYN was dropped because its caller has given up; no host has run it
     HostEjected, ///< a host was excluded from the placement of this flow because too many of its requests fail
 };
 
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -7,6 +7,7 @@
 #include "celerystile/fleet/decision.hpp"
 #include "celerystile/fleet/host_status.hpp"
 #include "celerystile/fleet/message.hpp"
+#include "celerystile/fleet/opening_limiter.hpp"
 #include "celerystile/fleet/request_meter.hpp"
 
 #include <array>
@@ -32,6 +33,7 @@
     FlowsReset, ///< callers reset because the host has ended
     SynPassedOn, ///< SYNs forwarded to the next candidate
     SynDeclined, ///< SYNs that no candidate accepted
+    SynDeferred, ///< SYNs that the host did not receive because of its slow start
     RequestsHeld, ///< requests put into the admission queue
     RequestsExpired, ///< queued requests whose caller gave up
     ClaimsDropped, ///< the caller acknowledged another host's SYN+ACK
@@ -95,6 +97,7 @@
     HostStatusOptions host;
     std::size_t maxFlows = 100'000;
     RequestMeterOptions meter;
+    OpeningLimiterOptions openings;
     std::size_t maxQueued = 512; ///< requests in the admission queue
     double requestsPerSlot = 1.0; ///< limit of requests at the host, its own queue included; more wait here
     std::uint32_t extraRequests = 2; ///< added to that limit, so that a host with few slots does not idle
@@ -151,6 +154,10 @@
     /// known yet.
     void onHeldFlows(const HeldFlows& held, base::TimePoint now);
 
+    /// @brief Handles the end of an evacuation of the host's own failure domain: until a heartbeat that arrives after
+    /// this call says otherwise, the host counts as in slow start.
+    void onEvacuationEnded(base::TimePoint now);
+
     /// @brief Starts a planned restart: the sidecar accepts no new flow, and its reports carry `restarting`, so that
     /// balancers do not take it for silent.
     void announceRestart(base::TimePoint now);
@@ -175,6 +182,12 @@
     /// @return the number of hosts in the fleet by the last hello of a balancer, at least 1.
     std::uint32_t fleetHosts() const { return fleetHosts_; }
 
+    /// @return whether the host is in slow start, or may be.
+    bool inSlowStart(base::TimePoint now) const;
+
+    /// @return the SYNs handed to the host recently, and their limit while it is in slow start.
+    const OpeningLimiter& openings() const { return openings_; }
+
     /// @return the number of balancers that receive reports.
     std::size_t balancers() const { return balancers_.size(); }
 
@@ -206,6 +219,8 @@
         base::TimePoint lastReceivedAt {};
         base::Duration lifetime { 0 };
         bool mistaken = false; // holds the record of another process at this address as the newer one
+        std::uint64_t configurationVersion = 0; // on which openingLimit is based; 0: the limit is unknown
+        std::uint32_t openingLimit = 0; // 0: none
     };
 
     // A flow that another incarnation of the host held before the start.
@@ -224,6 +239,12 @@
     void onSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void acceptSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void passSynOn(const Forward& forward, const core::Segment& segment, std::string_view reason, base::TimePoint now);
+    bool openingAllowed(base::TimePoint now) const;
+    void deliverSyn(core::Bytes packet, base::TimePoint now);
+    void deferSyn(Forward forward, const core::Segment& segment, base::TimePoint now);
+    void updateSlowStart(bool hostAlive);
+    void recordOpeningLimit(KnownBalancer& from, const BalancerHello& hello);
+    std::chrono::milliseconds slowStartLeft(base::TimePoint now) const;
     void forwardToShortestWait(Forward forward, const core::Segment& segment, base::TimePoint now);
     Forward withOwnWait(Forward forward) const;
     std::uint32_t requestLimit() const;
@@ -285,6 +306,8 @@
     HostState announcedState_ = HostState::Gone;
     core::FlowTable table_;
     RequestMeter meter_;
+    OpeningLimiter openings_ { options_.openings };
+    bool slowStartAssumed_ = false; // until the next heartbeat
     SidecarLatencies latencies_;
     SavedForwards openingSyns_; // SYNs of handshakes that the caller has not finished
     boost::unordered_flat_map<core::FlowKey, std::vector<SavedForward>, core::FlowKeyHash>
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-// Packet path of a balancer. Host list, reports and hellos: balancer_membership.cpp.
+// Packet path of a balancer. Waiting SYNs: balancer_holding.cpp. Host list, reports and hellos:
+// balancer_membership.cpp.
 
 namespace celerystile::fleet {
 
@@ -21,6 +22,8 @@
         "drop_no_host",
         "drop_unsettled",
         "syn_held",
+        "syn_deferred",
+        "syn_deferred_expired",
         "claims_asked",
         "reports_outdated",
         "hosts_outdated",
@@ -171,7 +174,7 @@
     auto hosts = untried(eligible);
     if (hosts.empty())
         hosts = untried(usable); // ejected hosts are used if no other is left
-    if (hosts.empty() && holdForHosts(pending, now))
+    if (hosts.empty() && (holdForSlowStart(pending, now) || holdForHosts(pending, now)))
         return;
     if (hosts.empty() && pending.unanswered) {
         increment(BalancerCount::DropNoHost);
@@ -189,19 +192,6 @@
     sendSyn(pending, reason, now);
 }
 
-// While the host list is incomplete, a SYN without a host is placed again every hostRetryDelay instead of refused.
-bool Balancer::holdForHosts(PendingSyn& pending, base::TimePoint now)
-{
-    if (hostsComplete_)
-        return false;
-    increment(BalancerCount::SynHeld);
-    pending.candidates.clear();
-    pending.tried.clear();
-    pending.retryAt = std::min(now + options_.hostRetryDelay, pending.expiresAt);
-    scheduleWakeup(pending.retryAt);
-    return true;
-}
-
 void Balancer::sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now)
 {
     const auto& to = pending.candidates[pending.position];
@@ -228,7 +218,7 @@
 void Balancer::retry(PendingSyn& pending, base::TimePoint now)
 {
     if (pending.candidates.empty())
-        return place(pending, "retry with an incomplete host list", now);
+        return place(pending, pending.holdReason, now);
     increment(BalancerCount::SynRetried);
     const auto& unanswered = pending.candidates[pending.position];
     hostTable_.recordUnanswered(unanswered, now);
@@ -295,6 +285,7 @@
         return;
     auto& pending = found->second;
     pending.unanswered = pending.unanswered || declined.unanswered;
+    pending.deferred = pending.deferred || declined.deferred;
     for (const auto& candidate : pending.candidates) {
         if (!contains(pending.tried, candidate))
             pending.tried.push_back(candidate);
@@ -316,7 +307,7 @@
             continue;
         auto& pending = found->second;
         if (now >= pending.expiresAt) {
-            pending_.erase(found);
+            dropExpired(pending);
             continue;
         }
         const bool more = pending.position + 1U < pending.candidates.size();
@@ -332,6 +323,7 @@
         owners_.expire(routes_->idleTimeout * 2, now);
         hostTable_.expire(now);
         lookups_.expire(now);
+        announcedLimits_.expire(hostTable_.hosts());
         for (auto* loggedAt : { &ejectionLoggedAt_, &outdatedLoggedAt_ })
             boost::unordered::erase_if(
                 *loggedAt, [&](const auto& entry) { return !hostTable_.hosts().contains(entry.first); });
--- /dev/null
+++ b/src/celerystile/fleet/balancer_holding.cpp
@@ -0,0 +1,59 @@
+#include "celerystile/fleet/balancer.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// SYNs that wait at a balancer because no host accepts them at present, and are placed again after a pause.
+
+namespace celerystile::fleet {
+
+// While the host list is incomplete, a SYN without a host is placed again every hostRetryDelay instead of refused.
+bool Balancer::holdForHosts(PendingSyn& pending, base::TimePoint now)
+{
+    if (hostsComplete_)
+        return false;
+    increment(BalancerCount::SynHeld);
+    hold(pending, "retry with an incomplete host list", std::min(now + options_.hostRetryDelay, pending.expiresAt));
+    return true;
+}
+
+// A SYN that a host declined only because of its slow start is placed again while its caller waits for the answer. The
+// pause doubles: when hosts that are all in slow start receive more SYNs than they may, each round visits all of them.
+bool Balancer::holdForSlowStart(PendingSyn& pending, base::TimePoint now)
+{
+    if (!std::exchange(pending.deferred, false))
+        return false;
+    const auto pause = std::min(options_.maxDeferralPause, options_.initialDeferralPause * (1U << pending.deferrals));
+    constexpr std::uint8_t maxDoublings = 8; // keeps the product in range
+    pending.deferrals = std::min<std::uint8_t>(pending.deferrals + 1U, maxDoublings);
+    const auto lastPlacementAt = pending.firstCopyAt + options_.deferredSynLifetime;
+    increment(BalancerCount::SynDeferred);
+    output_.recordDecision({ DecisionKind::FlowWaits, pending.segment.key,
+        "the hosts in slow start have used up their limits, and no other accepts the flow", std::nullopt,
+        routes_->version, 0, {} });
+    hold(pending, "retry after a pause for hosts in slow start",
+        now < lastPlacementAt ? std::min(now + pause, lastPlacementAt) : pending.expiresAt);
+    return true;
+}
+
+void Balancer::hold(PendingSyn& pending, std::string_view reason, base::TimePoint until)
+{
+    pending.candidates.clear();
+    pending.tried.clear();
+    pending.holdReason = reason;
+    pending.retryAt = until;
+    scheduleWakeup(until);
+}
+
+void Balancer::dropExpired(const PendingSyn& pending)
+{
+    const auto key = pending.segment.key;
+    if (pending.deferrals > 0 && pending.candidates.empty()) {
+        increment(BalancerCount::SynDeferredExpired);
+        output_.recordDecision({ DecisionKind::WaitExpired, key,
+            "the caller has given up while hosts were in slow start", std::nullopt, routes_->version, 0, {} });
+    }
+    pending_.erase(key);
+}
+
+} // namespace celerystile::fleet
--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -21,6 +21,25 @@
     });
 }
 
+void Balancer::setRoutes(RouteTablePtr routes)
+{
+    routes_ = std::move(routes);
+    for (const auto& [sidecar, host] : hostTable_.hosts())
+        announceLimit(host.record);
+}
+
+// A sidecar without the limit of its host enforces none, so it is told before the first SYN.
+void Balancer::announceLimit(const HostRecord& host)
+{
+    if (announcedLimits_.update(host, openingLimitOf(host)))
+        output_.send(host.sidecar, makeHello(host.sidecar));
+}
+
+std::uint32_t Balancer::openingLimitOf(const HostRecord& host) const
+{
+    return openingLimit(routes_->limitsOf(host.service), options_.slowStart);
+}
+
 void Balancer::setRegistry(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now)
 {
     hostsComplete_ = extent == ListExtent::Complete;
@@ -58,7 +77,8 @@
     const auto interval = std::chrono::duration_cast<std::chrono::milliseconds>(helloInterval()).count();
     return { options_.self, options_.process, static_cast<std::uint32_t>(hostTable_.hosts().size()),
         static_cast<std::uint32_t>(interval), wantsFlows, routes_->version,
-        host ? KnownProcess { host->record.process, host->record.epoch } : KnownProcess {} };
+        host ? KnownProcess { host->record.process, host->record.epoch } : KnownProcess {},
+        host ? openingLimitOf(host->record) : 0 };
 }
 
 void Balancer::onReport(const FlowReport& report, base::TimePoint now)
@@ -70,6 +90,8 @@
             onOutdatedRecord(*outdated, now);
             output_.send(report.host.sidecar, makeHello(report.host.sidecar));
         }
+    } else {
+        announceLimit(report.host);
     }
     for (const auto& claim : report.held) {
         owners_.addClaim({ report.host.sidecar, report.host.instance }, claim, now);
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 
-// Packet path of a sidecar. New flows: sidecar_opening.cpp; admission queue: sidecar_admission.cpp; reports and
-// recovery of flows: sidecar_reports.cpp.
+// Packet path of a sidecar. New flows: sidecar_opening.cpp; slow start: sidecar_slow_start.cpp; admission queue:
+// sidecar_admission.cpp; reports and recovery of flows: sidecar_reports.cpp.
 
 namespace celerystile::fleet {
 
@@ -23,6 +23,7 @@
         "flows_reset",
         "syn_passed_on",
         "syn_declined",
+        "syn_deferred",
         "requests_held",
         "requests_expired",
         "claims_dropped",
@@ -252,15 +253,6 @@
     }
 }
 
-// A paused process receives no heartbeats, so the pause does not count as time without heartbeats.
-void Sidecar::detectPause(base::TimePoint now)
-{
-    const auto gap = now - lastTick_;
-    lastTick_ = now;
-    if (gap >= options_.pauseThreshold)
-        host_.recordPause(gap);
-}
-
 void Sidecar::sweep(base::TimePoint now)
 {
     const auto idle = std::chrono::duration_cast<std::chrono::seconds>(options_.idleTimeout).count();
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -1,7 +1,7 @@
 #include "celerystile/fleet/sidecar.hpp"
 
 // Handling of SYNs: a sidecar accepts the flow or forwards the SYN to the next candidate at once. When all candidates
-// are saturated: sidecar_admission.cpp.
+// are saturated: sidecar_admission.cpp. Hosts in slow start: sidecar_slow_start.cpp.
 
 namespace celerystile::fleet {
 
@@ -19,8 +19,7 @@
             record->lastSeen = secondsSinceStart(now);
             if (record->hostIsnKnown)
                 sendClaim(forward.balancer, segment.key, now);
-            output_.deliver(forward.packet);
-            return increment(SidecarCount::Delivered);
+            return openingAllowed(now) ? deliverSyn(forward.packet, now) : deferSyn(forward, segment, now);
         }
         if (record->callerIsn == segment.sequence)
             return increment(SidecarCount::DropUnclaimed); // a late retransmission: the flow is past its handshake
@@ -29,6 +28,8 @@
     const auto reason = declineReason(forward, now);
     if (!reason.empty())
         return passSynOn(forward, segment, reason, now);
+    if (!openingAllowed(now))
+        return deferSyn(forward, segment, now);
     if (saturated() && !forward.settled)
         return passSynOn(withOwnWait(forward), segment, "the host is saturated", now);
     if (!saturated())
@@ -77,8 +78,7 @@
     saved.forward.packet = saved.packet;
     openingQueue_.push_back({ segment.key, now });
     increment(SidecarCount::FlowsOpened);
-    increment(SidecarCount::Delivered);
-    output_.deliver(forward.packet);
+    deliverSyn(forward.packet, now);
 }
 
 void Sidecar::passSynOn(
@@ -90,7 +90,7 @@
     if (!forward.settled && forward.shortestWait)
         return forwardToShortestWait(forward, segment, now);
     increment(SidecarCount::SynDeclined);
-    output_.send(forward.balancer, SynDeclined { segment.key, forward.unanswered });
+    output_.send(forward.balancer, SynDeclined { segment.key, forward.unanswered, forward.deferred });
 }
 
 // All candidates are saturated: the SYN goes to the one with the shortest expected wait.
@@ -132,6 +132,7 @@
             meter_.cancel(key); // the caller has not acknowledged the host's SYN+ACK
         } else {
             lastUnansweredAt_ = now;
+            slowStartAssumed_ = true; // the host may be starting again
             auto original = saved->second;
             original.forward.packet = original.packet;
             original.forward.unanswered = true;
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -49,7 +49,7 @@
     record.sequence = sequence_;
     record.slots = host_.slots();
     record.state = host_.state(now);
-    record.coldMilliseconds = static_cast<std::uint32_t>(host_.coldLeft(now).count());
+    record.coldMilliseconds = static_cast<std::uint32_t>(slowStartLeft(now).count());
     record.openFlows = table_.openFlows();
     record.busyFlows = meter_.load();
     record.failurePermille = meter_.failurePermille(now);
@@ -77,6 +77,15 @@
     return { key, record.hostIsn, record.callerAck, record.state == core::FlowState::Open };
 }
 
+// A paused process receives no heartbeats, so the pause does not count as time without heartbeats.
+void Sidecar::detectPause(base::TimePoint now)
+{
+    const auto gap = now - lastTick_;
+    lastTick_ = now;
+    if (gap >= options_.pauseThreshold)
+        host_.recordPause(gap);
+}
+
 HeartbeatOutcome Sidecar::onHeartbeat(const HostReport& report, base::TimePoint now)
 {
     detectPause(now);
@@ -84,6 +93,7 @@
         increment(SidecarCount::HeartbeatsAbandoned);
     const auto outcome = host_.recordHeartbeat(report, now);
     const bool hostAlive = outcome != HeartbeatOutcome::Stale && !report.abandoned;
+    updateSlowStart(hostAlive);
     if (hostAlive) // no other incarnation can have opened flows until now
         unattributedFlows_.clear();
     if (outcome == HeartbeatOutcome::FirstOfIncarnation)
@@ -142,6 +152,7 @@
     const std::chrono::duration<double, std::milli> helloTimeout(
         hello.intervalMilliseconds * options_.missedHelloLimit);
     known.lifetime = std::max(options_.minBalancerLifetime, std::chrono::duration_cast<base::Duration>(helloTimeout));
+    recordOpeningLimit(known, hello);
     const bool valid = hello.known.epoch != 0 && hello.known.epoch <= maxEpoch;
     const bool mistaken = valid && hello.known.process != options_.process && hello.known.epoch >= epoch_;
     if (mistaken && !known.mistaken)
