--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -205,7 +205,7 @@
                 else
                     ++malformed_;
             } else if (const auto* hello = std::get_if<fleet::BalancerHello>(&message)) {
-                sidecar_.onHello(*hello, now);
+                onHello(*hello, now);
                 if (replica_.tryBeginFetch(*hello, sidecar_.fleetHosts()))
                     asio::post(controlContext_, [this, from = hello->balancer] {
                         spawn("configuration copy", [this, from] { return fetchConfiguration(from); });
@@ -223,6 +223,18 @@
             logEvacuation(change, sidecar_.evacuation().state().revision, source, settings_.node);
         }
 
+        void onHello(const fleet::BalancerHello& hello, base::TimePoint now)
+        {
+            const auto before = sidecar_.openings().limit();
+            sidecar_.onHello(hello, now);
+            const auto limit = sidecar_.openings().limit();
+            if (limit != before)
+                logEvent(Event::OpeningLimitChanged,
+                    { { "limit", std::to_string(limit) }, { "before", std::to_string(before) },
+                        { "balancer", hello.balancer.toString() },
+                        { "configuration", std::to_string(hello.configurationVersion) } });
+        }
+
         Task fetchConfiguration(base::Endpoint from)
         {
             const auto snapshot = co_await fetchSnapshot(from, { configurationVersion_ });
@@ -333,6 +345,10 @@
             state["busy_flows"] = record.busyFlows;
             state["host_state"] = fleet::toString(record.state);
             state["host_born"] = record.born;
+            state["slow_start"] = sidecar_.inSlowStart(now);
+            state["slow_start_left_ms"] = record.coldMilliseconds;
+            state["opening_limit"] = sidecar_.openings().limit();
+            state["openings_in_window"] = sidecar_.openings().openings(now);
             state["balancers"] = sidecar_.balancers();
             state["mistaken_balancers"] = sidecar_.mistakenBalancers();
             addEvacuation(state, sidecar_.evacuation().state(), settings_.node);
--- a/src/celerystile/fleet/sidecar_evacuation.cpp
+++ b/src/celerystile/fleet/sidecar_evacuation.cpp
@@ -1,5 +1,7 @@
 #include "celerystile/fleet/sidecar.hpp"
 
+#include <algorithm>
+
 // Evacuation of failure domains in a sidecar, which learns of it from the balancers' notices and accepts no new flow
 // for its host, whoever forwards it. Load pattern: SYNs of balancers that do not know of the evacuation yet.
 
@@ -7,7 +9,10 @@
 
 EvacuationChange Sidecar::onEvacuation(const EvacuationState& state, base::TimePoint now)
 {
-    return evacuation_.apply(state, now);
+    auto change = evacuation_.apply(state, now);
+    if (std::binary_search(change.ended.begin(), change.ended.end(), options_.failureDomain))
+        onEvacuationEnded(now);
+    return change;
 }
 
 EvacuationChange Sidecar::onEvacuationNotice(const EvacuationNotice& notice, base::TimePoint now)
--- a/src/celerystile/fleet/sidecar_evacuation_test.cpp
+++ b/src/celerystile/fleet/sidecar_evacuation_test.cpp
@@ -186,13 +186,15 @@
 }
 
 // Guards against slow start that is not applied after a return.
-TEST_CASE("the end of the evacuation of the own domain is known")
+TEST_CASE("after the evacuation of the own domain the host counts as in slow start")
 {
     Fixture fixture;
+    CHECK_FALSE(fixture.sidecar.inSlowStart(fixture.now));
     fixture.notice({ 20, { north } });
     fixture.now += std::chrono::seconds(3);
     fixture.notice({ 21, {} });
     CHECK(fixture.sidecar.evacuation().endedAt(north) == fixture.now);
+    CHECK(fixture.sidecar.inSlowStart(fixture.now));
 }
 
 } // namespace celerystile::fleet
