--- a/tests/heartbeat_test.cpp
+++ b/tests/heartbeat_test.cpp
@@ -123,6 +123,24 @@
             return *reply && (*reply)->status == 200;
         }
 
+        /// Sends the hello of a balancer that announces a limit of new flows in slow start.
+        void announceLimit(std::uint32_t limit)
+        {
+            fleet::BalancerHello hello;
+            hello.balancer = balancer_->local();
+            hello.process = 1;
+            hello.configurationVersion = 1;
+            hello.known = { 1, 1 };
+            hello.coldOpeningsPerSecond = limit;
+            peer::DatagramBuffer buffer;
+            peer::encode(hello, *peer::Keyring::create(passphrase, ""), buffer);
+            balancer_->send(endpoint(portPackets), buffer.bytes());
+            balancer_->flush();
+        }
+
+        /// Remaining slow start in the heartbeats that follow.
+        void setSlowStart(std::chrono::milliseconds left) { coldLeft_ = left; }
+
         /// Forwards the SYN of a new flow for the service, and returns how many packets the host has received so far.
         int offer(const char* service)
         {
@@ -152,7 +170,7 @@
         std::string heartbeat(const char* service, int sequence, std::int64_t born) const
         {
             return json::serialize(json::object { { "service", service }, { "address", text(portApp) }, { "zone", "a" },
-                { "version", "v1" }, { "slots", 2 }, { "state", "ready" }, { "coldLeftMs", 0 },
+                { "version", "v1" }, { "slots", 2 }, { "state", "ready" }, { "coldLeftMs", coldLeft_.count() },
                 { "sequence", sequence }, { "born", born } });
         }
 
@@ -164,6 +182,7 @@
         std::optional<Process> process_;
         std::uint16_t port_ = 40'000;
         int delivered_ = 0;
+        std::chrono::milliseconds coldLeft_ { 0 };
     };
 
 } // namespace
@@ -214,4 +233,22 @@
     CHECK(sidecar.number("host_born") == 5'000);
 }
 
+// Guards against a process that does not hand the hello's limit or the heartbeat's slow start to the limiter, or hides
+// them from operators.
+TEST_CASE("processes: a sidecar's dump shows slow start, its limit and the openings in the window")
+{
+    SidecarProcess sidecar;
+    sidecar.announceLimit(1);
+    CHECK(waitUntil([&] { return sidecar.number("opening_limit") == 1; }, timeout));
+    sidecar.setSlowStart(1min);
+    REQUIRE(sidecar.exchange("desk", 1, 5'000));
+    CHECK(sidecar.number("slow_start_left_ms") > 0);
+    CHECK(sidecar.dump().at("slow_start").as_bool());
+    CHECK(sidecar.offer("desk") == 1);
+    CHECK(sidecar.dump().contains("openings_in_window"));
+    sidecar.setSlowStart(0min);
+    REQUIRE(sidecar.exchange("desk", 2, 5'000));
+    CHECK_FALSE(sidecar.dump().at("slow_start").as_bool());
+}
+
 } // namespace celerystile::tests
