--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -1,5 +1,6 @@
 #include "celerystile/fleet/balancer.hpp"
 #include "celerystile/fleet/configuration_replica.hpp"
+#include "celerystile/fleet/link_scheduler.hpp"
 #include "celerystile/store/prefix_poll.hpp"
 #include "celerystile/store/prefix_watch.hpp"
 #include "fleet_process.hpp"
@@ -30,13 +31,14 @@
     constexpr std::size_t maxReplicasQueried = 2; // more than one, because a holder may be shutting down
     constexpr base::Duration minTickInterval = std::chrono::milliseconds(5);
 
-    class FleetBalancer final : public FleetProcess, private fleet::BalancerOutput {
+    class FleetBalancer final : public FleetProcess, private fleet::BalancerOutput, private fleet::LinkOutput {
     public:
         FleetBalancer(const FleetSettings& settings, const base::WallClock& wallClock)
             : FleetProcess(settings, wallClock)
             , placement_(fleet::makePlacement(settings.placement))
             , transport_(trafficContext_, settings_.keyring)
             , balancer_(makeOptions(settings, processId_), *placement_, *this, clock_.now())
+            , link_(fleet::makeLinkOptions(settings.node.linkMegabitsPerSecond), *this)
             , configurationWatch_(
                   store_, controlContext_, std::string(platform::configurationPrefix), {},
                   [this](const auto& items) { onConfiguration(items); },
@@ -80,10 +82,11 @@
                 spawn("neighbour " + neighbour.toString(), [this, neighbour] { return pollNeighbour(neighbour); });
             startTicking([this](base::TimePoint now) {
                 balancer_.tick(now);
+                link_.tick(now);
                 transport_.flush();
                 updateCutOff(balancer_.hostTable().cutOff(now));
                 updateReady(now);
-                return std::max(balancer_.nextTick(), now + minTickInterval);
+                return std::max(std::min(balancer_.nextTick(), link_.nextTick()), now + minTickInterval);
             });
             return true;
         }
@@ -93,6 +96,14 @@
             leaving_ = true;
             const auto longest = settings_.node.stopGracePeriod - stopGraceMargin;
             co_await sleepFor(std::min(withdrawalTime, longest));
+            co_await asio::co_spawn(
+                trafficContext_,
+                [this]() -> Task {
+                    link_.passAll(clock_.now());
+                    transport_.flush();
+                    co_return;
+                },
+                asio::use_awaitable);
         }
 
         bool ready() const override { return ready_ && !leaving_ && !cutOff_; }
@@ -104,7 +115,10 @@
                 ++malformed_;
                 return;
             }
-            balancer_.onPacket(packet->segment, bytes, clock_.now());
+            fleet::LinkUrgency urgency;
+            if (const auto* route = balancer_.routes().find(packet->segment.key.service))
+                urgency = { route->priority, route->timeout };
+            link_.onPacket(packet->segment, bytes, urgency, clock_.now());
             scheduleWakeup();
         }
 
@@ -120,7 +134,11 @@
             scheduleWakeup();
         }
 
-        void scheduleWakeup() { tickNoLaterThan(std::max(balancer_.wakeupAt(), clock_.now() + minTickInterval)); }
+        void scheduleWakeup()
+        {
+            const auto next = std::min(balancer_.wakeupAt(), link_.nextTick());
+            tickNoLaterThan(std::max(next, clock_.now() + minTickInterval));
+        }
 
         void onReport(const fleet::FlowReport& report, base::TimePoint now)
         {
@@ -295,6 +313,16 @@
                 const auto which = static_cast<fleet::BalancerCount>(i);
                 state[fleet::toString(which)] = balancer_.count(which);
             }
+            for (std::size_t i = 0; i < fleet::linkCounts; ++i) {
+                const auto which = static_cast<fleet::LinkCount>(i);
+                state[fleet::toString(which)] = link_.count(which);
+            }
+            state["link_megabits_per_second"] = settings_.node.linkMegabitsPerSecond;
+            state["link_bulk_places"] = link_.options().gate.places;
+            state["link_bulk_flows_active"] = link_.gate().active();
+            state["link_bulk_flows_waiting"] = link_.gate().waiting();
+            state["link_held_flows"] = link_.heldFlows();
+            state["link_held_bytes"] = link_.heldBytes();
             state["malformed_packets"] = malformed_;
             state["rejected_messages"] = transport_.rejected();
             state["send_failures"] = transport_.sendFailures();
@@ -313,6 +341,22 @@
             return state;
         }
 
+        std::vector<std::pair<std::string, base::Histogram>> histograms() const override
+        {
+            return { { "link_held_ms", link_.heldTime() } };
+        }
+
+        void pass(const core::Segment& segment, core::Bytes packet, base::TimePoint now) override
+        {
+            balancer_.onPacket(segment, packet, now);
+        }
+        void recordLinkWait(bool waiting, std::size_t flows) override
+        {
+            logEvent(waiting ? Event::LinkSaturated : Event::LinkRelieved,
+                { { "waiting", std::to_string(flows) }, { "active", std::to_string(link_.gate().active()) },
+                    { "held", std::to_string(link_.count(fleet::LinkCount::Held)) },
+                    { "dropped_copies", std::to_string(link_.count(fleet::LinkCount::DroppedCopies)) } });
+        }
         void forward(const base::Endpoint& to, const fleet::Forward& forward) override { transport_.send(to, forward); }
         void send(const base::Endpoint& to, const fleet::Message& message) override { transport_.send(to, message); }
         void reset(const core::Segment& about) override
@@ -336,6 +380,7 @@
         std::unique_ptr<fleet::Placement> placement_;
         FleetTransport transport_;
         fleet::Balancer balancer_;
+        fleet::LinkScheduler link_; // in front of balancer_
         store::PrefixWatch configurationWatch_;
         store::PrefixPoll registryPoll_;
         DecisionLog log_ { settings_.logDecisionsPerSecond };
--- a/include/celerystile/base/events.hpp
+++ b/include/celerystile/base/events.hpp
@@ -75,6 +75,8 @@
     CutOff = 6303,
     Reconnected = 6304,
     ClockStepped = 6305,
+    LinkSaturated = 6401,
+    LinkRelieved = 6402,
 };
 
 /// @brief Catalogue entry of an event: its name in the log, its meaning and the action to take.
--- a/src/celerystile/base/events.cpp
+++ b/src/celerystile/base/events.cpp
@@ -137,6 +137,10 @@
             Event::Reconnected, Level::Info, "reconnected", "The balancer receives reports from sidecars again.", "-" },
         EventInfo { Event::ClockStepped, Level::Warning, "clock_stepped",
             "The time of day has jumped against the monotonic clock.", "Check the time service of the instance." },
+        EventInfo { Event::LinkSaturated, Level::Warning, "link_saturated",
+            "Uploads wait for a place on the link of this balancer; short requests go first.",
+            "If it lasts, give the instance a faster link or add balancers." },
+        EventInfo { Event::LinkRelieved, Level::Info, "link_relieved", "No upload waits for the link any more.", "-" },
     };
 
     el::Level toElpp(Level level)
