--- a/include/celerystile/fleet/bulk_gate.hpp
+++ b/include/celerystile/fleet/bulk_gate.hpp
@@ -30,6 +30,8 @@
 /// @brief Settings of the gate.
 struct BulkGateOptions {
     std::size_t places = 2; ///< bulk flows that are active at the same time
+    std::size_t maxWaitingWindows = 2; ///< flows that wait with data, per place; further ones pass, because their
+                                       ///< retransmissions would cost more than the queue that is avoided
     std::uint32_t shortBytes = 8 * 1'024; ///< a flow with more payload than this without a pause is bulk
     base::Duration burstPause = std::chrono::milliseconds(300); ///< above the first retransmission timeout of 200 ms
     base::Duration placePause
@@ -75,6 +77,10 @@
     /// @return when a place may become free; max if no flow waits.
     base::TimePoint nextUpdate() const;
 
+    /// @brief Changes the number of places; flows that are active keep theirs.
+    void setPlaces(std::size_t places) { options_.places = places; }
+    std::size_t places() const { return options_.places; }
+
     FlowClass classOf(const core::FlowKey& key) const;
     std::size_t active() const { return active_.size(); }
     std::size_t waiting() const { return waiting_.size(); }
@@ -109,6 +115,7 @@
     FlowClass takePlaceOrWait(const core::FlowKey& key, Flow& flow, base::TimePoint now);
     void freePaused(base::TimePoint now);
     void enqueue(const core::FlowKey& key, Flow& flow);
+    std::size_t waitingWindows() const;
     bool isAbandoned(const Flow& flow, base::TimePoint now) const;
     FlowClass activate(const core::FlowKey& key, Flow& flow, base::TimePoint now);
 
--- a/include/celerystile/fleet/link_scheduler.hpp
+++ b/include/celerystile/fleet/link_scheduler.hpp
@@ -125,6 +125,7 @@
     void passFirst(const core::FlowKey& key, base::TimePoint now);
     void passDue(base::TimePoint now);
     void discard(const core::FlowKey& key);
+    void adaptPlaces(base::TimePoint now);
     void updatePlaces(base::TimePoint now);
     void recordWait(base::TimePoint now);
     bool isHeld(const core::Segment& segment) const;
@@ -139,6 +140,8 @@
     std::size_t heldBytes_ = 0; // with the bookkeeping
     std::size_t scheduledBytes_ = 0; // of the scheduled packets, on the link
     base::TimePoint freeAt_ {}; // when the link has sent everything that was passed
+    double windowBytes_ = 0; // passed since windowAt_
+    base::TimePoint windowAt_ {};
     bool waitRecorded_ = false;
     base::TimePoint nextWaitRecord_ {};
     std::array<std::uint64_t, linkCounts> counts_ {};
--- a/src/celerystile/fleet/bulk_gate.cpp
+++ b/src/celerystile/fleet/bulk_gate.cpp
@@ -53,6 +53,8 @@
     freePaused(now);
     if (waiting_.empty() && active_.size() < options_.places)
         return activate(key, flow, now);
+    if (!flow.opening && waitingWindows() >= options_.maxWaitingWindows * options_.places)
+        return activate(key, flow, now);
     enqueue(key, flow);
     return FlowClass::Waiting;
 }
@@ -132,6 +134,12 @@
     return flows_.size() < options_.maxFlows ? &flows_[key] : nullptr;
 }
 
+std::size_t BulkGate::waitingWindows() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        waiting_.begin(), waiting_.end(), [&](const core::FlowKey& key) { return !flows_.find(key)->second.opening; }));
+}
+
 // Removes flows whose next packet would begin a new burst.
 void BulkGate::sweep(base::TimePoint now)
 {
--- a/src/celerystile/fleet/link_scheduler.cpp
+++ b/src/celerystile/fleet/link_scheduler.cpp
@@ -15,6 +15,8 @@
     constexpr double windowBytes = 16 * 1'200;
     constexpr std::size_t minPlaces = 2; // one paused flow must not leave the link idle
     constexpr double bulkMemoryShare = 7.0 / 8; // the rest is for short requests
+    constexpr base::Duration usageWindow = std::chrono::milliseconds(50); // well below the patience of a waiting flow
+    constexpr double idleShare = 0.5; // of the link's rate, below which slow flows hold the places
     constexpr base::Duration waitRecordInterval = std::chrono::seconds(10);
 
     constexpr std::array<std::string_view, linkCounts> countNames {
@@ -128,6 +130,7 @@
 {
     const auto sendTime = std::chrono::duration<double>(
         static_cast<double>(packet.size() + options_.overheadBytes) / options_.bytesPerSecond);
+    windowBytes_ += static_cast<double>(packet.size() + options_.overheadBytes);
     freeAt_ = std::max(freeAt_, now) + std::chrono::duration_cast<base::Duration>(sendTime);
     // Packets that pass at once must not delay the others without limit if the rate in the settings is too low.
     freeAt_ = std::min(freeAt_, now + options_.maxShortQueue);
@@ -236,8 +239,24 @@
     recordWait(now);
 }
 
+// Flows with a long round trip or little to send do not fill the link with their places. While flows wait and the link
+// is not busy, there is one more place per window.
+void LinkScheduler::adaptPlaces(base::TimePoint now)
+{
+    if (now - windowAt_ < usageWindow)
+        return;
+    const double usage = windowBytes_ / (options_.bytesPerSecond * seconds(now - windowAt_));
+    if (gate_.waiting() > 0 && usage < idleShare)
+        gate_.setPlaces(gate_.places() + 1);
+    else
+        gate_.setPlaces(options_.gate.places);
+    windowBytes_ = 0;
+    windowAt_ = now;
+}
+
 void LinkScheduler::updatePlaces(base::TimePoint now)
 {
+    adaptPlaces(now);
     const auto changes = gate_.update(now);
     for (const auto& key : changes.forgotten)
         discard(key);
@@ -292,7 +311,9 @@
 
 base::TimePoint LinkScheduler::nextTick() const
 {
-    const auto next = gate_.nextUpdate();
+    auto next = gate_.nextUpdate();
+    if (gate_.waiting() > 0)
+        next = std::min(next, windowAt_ + usageWindow);
     return queues_.empty() ? next : std::min(next, freeAt_ - backlogLimit(queues_.begin()->first));
 }
 
--- a/src/celerystile/fleet/link_scheduler_test.cpp
+++ b/src/celerystile/fleet/link_scheduler_test.cpp
@@ -125,23 +125,37 @@
     }
 }
 
-TEST_CASE("load: a flow that never ends does not keep the others from the link")
+TEST_CASE("load: flows that never end do not keep the others from the link")
 {
     Fixture fixture;
     fixture.fillPlaces();
     fixture.advance(milliseconds(60));
     fixture.offerData(1, 0, 16);
     CHECK(fixture.passedOf(1) == 6); // more is bulk
-    for (std::uint32_t number = 8; number < 100; ++number) { // a packet of each active flow every 30 ms
-        fixture.advance(milliseconds(30));
+    for (std::uint32_t number = 8; number < 500; ++number) { // a packet of each active flow every 5 ms fills the link
+        fixture.advance(milliseconds(5));
         fixture.fillPlaces(number);
-        if (number % 16 == 0)
+        if (number % 64 == 0)
             fixture.offerData(1, 6, 16); // the caller retransmits
     }
     CHECK(fixture.passedOf(1) >= 16);
     CHECK(fixture.scheduler.count(LinkCount::DroppedCopies) > 0);
 }
 
+TEST_CASE("load: slow bulk flows that hold all places do not keep the others from an idle link")
+{
+    Fixture fixture;
+    fixture.fillPlaces();
+    fixture.advance(milliseconds(60));
+    fixture.offerData(1, 0, 16);
+    for (std::uint32_t number = 8; number < 18; ++number) {
+        fixture.advance(milliseconds(20));
+        fixture.fillPlaces(number);
+    }
+    CHECK(fixture.scheduler.gate().active() > fixture.scheduler.options().gate.places);
+    CHECK(fixture.passedOf(1) == 16);
+}
+
 TEST_CASE("a flow that waits gets a place when another one pauses, in the order of arrival")
 {
     Fixture fixture;
