--- a/src/celerystile/fleet/bulk_gate_test.cpp
+++ b/src/celerystile/fleet/bulk_gate_test.cpp
@@ -69,6 +69,16 @@
     CHECK(fixture.send(4, 1, 7 * 1'200) == FlowClass::Active);
 }
 
+// Guards against retransmissions of waiting windows, which cost more of the link than a longer queue.
+TEST_CASE("no more than two flows per place wait with their data")
+{
+    Fixture fixture;
+    for (int flow = 1; flow <= 6; ++flow)
+        fixture.send(flow, 8);
+    CHECK(fixture.gate.waiting() == 4);
+    CHECK(fixture.send(7, 8) == FlowClass::Active);
+}
+
 // Guards against work for callers that no longer wait, while others still do.
 TEST_CASE("a waiting flow is forgotten when its caller's timeout is near or when it is not heard")
 {
--- a/src/celerystile/fleet/link_scheduler_test.cpp
+++ b/src/celerystile/fleet/link_scheduler_test.cpp
@@ -230,9 +230,11 @@
     for (int i = 0; i < 40; ++i) {
         for (int flow = 60; flow < 70; ++flow)
             fixture.offer(Fixture::data(flow + 10 * i, 0), 0);
+        if (i == 5)
+            fixture.offer(Fixture::data(52, 0), 9);
         fixture.advance(milliseconds(5));
     }
-    CHECK(fixture.passedOf(50) == 1);
+    CHECK(fixture.passedOf(52) == 1);
     CHECK(fixture.passedOf(1) == 16);
 }
 
@@ -295,7 +297,8 @@
             segment.syn = kind == 4;
             segment.ack = !segment.syn;
             segment.acknowledgement = segment.syn ? static_cast<std::uint32_t>(pause % 3) : 1;
-            segment.payloadBytes = segment.syn || segment.rst ? 0 : segment.payloadBytes;
+            if (segment.syn || segment.rst || (segment.fin && pause % 2 == 0))
+                segment.payloadBytes = 0;
             if (kind == 5 && number > 3)
                 segment.sequence -= 2 * payload; // a retransmission
             for (int i = 0; i < (kind > 8 ? 16 : 1); ++i) {
