--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -4,6 +4,7 @@
 #include "celerystile/store/prefix_watch.hpp"
 #include "fleet_process.hpp"
 #include "fleet_transport.hpp"
+#include "overflow_status.hpp"
 #include "platform/operator_config.hpp"
 #include "platform/packet.hpp"
 
@@ -34,9 +35,11 @@
     public:
         FleetBalancer(const FleetSettings& settings, const base::WallClock& wallClock)
             : FleetProcess(settings, wallClock)
-            , placement_(fleet::makePlacement(settings.placement))
+            , overflow_({}, core::hashName(settings.node.failureDomain), logOverflowChange)
+            , placement_(fleet::makePlacement(settings.placement, overflow_))
             , transport_(trafficContext_, settings_.keyring)
-            , balancer_(makeOptions(settings, processId_), *placement_, *this, clock_.now())
+            , balancer_(makeOptions(settings, processId_), *placement_, *this, clock_.now(),
+                  usesOverflow() ? &overflow_ : nullptr)
             , configurationWatch_(
                   store_, controlContext_, std::string(platform::configurationPrefix), {},
                   [this](const auto& items) { onConfiguration(items); },
@@ -52,6 +55,8 @@
     private:
         struct TransferToken { };
 
+        bool usesOverflow() const { return settings_.placement == "overflow"; }
+
         static fleet::BalancerOptions makeOptions(const FleetSettings& settings, std::uint64_t process)
         {
             fleet::BalancerOptions options;
@@ -310,6 +315,8 @@
                     { "report_age_ms", reportAge(host, now) } });
             }
             state["hosts"] = std::move(hosts);
+            if (usesOverflow())
+                addOverflowState(state, overflow_, settings_.node.failureDomains);
             return state;
         }
 
@@ -333,6 +340,7 @@
                     { "known_epoch", std::to_string(known.epoch) } });
         }
 
+        fleet::DomainOverflow overflow_; // traffic thread only
         std::unique_ptr<fleet::Placement> placement_;
         FleetTransport transport_;
         fleet::Balancer balancer_;
--- a/apps/celerystiled/fleet_options.cpp
+++ b/apps/celerystiled/fleet_options.cpp
@@ -17,7 +17,7 @@
         Option { "second-key", "CELERYSTILE_SECOND_KEY", OptionKind::Text, "", false, 0, 0, "",
             "Second passphrase that is also accepted, for key rotation." },
         Option { "placement", "CELERYSTILE_PLACEMENT", OptionKind::Text, "least-loaded", false, 0, 0, "",
-            "Placement strategy for new flows: least-loaded, local-first or rendezvous." },
+            "Placement strategy for new flows: least-loaded, overflow, local-first or rendezvous." },
         Option { "log-decisions", "CELERYSTILE_LOG_DECISIONS", OptionKind::Number, "40", false, 1, 1'000'000,
             "lines a second", "Limit of log lines on single flows; further ones are only counted." },
     };
@@ -34,10 +34,10 @@
     auto node = platform::readNodeSettings(settings.text("settings-file"));
     if (!node)
         return base::failure(node.error().code, "--settings-file: " + node.error().detail);
-    if (!fleet::makePlacement(settings.text("placement")))
+    if (!fleet::isPlacementName(settings.text("placement")))
         return base::failure(base::ErrorCode::Invalid,
             "--placement: '" + settings.text("placement")
-                + "' is unknown; must be least-loaded, local-first or rendezvous");
+                + "' is unknown; must be least-loaded, overflow, local-first or rendezvous");
     return FleetSettings { settings.text("settings-file"), std::move(*node), *keyring, settings.text("placement"),
         static_cast<unsigned>(settings.number("log-decisions")) };
 }
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -109,7 +109,7 @@
     public:
         explicit World(std::uint64_t seed)
             : random_(base::mix(seed + 7))
-            , placement_(fleet::makePlacement("least-loaded"))
+            , placement_(fleet::makeLeastLoadedPlacement({}))
         {
             for (std::size_t i = 0; i < slotCount; ++i) {
                 slots_.push_back(std::make_unique<Slot>(*this, i));
--- a/include/celerystile/base/events.hpp
+++ b/include/celerystile/base/events.hpp
@@ -61,6 +61,8 @@
     FlowWaits = 6009,
     WaitExpired = 6010,
     HostEjected = 6011,
+    OverflowStarted = 6020,
+    OverflowEnded = 6021,
     HeartbeatRefused = 6101,
     HostStarted = 6102,
     HostStateChanged = 6103,
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -85,7 +85,9 @@
 /// @brief The balancer's state machine. Not thread-safe.
 class Balancer {
 public:
-    Balancer(BalancerOptions options, const Placement& placement, BalancerOutput& output, base::TimePoint start);
+    /// @param overflow receives what the overflow between failure domains is decided on; null: not used by `placement`
+    Balancer(BalancerOptions options, const Placement& placement, BalancerOutput& output, base::TimePoint start,
+        DomainOverflow* overflow = nullptr);
 
     void setRoutes(RouteTablePtr routes) { routes_ = std::move(routes); }
 
@@ -138,6 +140,7 @@
         std::uint8_t position = 0;
         bool unanswered = false; // a host may have accepted it: it left the SYN unanswered
         base::TimePoint firstCopyAt {};
+        base::TimePoint sentAt {}; // to the present candidate
         base::TimePoint retryAt {};
         base::TimePoint expiresAt {};
     };
@@ -156,6 +159,9 @@
     void refuse(const core::Segment& segment, std::string_view reason);
     void resetReplacedFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now);
     void setUrgency(Forward& forward, const core::Segment& segment) const;
+    void updateOverflow(base::TimePoint now);
+    void recordRequest(const core::Segment& segment, const Endpoint& sidecar);
+    void settlePending(const core::FlowKey& key, const HostRecord& host, base::TimePoint now);
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     BalancerHello makeHello(const Endpoint& sidecar, bool wantsFlows = false) const;
     void onOutdatedRecord(const OutdatedRecord& record, base::TimePoint now);
@@ -167,6 +173,7 @@
     BalancerOptions options_;
     const Placement& placement_;
     BalancerOutput& output_;
+    DomainOverflow* overflow_;
     RouteTablePtr routes_ = std::make_shared<const RouteTable>();
     bool hostsComplete_ = false; // the last registry list was complete
     HostTable hostTable_;
@@ -181,6 +188,7 @@
     base::TimePoint nextHelloRetry_ = base::TimePoint::max(); // of hosts that have not reported yet
     base::Duration helloRetryDelay_ { 0 };
     base::TimePoint nextSweep_;
+    base::TimePoint nextOverflowUpdate_;
     std::array<std::uint64_t, balancerCounts> counts_ {};
 };
 
--- a/include/celerystile/fleet/placement.hpp
+++ b/include/celerystile/fleet/placement.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "celerystile/fleet/domain_overflow.hpp"
 #include "celerystile/fleet/host_table.hpp"
 #include "celerystile/fleet/message.hpp"
 
@@ -58,8 +59,18 @@
 /// slot, with a margin in favour of the own failure domain.
 std::unique_ptr<Placement> makeLeastLoadedPlacement(LeastLoadedOptions options);
 
-/// @return the strategy called "rendezvous", "local-first" or "least-loaded"; null for any other name.
-std::unique_ptr<Placement> makePlacement(std::string_view name);
+/// @brief Overflow between failure domains: the flow's domain is chosen by the shares of `overflow`, and its host among
+/// those sampled there by expected work. While the shares are uncertain, flows are placed by `fallback`.
+/// @param overflow must outlive the strategy
+std::unique_ptr<Placement> makeOverflowPlacement(
+    const DomainOverflow& overflow, SampleOptions sample, std::unique_ptr<Placement> fallback);
+
+/// @return whether makePlacement() knows the name.
+bool isPlacementName(std::string_view name);
+
+/// @param overflow used by "overflow" only; must outlive the strategy
+/// @return the strategy called "rendezvous", "local-first", "least-loaded" or "overflow"; null for any other name.
+std::unique_ptr<Placement> makePlacement(std::string_view name, const DomainOverflow& overflow);
 
 /// @return the weight of a host for a flow under rendezvous hashing; the host with the highest weight comes first.
 std::uint64_t rendezvousScore(std::uint64_t flowHash, const Endpoint& sidecar);
--- a/include/celerystile/fleet/request_meter.hpp
+++ b/include/celerystile/fleet/request_meter.hpp
@@ -57,10 +57,13 @@
     bool isOutstanding(const core::FlowKey& key) const { return outstanding_.contains(key); }
     std::uint32_t load() const { return static_cast<std::uint32_t>(outstanding_.size()); }
 
+    /// @return whether an answer has been seen, so that the answer time is measured.
+    bool hasAnswers() const { return answerTime_ > base::Duration { 0 }; }
+
     /// @return the moving average of the host's answer time.
     base::Duration answerTime() const
     {
-        return answerTime_ > base::Duration { 0 } ? answerTime_ : options_.initialAnswerTime;
+        return hasAnswers() ? answerTime_ : options_.initialAnswerTime;
     }
 
     /// @return the mean answer time plus two mean deviations, an upper bound of nearly all answers as in retransmission
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -43,16 +43,19 @@
 
 std::string_view toString(BalancerCount count) { return countNames[static_cast<std::size_t>(count)]; }
 
-Balancer::Balancer(BalancerOptions options, const Placement& placement, BalancerOutput& output, base::TimePoint start)
+Balancer::Balancer(BalancerOptions options, const Placement& placement, BalancerOutput& output, base::TimePoint start,
+    DomainOverflow* overflow)
     : options_(options)
     , placement_(placement)
     , output_(output)
+    , overflow_(overflow)
     , hostTable_(options.hostTable)
     , owners_(options.maxFlows)
     , repair_(options.repair)
     , lookups_(options.lookup)
     , nextHello_(start)
     , nextSweep_(start + sweepInterval)
+    , nextOverflowUpdate_(overflow ? start : base::TimePoint::max())
 {
 }
 
@@ -80,6 +83,7 @@
     forward.balancer = options_.self;
     forward.packet = packet;
     setUrgency(forward, segment);
+    recordRequest(segment, owner->owner.sidecar);
     output_.forward(owner->owner.sidecar, forward);
 }
 
@@ -209,7 +213,10 @@
     output_.recordDecision({ DecisionKind::FlowPlaced, pending.segment.key, reason, to, routes_->version,
         host ? host->load() : 0, host ? now - host->lastReportAt : base::Duration { 0 } });
     hostTable_.recordPlacement(to);
+    if (overflow_ && host)
+        overflow_->recordPlacement(host->record);
     increment(BalancerCount::FlowsPlaced);
+    pending.sentAt = now;
     pending.retryAt = now + options_.synAnswerTimeout;
     scheduleWakeup(pending.retryAt);
     Forward forward;
@@ -325,6 +332,7 @@
         else
             pending.retryAt = pending.expiresAt; // the caller's retransmission triggers the next attempt
     }
+    updateOverflow(now);
     retryHellos(now);
     if (now >= nextHello_)
         sendHellos(now);
@@ -342,7 +350,7 @@
 
 base::TimePoint Balancer::nextTick() const
 {
-    auto next = std::min({ nextHello_, nextSweep_, nextHelloRetry_ });
+    auto next = std::min({ nextHello_, nextSweep_, nextHelloRetry_, nextOverflowUpdate_ });
     for (const auto& [key, pending] : pending_)
         next = std::min(next, pending.retryAt);
     return next;
--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -73,7 +73,7 @@
     }
     for (const auto& claim : report.held) {
         owners_.addClaim({ report.host.sidecar, report.host.instance }, claim, now);
-        pending_.erase(claim.key);
+        settlePending(claim.key, report.host, now);
     }
     for (const auto& claim : report.ended)
         owners_.removeClaim(report.host.sidecar, claim.key);
--- a/src/celerystile/fleet/placement.cpp
+++ b/src/celerystile/fleet/placement.cpp
@@ -3,6 +3,7 @@
 #include "celerystile/base/random.hpp"
 
 #include <algorithm>
+#include <array>
 
 namespace celerystile::fleet {
 
@@ -136,7 +137,13 @@
     return std::make_unique<LeastLoadedPlacement>(options);
 }
 
-std::unique_ptr<Placement> makePlacement(std::string_view name)
+bool isPlacementName(std::string_view name)
+{
+    constexpr std::array<std::string_view, 4> names { "rendezvous", "local-first", "least-loaded", "overflow" };
+    return std::find(names.begin(), names.end(), name) != names.end();
+}
+
+std::unique_ptr<Placement> makePlacement(std::string_view name, const DomainOverflow& overflow)
 {
     if (name == "rendezvous")
         return makeRendezvousPlacement();
@@ -144,6 +151,8 @@
         return makeLocalFirstPlacement();
     if (name == "least-loaded")
         return makeLeastLoadedPlacement({});
+    if (name == "overflow")
+        return makeOverflowPlacement(overflow, {}, makeLeastLoadedPlacement({}));
     return nullptr;
 }
 
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -19,6 +19,24 @@
         }
     }
 
+    // Expected time until the host takes up a new request: its requests beyond the slots, divided by the rate at which
+    // it answers.
+    base::Duration expectedWait(double requests, std::uint32_t busy, std::uint32_t slots, base::Duration answerTime)
+    {
+        const double capacity = std::max<std::uint32_t>(1, slots);
+        const double ahead = std::max(0.0, requests + 1 - capacity);
+        const std::chrono::duration<double> wait = answerTime * (ahead / std::max<double>(busy, capacity));
+        return std::chrono::duration_cast<base::Duration>(wait);
+    }
+
+    // Rounds to milliseconds within the range of the wire format.
+    std::uint32_t toReportMilliseconds(base::Duration time)
+    {
+        constexpr std::int64_t maximum = 65'535;
+        return static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(std::chrono::round<std::chrono::milliseconds>(time).count(), 0, maximum));
+    }
+
 } // namespace
 
 // The interval grows with the number of balancers, so that the bytes per second stay within controlBytesPerSecond.
@@ -53,6 +71,10 @@
     record.openFlows = table_.openFlows();
     record.busyFlows = meter_.load();
     record.failurePermille = meter_.failurePermille(now);
+    record.waitMilliseconds = toReportMilliseconds(expectedWait(
+        static_cast<double>(meter_.load() + queue_.size()), meter_.load(), host_.slots(), meter_.answerTime()));
+    if (meter_.hasAnswers()) // 0 stands for unknown
+        record.answerMilliseconds = std::max(1U, toReportMilliseconds(meter_.answerTime()));
     record.restarting = restarting_;
     record.configurationVersion = configurationVersion_;
     record.reportMilliseconds = static_cast<std::uint32_t>(
