--- a/include/celerystile/fleet/request_meter.hpp
+++ b/include/celerystile/fleet/request_meter.hpp
@@ -61,10 +61,7 @@
     bool hasAnswers() const { return answerTime_ > base::Duration { 0 }; }
 
     /// @return the moving average of the host's answer time.
-    base::Duration answerTime() const
-    {
-        return hasAnswers() ? answerTime_ : options_.initialAnswerTime;
-    }
+    base::Duration answerTime() const { return hasAnswers() ? answerTime_ : options_.initialAnswerTime; }
 
     /// @return the mean answer time plus two mean deviations, an upper bound of nearly all answers as in retransmission
     /// timers.
--- a/src/celerystile/fleet/balancer_overflow.cpp
+++ b/src/celerystile/fleet/balancer_overflow.cpp
@@ -6,6 +6,12 @@
 
 namespace celerystile::fleet {
 
+namespace {
+
+    constexpr std::uint32_t bulkPayloadBytes = 1'000; // a full packet carries 1,200
+
+} // namespace
+
 void Balancer::updateOverflow(base::TimePoint now)
 {
     if (!overflow_ || now < nextOverflowUpdate_)
@@ -21,9 +27,10 @@
             routes_->limitsOf(service), now);
 }
 
+// The full packets of a bulk transfer are left out, so that it counts by its last packet like a short request.
 void Balancer::recordRequest(const core::Segment& segment, const Endpoint& sidecar)
 {
-    if (!overflow_ || segment.payloadBytes == 0)
+    if (!overflow_ || segment.payloadBytes == 0 || segment.payloadBytes >= bulkPayloadBytes)
         return;
     if (const auto* host = hostTable_.find(sidecar))
         overflow_->recordRequest(host->record);
--- a/src/celerystile/fleet/sidecar_test.cpp
+++ b/src/celerystile/fleet/sidecar_test.cpp
@@ -1,5 +1,7 @@
 #include "celerystile/fleet/sidecar.hpp"
 
+#include "celerystile/fleet/host_work.hpp"
+
 #include "fleet_test_support.hpp"
 
 #include <doctest/doctest.h>
@@ -1351,4 +1353,40 @@
     CHECK(fixture.output.delivered.size() == 1);
 }
 
+TEST_CASE("load: a report shows the expected wait and the answer time, from which balancers infer the queue")
+{
+    Fixture fixture;
+    CHECK(fixture.sidecar.record(fixture.now).waitMilliseconds == 0);
+    CHECK(fixture.sidecar.record(fixture.now).answerMilliseconds == 0); // unknown
+    const auto callerAt = [](int i) { return "100.64.7.1:" + std::to_string(i + 1); };
+    constexpr int flows = 10;
+    for (int i = 0; i < flows; ++i) {
+        fixture.sidecar.onForward(opening({ self }), synOf(callerAt(i).c_str()), fixture.now);
+        fixture.sidecar.onHostPacket(synAckOf(callerAt(i).c_str(), 900), packetBytes, fixture.now);
+    }
+    for (int i = 0; i < flows; ++i)
+        fixture.sidecar.onForward(owned(), dataOf(callerAt(i).c_str(), 901), fixture.now);
+    fixture.now += milliseconds(40);
+    auto answer = dataOf(callerAt(0).c_str(), 141);
+    answer.sequence = 901;
+    fixture.sidecar.onHostPacket(answer, packetBytes, fixture.now);
+    const auto record = fixture.sidecar.record(fixture.now);
+    const auto held = fixture.sidecar.count(SidecarCount::RequestsHeld);
+    REQUIRE(held > 0);
+    constexpr std::uint32_t mean = 49; // the average starts at 50 ms, and an answer has the weight 0.1
+    CHECK(record.answerMilliseconds == mean);
+    // The new request waits until all others but one have left the two slots, at four in the mean answer time.
+    CHECK(record.busyFlows == 4);
+    CHECK(record.waitMilliseconds == (flows - 1 + 1 - 2) * mean / record.busyFlows);
+
+    KnownHost host;
+    host.record = record;
+    host.lastReportAt = fixture.now;
+    HostWorkTable work { {} };
+    work.update(host);
+    CHECK(work.workOf(host).occupied == 2);
+    CHECK(work.workOf(host).waiting == doctest::Approx(flows - 1 - 2).epsilon(0.1));
+    CHECK(work.serviceTimeOf(host) == std::chrono::microseconds(mean * 1'000 / 2));
+}
+
 } // namespace celerystile::fleet
