--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -6,6 +6,7 @@
 #include "evacuation_status.hpp"
 #include "fleet_process.hpp"
 #include "fleet_transport.hpp"
+#include "overflow_status.hpp"
 #include "platform/operator_config.hpp"
 #include "platform/packet.hpp"
 
@@ -36,9 +37,11 @@
     public:
         FleetBalancer(const FleetSettings& settings, const base::WallClock& wallClock)
             : FleetProcess(settings, wallClock)
-            , placement_(fleet::makePlacement(settings.placement))
+            , overflow_({}, core::hashName(settings.node.failureDomain), logOverflowChange)
+            , placement_(fleet::makePlacement(settings.placement, overflow_))
             , transport_(trafficContext_, settings_.keyring)
-            , balancer_(makeOptions(settings, processId_), *placement_, *this, clock_.now())
+            , balancer_(makeOptions(settings, processId_), *placement_, *this, clock_.now(),
+                  usesOverflow() ? &overflow_ : nullptr)
             , link_(fleet::makeLinkOptions(settings.node.linkMegabitsPerSecond), *this)
             , configurationWatch_(
                   store_, controlContext_, std::string(platform::configurationPrefix), {},
@@ -55,6 +58,8 @@
     private:
         struct TransferToken { };
 
+        bool usesOverflow() const { return settings_.placement == "overflow"; }
+
         static fleet::BalancerOptions makeOptions(const FleetSettings& settings, std::uint64_t process)
         {
             fleet::BalancerOptions options;
@@ -366,6 +371,8 @@
                     { "report_age_ms", reportAge(host, now) } });
             }
             state["hosts"] = std::move(hosts);
+            if (usesOverflow())
+                addOverflowState(state, overflow_, settings_.node.failureDomains);
             return state;
         }
 
@@ -405,6 +412,7 @@
                     { "known_epoch", std::to_string(known.epoch) } });
         }
 
+        fleet::DomainOverflow overflow_; // traffic thread only
         std::unique_ptr<fleet::Placement> placement_;
         FleetTransport transport_;
         fleet::Balancer balancer_;
