--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -1,9 +1,12 @@
 #include "celerystile/fleet/balancer.hpp"
 #include "celerystile/fleet/configuration_replica.hpp"
+#include "celerystile/fleet/link_scheduler.hpp"
 #include "celerystile/store/prefix_poll.hpp"
 #include "celerystile/store/prefix_watch.hpp"
+#include "evacuation_status.hpp"
 #include "fleet_process.hpp"
 #include "fleet_transport.hpp"
+#include "overflow_status.hpp"
 #include "platform/operator_config.hpp"
 #include "platform/packet.hpp"
 
@@ -30,16 +33,19 @@
     constexpr std::size_t maxReplicasQueried = 2; // more than one, because a holder may be shutting down
     constexpr base::Duration minTickInterval = std::chrono::milliseconds(5);
 
-    class FleetBalancer final : public FleetProcess, private fleet::BalancerOutput {
+    class FleetBalancer final : public FleetProcess, private fleet::BalancerOutput, private fleet::LinkOutput {
     public:
         FleetBalancer(const FleetSettings& settings, const base::WallClock& wallClock)
             : FleetProcess(settings, wallClock)
-            , placement_(fleet::makePlacement(settings.placement))
+            , overflow_({}, core::hashName(settings.node.failureDomain), logOverflowChange)
+            , placement_(fleet::makePlacement(settings.placement, overflow_))
             , transport_(trafficContext_, settings_.keyring)
-            , balancer_(makeOptions(settings, processId_), *placement_, *this, clock_.now())
+            , balancer_(makeOptions(settings, processId_), *placement_, *this, clock_.now(),
+                  usesOverflow() ? &overflow_ : nullptr)
+            , link_(fleet::makeLinkOptions(settings.node.linkMegabitsPerSecond), *this)
             , configurationWatch_(
                   store_, controlContext_, std::string(platform::configurationPrefix), {},
-                  [this](const auto& items) { onConfiguration(items); },
+                  [this](const auto& items, auto revision) { onOperatorKeys(items, revision); },
                   [this](bool available, const auto& detail) {
                       storeAvailable_ = available;
                       logStoreHealth(available, detail);
@@ -52,12 +58,15 @@
     private:
         struct TransferToken { };
 
+        bool usesOverflow() const { return settings_.placement == "overflow"; }
+
         static fleet::BalancerOptions makeOptions(const FleetSettings& settings, std::uint64_t process)
         {
             fleet::BalancerOptions options;
             options.self = settings.node.statusEndpoint; // messages use the status endpoint over UDP
             options.failureDomain = core::hashName(settings.node.failureDomain);
             options.process = process;
+            options.slowStart = { settings.node.coldOvershoot, settings.node.coldSlack };
             return options;
         }
 
@@ -80,10 +89,11 @@
                 spawn("neighbour " + neighbour.toString(), [this, neighbour] { return pollNeighbour(neighbour); });
             startTicking([this](base::TimePoint now) {
                 balancer_.tick(now);
+                link_.tick(now);
                 transport_.flush();
                 updateCutOff(balancer_.hostTable().cutOff(now));
                 updateReady(now);
-                return std::max(balancer_.nextTick(), now + minTickInterval);
+                return std::max(std::min(balancer_.nextTick(), link_.nextTick()), now + minTickInterval);
             });
             return true;
         }
@@ -93,6 +103,14 @@
             leaving_ = true;
             const auto longest = settings_.node.stopGracePeriod - stopGraceMargin;
             co_await sleepFor(std::min(withdrawalTime, longest));
+            co_await asio::co_spawn(
+                trafficContext_,
+                [this]() -> Task {
+                    link_.passAll(clock_.now());
+                    transport_.flush();
+                    co_return;
+                },
+                asio::use_awaitable);
         }
 
         bool ready() const override { return ready_ && !leaving_ && !cutOff_; }
@@ -104,7 +122,10 @@
                 ++malformed_;
                 return;
             }
-            balancer_.onPacket(packet->segment, bytes, clock_.now());
+            fleet::LinkUrgency urgency;
+            if (const auto* route = balancer_.routes().find(packet->segment.key.service))
+                urgency = { route->priority, route->timeout };
+            link_.onPacket(packet->segment, bytes, urgency, clock_.now());
             scheduleWakeup();
         }
 
@@ -117,10 +138,16 @@
                 balancer_.onSidecarHello(*hello);
             else if (const auto* declined = std::get_if<fleet::SynDeclined>(&message))
                 balancer_.onDeclined(*declined, now);
+            else if (const auto* notice = std::get_if<fleet::EvacuationNotice>(&message))
+                recordEvacuation(balancer_.onEvacuationNotice(*notice, now), notice->sender.toString());
             scheduleWakeup();
         }
 
-        void scheduleWakeup() { tickNoLaterThan(std::max(balancer_.wakeupAt(), clock_.now() + minTickInterval)); }
+        void scheduleWakeup()
+        {
+            const auto next = std::min(balancer_.wakeupAt(), link_.nextTick());
+            tickNoLaterThan(std::max(next, clock_.now() + minTickInterval));
+        }
 
         void onReport(const fleet::FlowReport& report, base::TimePoint now)
         {
@@ -171,6 +198,7 @@
             transfer.reset();
             if (!snapshot)
                 co_return;
+            applyEvacuation(snapshot->evacuation, process.toString());
             applyConfiguration(snapshot->configuration, process.toString());
             postToTrafficThread([this, records = snapshot->hosts] {
                 balancer_.addHosts(records, clock_.now());
@@ -187,23 +215,43 @@
             fleet::FleetSnapshot snapshot;
             if (configurationVersion_ > query->newerThan)
                 snapshot.configuration = configurationText_;
-            snapshot.hosts = co_await asio::co_spawn(
+            co_await asio::co_spawn(
                 trafficContext_,
-                [this]() -> asio::awaitable<std::vector<fleet::HostRecord>> {
-                    co_return balancer_.hostRecords(clock_.now());
+                [&]() -> Task {
+                    snapshot.hosts = balancer_.hostRecords(clock_.now());
+                    snapshot.evacuation = balancer_.evacuation().state();
+                    co_return;
                 },
                 asio::use_awaitable);
             co_return base::HttpReply { 200, encodeToString(std::move(snapshot), settings_.keyring),
                 "application/octet-stream" };
         }
 
-        void onConfiguration(const store::PrefixWatch::Items& items)
+        // The evacuations take effect before the configuration makes the balancer ready.
+        void onOperatorKeys(const store::PrefixWatch::Items& items, store::Revision revision)
         {
+            auto evacuations = platform::readEvacuations(items, revision, settings_.node.failureDomains);
+            ignoredEvacuationKeys_.update(evacuations.ignored);
+            applyEvacuation(std::move(evacuations.state), "store");
             const auto found = items.find(platform::configurationKey);
             if (found != items.end())
                 applyConfiguration(found->second.value, "store");
         }
 
+        void applyEvacuation(fleet::EvacuationState state, std::string source)
+        {
+            postToTrafficThread([this, state = std::move(state), source = std::move(source)] {
+                recordEvacuation(balancer_.onEvacuation(state, clock_.now()), source);
+                transport_.flush();
+                scheduleWakeup();
+            });
+        }
+
+        void recordEvacuation(const fleet::EvacuationChange& change, const std::string& source) const
+        {
+            logEvacuation(change, balancer_.evacuation().state().revision, source, settings_.node);
+        }
+
         void applyConfiguration(const std::string& text, const std::string& source)
         {
             if (text.empty() || text == configurationText_)
@@ -226,6 +274,7 @@
                     { "routes", std::to_string(table->routes.size()) }, { "source", source } });
             postToTrafficThread([this, routes = std::make_shared<const fleet::RouteTable>(std::move(*table))] {
                 balancer_.setRoutes(routes);
+                transport_.flush();
                 updateReady(clock_.now());
                 scheduleWakeup();
             });
@@ -295,24 +344,54 @@
                 const auto which = static_cast<fleet::BalancerCount>(i);
                 state[fleet::toString(which)] = balancer_.count(which);
             }
+            for (std::size_t i = 0; i < fleet::linkCounts; ++i) {
+                const auto which = static_cast<fleet::LinkCount>(i);
+                state[fleet::toString(which)] = link_.count(which);
+            }
+            state["link_megabits_per_second"] = settings_.node.linkMegabitsPerSecond;
+            state["link_bulk_places"] = link_.options().gate.places;
+            state["link_bulk_flows_active"] = link_.gate().active();
+            state["link_bulk_flows_waiting"] = link_.gate().waiting();
+            state["link_held_flows"] = link_.heldFlows();
+            state["link_held_bytes"] = link_.heldBytes();
             state["malformed_packets"] = malformed_;
             state["rejected_messages"] = transport_.rejected();
             state["send_failures"] = transport_.sendFailures();
             state["known_flows"] = balancer_.owners().size();
             state["configuration_version"] = balancer_.routes().version;
+            addEvacuation(state, balancer_.evacuation().state(), settings_.node);
+            state["evacuation_keys_ignored"] = ignoredEvacuationKeys_.count();
             boost::json::array hosts;
             for (const auto& [sidecar, host] : balancer_.hostTable().hosts()) {
                 hosts.push_back(boost::json::object { { "sidecar", sidecar.toString() },
                     { "state", fleet::toString(host.record.state) }, { "open_flows", host.record.openFlows },
                     { "registered", host.registered }, { "suspected", now < host.suspectedUntil },
-                    { "instance", host.record.instance }, { "born", host.record.born },
-                    { "process", host.record.process }, { "epoch", host.record.epoch },
+                    { "slow_start", now < host.coldUntil }, { "instance", host.record.instance },
+                    { "born", host.record.born }, { "process", host.record.process }, { "epoch", host.record.epoch },
                     { "report_age_ms", reportAge(host, now) } });
             }
             state["hosts"] = std::move(hosts);
+            if (usesOverflow())
+                addOverflowState(state, overflow_, settings_.node.failureDomains);
             return state;
         }
 
+        std::vector<std::pair<std::string, base::Histogram>> histograms() const override
+        {
+            return { { "link_held_ms", link_.heldTime() } };
+        }
+
+        void pass(const core::Segment& segment, core::Bytes packet, base::TimePoint now) override
+        {
+            balancer_.onPacket(segment, packet, now);
+        }
+        void recordLinkWait(bool waiting, std::size_t flows) override
+        {
+            logEvent(waiting ? Event::LinkSaturated : Event::LinkRelieved,
+                { { "waiting", std::to_string(flows) }, { "active", std::to_string(link_.gate().active()) },
+                    { "held", std::to_string(link_.count(fleet::LinkCount::Held)) },
+                    { "dropped_copies", std::to_string(link_.count(fleet::LinkCount::DroppedCopies)) } });
+        }
         void forward(const base::Endpoint& to, const fleet::Forward& forward) override { transport_.send(to, forward); }
         void send(const base::Endpoint& to, const fleet::Message& message) override { transport_.send(to, message); }
         void reset(const core::Segment& about) override
@@ -333,9 +412,11 @@
                     { "known_epoch", std::to_string(known.epoch) } });
         }
 
+        fleet::DomainOverflow overflow_; // traffic thread only
         std::unique_ptr<fleet::Placement> placement_;
         FleetTransport transport_;
         fleet::Balancer balancer_;
+        fleet::LinkScheduler link_; // in front of balancer_
         store::PrefixWatch configurationWatch_;
         store::PrefixPoll registryPoll_;
         DecisionLog log_ { settings_.logDecisionsPerSecond };
@@ -344,6 +425,7 @@
         std::string configurationText_;
         std::weak_ptr<TransferToken> configurationTransfer_; // from another process; expires at its end
         std::map<std::string, store::Revision> unreadableEntries_; // of the registry, already logged
+        IgnoredEvacuationKeys ignoredEvacuationKeys_;
         bool registryComplete_ = false;
         bool storeAvailable_ = true;
 
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -7,6 +7,7 @@
 #include "celerystile/fleet/owner_table.hpp"
 #include "celerystile/fleet/placement.hpp"
 #include "celerystile/fleet/route_table.hpp"
+#include "celerystile/fleet/slow_start_limit.hpp"
 
 #include <array>
 
@@ -29,9 +30,13 @@
     DropNoHost, ///< packets for a service without a known host
     DropUnsettled, ///< SYNs without a known configuration or above maxPendingSyns
     SynHeld, ///< SYNs without a host while the host list is incomplete
+    SynDeferred, ///< pauses of SYNs that only wait for hosts in slow start
+    SynDeferredExpired, ///< SYNs whose caller gave up during such a pause
     ClaimsAsked, ///< requests to sidecars for all their claims
     ReportsOutdated, ///< reports that were not applied, because the host table holds a later one
     HostsOutdated, ///< records of other processes in the registry or a snapshot that were not applied for that reason
+    EvacuationAvoided, ///< flows placed while usable hosts of their service were left out because of an evacuation
+    EvacuationRefused, ///< SYNs refused because all usable hosts are in evacuated failure domains
     Count_,
 };
 
@@ -73,6 +78,12 @@
     base::Duration hostRetryDelay
         = std::chrono::milliseconds(50); ///< between attempts while the host list is incomplete
     base::Duration synLifetime = std::chrono::milliseconds(1500); ///< callers give up a SYN after 1.4 s
+    SlowStartOptions slowStart;
+    base::Duration initialDeferralPause
+        = std::chrono::milliseconds(50); ///< of SYNs that wait for hosts in slow start; doubles with each pause
+    base::Duration maxDeferralPause = std::chrono::milliseconds(200);
+    base::Duration deferredSynLifetime
+        = std::chrono::milliseconds(1350); ///< no later placement, so that the answer arrives while the caller waits
     std::size_t maxPendingSyns = 4'096;
     std::size_t maxFlows = 400'000; ///< entries of the owner table; 64 bytes each
     base::Duration minHelloInterval = std::chrono::seconds(1); ///< between two hellos to a sidecar
@@ -85,9 +96,12 @@
 /// @brief The balancer's state machine. Not thread-safe.
 class Balancer {
 public:
-    Balancer(BalancerOptions options, const Placement& placement, BalancerOutput& output, base::TimePoint start);
+    /// @param overflow receives what the overflow between failure domains is decided on; null: not used by `placement`
+    Balancer(BalancerOptions options, const Placement& placement, BalancerOutput& output, base::TimePoint start,
+        DomainOverflow* overflow = nullptr);
 
-    void setRoutes(RouteTablePtr routes) { routes_ = std::move(routes); }
+    /// @brief Applies a configuration. Sidecars whose limits it changes are told at once.
+    void setRoutes(RouteTablePtr routes);
 
     /// @brief Applies the entries of the host registry.
     void setRegistry(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
@@ -107,6 +121,13 @@
     /// @brief Places a declined SYN among the hosts that have not been tried.
     void onDeclined(const SynDeclined& declined, base::TimePoint now);
 
+    /// @brief Applies the evacuations that the store or a snapshot names. A change of the set of domains is sent to all
+    /// sidecars. @return that change
+    EvacuationChange onEvacuation(const EvacuationState& state, base::TimePoint now);
+
+    /// @brief Applies a sidecar's notice; answers it if the sender lacks a later change. @return the change here
+    EvacuationChange onEvacuationNotice(const EvacuationNotice& notice, base::TimePoint now);
+
     /// @return all hosts that are registered or have reported recently, for a snapshot to another balancer.
     std::vector<HostRecord> hostRecords(base::TimePoint now) const;
 
@@ -124,6 +145,7 @@
     const HostTable& hostTable() const { return hostTable_; }
     const OwnerTable& owners() const { return owners_; }
     const RouteTable& routes() const { return *routes_; }
+    const EvacuationTracker& evacuation() const { return evacuation_; }
     std::uint64_t count(BalancerCount which) const { return counts_[static_cast<std::size_t>(which)]; }
 
 private:
@@ -137,7 +159,11 @@
         std::vector<Endpoint> tried;
         std::uint8_t position = 0;
         bool unanswered = false; // a host may have accepted it: it left the SYN unanswered
+        bool deferred = false; // a host declined since the last pause, only because of its slow start
+        std::uint8_t deferrals = 0; // pauses for hosts in slow start
+        std::string_view holdReason; // of the last pause
         base::TimePoint firstCopyAt {};
+        base::TimePoint sentAt {}; // to the present candidate
         base::TimePoint retryAt {};
         base::TimePoint expiresAt {};
     };
@@ -150,14 +176,28 @@
     void place(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void applyHostList(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
     bool holdForHosts(PendingSyn& pending, base::TimePoint now);
+    bool holdForSlowStart(PendingSyn& pending, base::TimePoint now);
+    void hold(PendingSyn& pending, std::string_view reason, base::TimePoint until);
+    void dropExpired(const PendingSyn& pending);
     void scheduleWakeup(base::TimePoint at) { wakeupAt_ = std::min(wakeupAt_, at); }
     void sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void retry(PendingSyn& pending, base::TimePoint now);
     void refuse(const core::Segment& segment, std::string_view reason);
     void resetReplacedFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now);
     void setUrgency(Forward& forward, const core::Segment& segment) const;
+    void updateOverflow(base::TimePoint now);
+    void recordRequest(const core::Segment& segment, const Endpoint& sidecar);
+    void settlePending(const core::FlowKey& key, const HostRecord& host, base::TimePoint now);
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now);
-    BalancerHello makeHello(const Endpoint& sidecar, bool wantsFlows = false) const;
+    BalancerHello makeHello(const Endpoint& sidecar, bool wantsFlows) const;
+    EvacuationNotice makeNotice() const;
+    void sendHello(const Endpoint& sidecar, bool wantsFlows = false);
+    bool inEvacuatedDomain(const Endpoint& sidecar) const;
+    void removeEvacuated(PendingSyn& pending);
+    bool onlyEvacuatedHosts(ServiceId service, base::TimePoint now) const;
+    void countPlacedElsewhere(ServiceId service, base::TimePoint now);
+    std::uint32_t openingLimitOf(const HostRecord& host) const;
+    void announceLimit(const HostRecord& host);
     void onOutdatedRecord(const OutdatedRecord& record, base::TimePoint now);
     void repairClaims(base::TimePoint now);
     void sendHellos(base::TimePoint now);
@@ -167,12 +207,17 @@
     BalancerOptions options_;
     const Placement& placement_;
     BalancerOutput& output_;
+    DomainOverflow* overflow_;
     RouteTablePtr routes_ = std::make_shared<const RouteTable>();
     bool hostsComplete_ = false; // the last registry list was complete
+    bool hostsOnceComplete_ = false; // at least one registry list was complete
     HostTable hostTable_;
     OwnerTable owners_;
     ClaimRepair repair_;
+    AnnouncedLimits announcedLimits_;
     LookupTracker lookups_;
+    EvacuationTracker evacuation_;
+    bool sendsNotices_ = false; // with each hello, once any domain was evacuated
     LogTimes ejectionLoggedAt_; // by the host's sidecar
     LogTimes outdatedLoggedAt_; // by the host's sidecar
     boost::unordered_flat_map<core::FlowKey, PendingSyn, core::FlowKeyHash> pending_;
@@ -181,6 +226,7 @@
     base::TimePoint nextHelloRetry_ = base::TimePoint::max(); // of hosts that have not reported yet
     base::Duration helloRetryDelay_ { 0 };
     base::TimePoint nextSweep_;
+    base::TimePoint nextOverflowUpdate_;
     std::array<std::uint64_t, balancerCounts> counts_ {};
 };
 
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -2,7 +2,8 @@
 
 #include <algorithm>
 
-// Packet path of a balancer. Host list, reports and hellos: balancer_membership.cpp.
+// Packet path of a balancer. Waiting SYNs: balancer_holding.cpp. Host list, reports and hellos:
+// balancer_membership.cpp; evacuation: balancer_evacuation.cpp.
 
 namespace celerystile::fleet {
 
@@ -21,9 +22,13 @@
         "drop_no_host",
         "drop_unsettled",
         "syn_held",
+        "syn_deferred",
+        "syn_deferred_expired",
         "claims_asked",
         "reports_outdated",
         "hosts_outdated",
+        "evacuation_avoided",
+        "evacuation_refused",
     };
 
     // The acknowledgement field of a SYN holds the number of earlier copies, which callers send at fixed times.
@@ -43,16 +48,19 @@
 
 std::string_view toString(BalancerCount count) { return countNames[static_cast<std::size_t>(count)]; }
 
-Balancer::Balancer(BalancerOptions options, const Placement& placement, BalancerOutput& output, base::TimePoint start)
+Balancer::Balancer(BalancerOptions options, const Placement& placement, BalancerOutput& output, base::TimePoint start,
+    DomainOverflow* overflow)
     : options_(options)
     , placement_(placement)
     , output_(output)
+    , overflow_(overflow)
     , hostTable_(options.hostTable)
     , owners_(options.maxFlows)
     , repair_(options.repair)
     , lookups_(options.lookup)
     , nextHello_(start)
     , nextSweep_(start + sweepInterval)
+    , nextOverflowUpdate_(overflow ? start : base::TimePoint::max())
 {
 }
 
@@ -80,6 +88,7 @@
     forward.balancer = options_.self;
     forward.packet = packet;
     setUrgency(forward, segment);
+    recordRequest(segment, owner->owner.sidecar);
     output_.forward(owner->owner.sidecar, forward);
 }
 
@@ -164,14 +173,15 @@
         std::erase_if(hosts, [&](const KnownHost* host) { return contains(pending.tried, host->record.sidecar); });
         return hosts;
     };
-    const auto usable = hostTable_.usable(pending.service, now);
+    const auto usable = hostTable_.usable(pending.service, now, evacuation_.state());
     const auto eligible = withoutOutliers(usable, options_.outliers);
     if (eligible.size() < usable.size())
         recordEjected(pending, usable, eligible, now);
     auto hosts = untried(eligible);
     if (hosts.empty())
         hosts = untried(usable); // ejected hosts are used if no other is left
-    if (hosts.empty() && holdForHosts(pending, now))
+    const bool evacuated = hosts.empty() && onlyEvacuatedHosts(pending.service, now);
+    if (hosts.empty() && !evacuated && (holdForSlowStart(pending, now) || holdForHosts(pending, now)))
         return;
     if (hosts.empty() && pending.unanswered) {
         increment(BalancerCount::DropNoHost);
@@ -180,28 +190,19 @@
     }
     if (hosts.empty()) {
         increment(BalancerCount::DropNoHost);
+        if (evacuated)
+            increment(BalancerCount::EvacuationRefused);
         const auto segment = pending.segment;
         pending_.erase(segment.key);
-        return refuse(segment, "no host accepts the flow");
+        return refuse(segment,
+            evacuated ? "all hosts of the service are in evacuated failure domains" : "no host accepts the flow");
     }
+    countPlacedElsewhere(pending.service, now);
     pending.candidates = placement_.order(hosts, { pending.segment.key.hash(), options_.failureDomain, now });
     pending.position = 0;
     sendSyn(pending, reason, now);
 }
 
-// While the host list is incomplete, a SYN without a host is placed again every hostRetryDelay instead of refused.
-bool Balancer::holdForHosts(PendingSyn& pending, base::TimePoint now)
-{
-    if (hostsComplete_)
-        return false;
-    increment(BalancerCount::SynHeld);
-    pending.candidates.clear();
-    pending.tried.clear();
-    pending.retryAt = std::min(now + options_.hostRetryDelay, pending.expiresAt);
-    scheduleWakeup(pending.retryAt);
-    return true;
-}
-
 void Balancer::sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now)
 {
     const auto& to = pending.candidates[pending.position];
@@ -209,7 +210,10 @@
     output_.recordDecision({ DecisionKind::FlowPlaced, pending.segment.key, reason, to, routes_->version,
         host ? host->load() : 0, host ? now - host->lastReportAt : base::Duration { 0 } });
     hostTable_.recordPlacement(to);
+    if (overflow_ && host)
+        overflow_->recordPlacement(host->record);
     increment(BalancerCount::FlowsPlaced);
+    pending.sentAt = now;
     pending.retryAt = now + options_.synAnswerTimeout;
     scheduleWakeup(pending.retryAt);
     Forward forward;
@@ -228,7 +232,7 @@
 void Balancer::retry(PendingSyn& pending, base::TimePoint now)
 {
     if (pending.candidates.empty())
-        return place(pending, "retry with an incomplete host list", now);
+        return place(pending, pending.holdReason, now);
     increment(BalancerCount::SynRetried);
     const auto& unanswered = pending.candidates[pending.position];
     hostTable_.recordUnanswered(unanswered, now);
@@ -295,6 +299,7 @@
         return;
     auto& pending = found->second;
     pending.unanswered = pending.unanswered || declined.unanswered;
+    pending.deferred = pending.deferred || declined.deferred;
     for (const auto& candidate : pending.candidates) {
         if (!contains(pending.tried, candidate))
             pending.tried.push_back(candidate);
@@ -316,7 +321,7 @@
             continue;
         auto& pending = found->second;
         if (now >= pending.expiresAt) {
-            pending_.erase(found);
+            dropExpired(pending);
             continue;
         }
         const bool more = pending.position + 1U < pending.candidates.size();
@@ -325,6 +330,7 @@
         else
             pending.retryAt = pending.expiresAt; // the caller's retransmission triggers the next attempt
     }
+    updateOverflow(now);
     retryHellos(now);
     if (now >= nextHello_)
         sendHellos(now);
@@ -332,6 +338,7 @@
         owners_.expire(routes_->idleTimeout * 2, now);
         hostTable_.expire(now);
         lookups_.expire(now);
+        announcedLimits_.expire(hostTable_.hosts());
         for (auto* loggedAt : { &ejectionLoggedAt_, &outdatedLoggedAt_ })
             boost::unordered::erase_if(
                 *loggedAt, [&](const auto& entry) { return !hostTable_.hosts().contains(entry.first); });
@@ -342,7 +349,7 @@
 
 base::TimePoint Balancer::nextTick() const
 {
-    auto next = std::min({ nextHello_, nextSweep_, nextHelloRetry_ });
+    auto next = std::min({ nextHello_, nextSweep_, nextHelloRetry_, nextOverflowUpdate_ });
     for (const auto& [key, pending] : pending_)
         next = std::min(next, pending.retryAt);
     return next;
--- a/src/celerystile/fleet/sidecar_opening.cpp
+++ b/src/celerystile/fleet/sidecar_opening.cpp
@@ -1,7 +1,7 @@
 #include "celerystile/fleet/sidecar.hpp"
 
 // Handling of SYNs: a sidecar accepts the flow or forwards the SYN to the next candidate at once. When all candidates
-// are saturated: sidecar_admission.cpp.
+// are saturated: sidecar_admission.cpp. Hosts in slow start: sidecar_slow_start.cpp.
 
 namespace celerystile::fleet {
 
@@ -19,16 +19,20 @@
             record->lastSeen = secondsSinceStart(now);
             if (record->hostIsnKnown)
                 sendClaim(forward.balancer, segment.key, now);
-            output_.deliver(forward.packet);
-            return increment(SidecarCount::Delivered);
+            return openingAllowed(now) ? deliverSyn(forward.packet, now) : deferSyn(forward, segment, now);
         }
         if (record->callerIsn == segment.sequence)
             return increment(SidecarCount::DropUnclaimed); // a late retransmission: the flow is past its handshake
         endFlow(segment.key); // the caller has reused its port
     }
     const auto reason = declineReason(forward, now);
-    if (!reason.empty())
+    if (!reason.empty()) {
+        if (evacuated())
+            increment(SidecarCount::EvacuationDeclined);
         return passSynOn(forward, segment, reason, now);
+    }
+    if (!openingAllowed(now))
+        return deferSyn(forward, segment, now);
     if (saturated() && !forward.settled)
         return passSynOn(withOwnWait(forward), segment, "the host is saturated", now);
     if (!saturated())
@@ -42,6 +46,8 @@
         return "no heartbeat from the host yet";
     if (restarting_)
         return "the sidecar is about to restart"; // its successor would not know the flow
+    if (evacuated())
+        return "the host's failure domain is evacuated";
     // The balancer's record may predate this host, if a host of another service had the address before.
     if (forward.service != host_.service())
         return "the host serves another service";
@@ -77,8 +83,7 @@
     saved.forward.packet = saved.packet;
     openingQueue_.push_back({ segment.key, now });
     increment(SidecarCount::FlowsOpened);
-    increment(SidecarCount::Delivered);
-    output_.deliver(forward.packet);
+    deliverSyn(forward.packet, now);
 }
 
 void Sidecar::passSynOn(
@@ -90,7 +95,7 @@
     if (!forward.settled && forward.shortestWait)
         return forwardToShortestWait(forward, segment, now);
     increment(SidecarCount::SynDeclined);
-    output_.send(forward.balancer, SynDeclined { segment.key, forward.unanswered });
+    output_.send(forward.balancer, SynDeclined { segment.key, forward.unanswered, forward.deferred });
 }
 
 // All candidates are saturated: the SYN goes to the one with the shortest expected wait.
@@ -132,6 +137,7 @@
             meter_.cancel(key); // the caller has not acknowledged the host's SYN+ACK
         } else {
             lastUnansweredAt_ = now;
+            slowStartAssumed_ = true; // the host may be starting again
             auto original = saved->second;
             original.forward.packet = original.packet;
             original.forward.unanswered = true;
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -19,6 +19,24 @@
         }
     }
 
+    // Expected time until the host takes up a new request: its requests beyond the slots, divided by the rate at which
+    // it answers.
+    base::Duration expectedWait(double requests, std::uint32_t busy, std::uint32_t slots, base::Duration answerTime)
+    {
+        const double capacity = std::max<std::uint32_t>(1, slots);
+        const double ahead = std::max(0.0, requests + 1 - capacity);
+        const std::chrono::duration<double> wait = answerTime * (ahead / std::max<double>(busy, capacity));
+        return std::chrono::duration_cast<base::Duration>(wait);
+    }
+
+    // Rounds to milliseconds within the range of the wire format.
+    std::uint32_t toReportMilliseconds(base::Duration time)
+    {
+        constexpr std::int64_t maximum = 65'535;
+        return static_cast<std::uint32_t>(
+            std::clamp<std::int64_t>(std::chrono::round<std::chrono::milliseconds>(time).count(), 0, maximum));
+    }
+
 } // namespace
 
 // The interval grows with the number of balancers, so that the bytes per second stay within controlBytesPerSecond.
@@ -49,10 +67,14 @@
     record.sequence = sequence_;
     record.slots = host_.slots();
     record.state = host_.state(now);
-    record.coldMilliseconds = static_cast<std::uint32_t>(host_.coldLeft(now).count());
+    record.coldMilliseconds = static_cast<std::uint32_t>(slowStartLeft(now).count());
     record.openFlows = table_.openFlows();
     record.busyFlows = meter_.load();
     record.failurePermille = meter_.failurePermille(now);
+    record.waitMilliseconds = toReportMilliseconds(expectedWait(
+        static_cast<double>(meter_.load() + queue_.size()), meter_.load(), host_.slots(), meter_.answerTime()));
+    if (meter_.hasAnswers()) // 0 stands for unknown
+        record.answerMilliseconds = std::max(1U, toReportMilliseconds(meter_.answerTime()));
     record.restarting = restarting_;
     record.configurationVersion = configurationVersion_;
     record.reportMilliseconds = static_cast<std::uint32_t>(
@@ -77,6 +99,15 @@
     return { key, record.hostIsn, record.callerAck, record.state == core::FlowState::Open };
 }
 
+// A paused process receives no heartbeats, so the pause does not count as time without heartbeats.
+void Sidecar::detectPause(base::TimePoint now)
+{
+    const auto gap = now - lastTick_;
+    lastTick_ = now;
+    if (gap >= options_.pauseThreshold)
+        host_.recordPause(gap);
+}
+
 HeartbeatOutcome Sidecar::onHeartbeat(const HostReport& report, base::TimePoint now)
 {
     detectPause(now);
@@ -84,6 +115,7 @@
         increment(SidecarCount::HeartbeatsAbandoned);
     const auto outcome = host_.recordHeartbeat(report, now);
     const bool hostAlive = outcome != HeartbeatOutcome::Stale && !report.abandoned;
+    updateSlowStart(hostAlive);
     if (hostAlive) // no other incarnation can have opened flows until now
         unattributedFlows_.clear();
     if (outcome == HeartbeatOutcome::FirstOfIncarnation)
@@ -142,6 +174,7 @@
     const std::chrono::duration<double, std::milli> helloTimeout(
         hello.intervalMilliseconds * options_.missedHelloLimit);
     known.lifetime = std::max(options_.minBalancerLifetime, std::chrono::duration_cast<base::Duration>(helloTimeout));
+    recordOpeningLimit(known, hello);
     const bool valid = hello.known.epoch != 0 && hello.known.epoch <= maxEpoch;
     const bool mistaken = valid && hello.known.process != options_.process && hello.known.epoch >= epoch_;
     if (mistaken && !known.mistaken)
@@ -149,6 +182,7 @@
     known.mistaken = mistaken;
     if (mistaken)
         raiseEpoch(hello.known.epoch, now);
+    answerHello(hello, known.process != hello.process);
     if (known.process == hello.process && !hello.wantsFlows)
         return;
     const bool first = known.process == 0;
