--- a/fakes/metadata_store.hpp
+++ b/fakes/metadata_store.hpp
@@ -39,6 +39,9 @@
     /// @brief Writes a key unconditionally, without faults, as the operator does.
     void put(const std::string& key, const std::string& value);
 
+    /// @brief Deletes a key unconditionally, without faults, as the operator does.
+    void erase(const std::string& key);
+
     /// @brief Expires all leases and deletes their keys.
     void expireAllLeases();
 
@@ -79,7 +82,6 @@
     base::HttpReply transact(const boost::json::object& body);
     base::HttpReply grant(const boost::json::object& body);
     void write(const std::string& key, Item item);
-    void erase(const std::string& key);
     void expireLeases();
 
     const base::Clock& clock_;
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -1,5 +1,7 @@
 #include "deployment.hpp"
 
+#include "platform/operator_config.hpp"
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/json.hpp>
@@ -50,6 +52,11 @@
         return instance.stopping && (code == 0 || (instance.stoppedAtStart && code == endedBySigterm));
     }
 
+    const std::string& failureDomainOf(int index)
+    {
+        return failureDomains[static_cast<std::size_t>(index) % failureDomains.size()];
+    }
+
     bool isArchive(int host) { return host % 5 == 4; }
 
 } // namespace
@@ -94,7 +101,7 @@
         listen["outbound"] = endpointOf(addressIndex, portOutbound).toString();
         listen["control"] = endpointOf(addressIndex, portControl).toString();
     }
-    json::object settings { { "nodeName", instance.name }, { "zone", instance.index % 2 == 0 ? "a" : "b" },
+    json::object settings { { "nodeName", instance.name }, { "zone", failureDomainOf(instance.index) },
         { "listen", listen }, { "internalPorts", { portInternal, portInternal + 15 } }, { "seeds", seeds },
         { "heartbeatMs", 300 }, { "bounds", { { "graceS", 6 }, { "contactMs", 4'000 } } },
         { "platform", { { "address", endpointOf(storeAddressIndex, portProxy).toString() }, { "minTtlMs", 1'000 } } } };
@@ -204,6 +211,24 @@
     configuredAt_ = clock_.now();
 }
 
+void Deployment::evacuate(const std::string& failureDomain)
+{
+    store_.put(std::string(platform::evacuationPrefix) + failureDomain, "{}");
+    for (int i = 0; i < plan_.hosts; ++i) {
+        if (failureDomainOf(i) == failureDomain)
+            checker_.recordEvacuated(i);
+    }
+}
+
+void Deployment::endEvacuation(const std::string& failureDomain)
+{
+    store_.erase(std::string(platform::evacuationPrefix) + failureDomain);
+    for (int i = 0; i < plan_.hosts; ++i) {
+        if (failureDomainOf(i) == failureDomain)
+            checker_.recordReturned(i);
+    }
+}
+
 void Deployment::leaveForeignEntries()
 {
     constexpr std::size_t depth = 100'000;
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -16,6 +16,9 @@
 
 namespace celerystile::soak {
 
+/// @brief Names of the failure domains; even instances are in the first one.
+inline const std::vector<std::string> failureDomains { "a", "b" };
+
 /// @brief Size of a deployment.
 struct DeploymentPlan {
     int balancers = 3;
@@ -88,6 +91,10 @@
     /// large, with a port out of range, empty.
     void leaveForeignEntries();
 
+    /// @brief Writes the key that evacuates a failure domain, or removes it.
+    void evacuate(const std::string& failureDomain);
+    void endEvacuation(const std::string& failureDomain);
+
     /// @brief Whether all balancers answer their readiness probes and the registry has an entry for every host.
     bool complete() const;
 
--- a/soak/hosts.cpp
+++ b/soak/hosts.cpp
@@ -158,6 +158,7 @@
             + " received a new flow later than the bound after its draining state was acknowledged");
     auto found = flows_.find(key);
     if (found == flows_.end() || found->second.callerNext != packet.segment.sequence + 1) {
+        checker_.recordNewFlow(key, plan_.index);
         Flow flow;
         flow.callerNext = packet.segment.sequence + 1;
         flow.sequence = static_cast<std::uint32_t>(random_() | 1U) + 1;
--- a/soak/invariant_checker.cpp
+++ b/soak/invariant_checker.cpp
@@ -65,13 +65,39 @@
 void InvariantChecker::recordFlowOpened(const core::FlowKey& flow, int host)
 {
     flows_[flow] = { host, clock_.now(), 0, {}, {} };
+    openings_.erase(flow);
     hostsWithNewFlows_.insert(host);
 }
 
 void InvariantChecker::recordRouted(const core::FlowKey& flow, int balancer)
 {
-    if (const auto found = flows_.find(flow); found != flows_.end())
+    if (const auto found = flows_.find(flow); found != flows_.end()) {
         found->second.balancers.insert(balancer);
+        return;
+    }
+    auto& opening = openings_[flow];
+    if (clock_.now() - opening.routedAt >= options_.contactTime)
+        opening.balancers.clear(); // of a former flow with the same port
+    opening.routedAt = clock_.now();
+    opening.balancers.insert(balancer);
+}
+
+void InvariantChecker::recordNewFlow(const core::FlowKey& flow, int host)
+{
+    const auto evacuated = evacuatedAt_.find(host);
+    if (evacuated == evacuatedAt_.end() || clock_.now() - evacuated->second <= options_.evacuationBound)
+        return;
+    std::set<Place> concerned { { Place::Kind::Store, 0 } };
+    for (const auto balancer : openings_[flow].balancers)
+        concerned.insert({ Place::Kind::Balancer, balancer });
+    const bool excused
+        = std::any_of(concerned.begin(), concerned.end(), [&](const Place& place) { return !undisturbed(place); });
+    if (excused)
+        return;
+    const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(clock_.now() - evacuated->second).count();
+    concerned.insert({ Place::Kind::Host, host });
+    recordViolation("host " + std::to_string(host) + " received new flow " + flow.toString() + " " + std::to_string(age)
+        + " ms after its failure domain was evacuated (" + describeFaults(concerned) + ")");
 }
 
 void InvariantChecker::recordArrival(const core::FlowKey& flow, int host)
--- a/soak/invariant_checker.hpp
+++ b/soak/invariant_checker.hpp
@@ -43,6 +43,8 @@
         = std::chrono::seconds(3); ///< from the acknowledgement of a host's draining state to its last new flow
     base::Duration configurationBound
         = std::chrono::seconds(3); ///< from a change until it is in force on all processes
+    base::Duration evacuationBound
+        = std::chrono::seconds(5); ///< from the acknowledgement of an evacuation to the last new flow of its hosts
 };
 
 /// @brief Records events and reports violations of the invariants. Not thread-safe.
@@ -79,6 +81,15 @@
     /// @brief Records the balancer that a packet of a flow is routed to.
     void recordRouted(const core::FlowKey& flow, int balancer);
 
+    /// @brief Records that the host's failure domain is evacuated from now on. It changes nothing if it is already.
+    void recordEvacuated(int host) { evacuatedAt_.try_emplace(host, clock_.now()); }
+
+    /// @brief Records that the evacuation of the host's failure domain has ended.
+    void recordReturned(int host) { evacuatedAt_.erase(host); }
+
+    /// @brief Records that a SYN of a flow that the host does not have reached it.
+    void recordNewFlow(const core::FlowKey& flow, int host);
+
     /// @brief Records that the caller has acknowledged this host's SYN-ACK.
     void recordFlowOpened(const core::FlowKey& flow, int host);
 
@@ -131,6 +142,11 @@
         std::set<int> balancers; // that took its packets since the last one that reached the host
     };
 
+    struct Opening {
+        base::TimePoint routedAt {};
+        std::set<int> balancers; // that took its packets before it was open
+    };
+
     struct Counts {
         std::uint64_t served = 0;
         std::uint64_t failed = 0;
@@ -147,6 +163,8 @@
     std::map<Place, base::TimePoint> faultAt_;
     std::map<base::IpAddress, Place> places_;
     boost::unordered_flat_map<core::FlowKey, Flow, core::FlowKeyHash> flows_;
+    boost::unordered_flat_map<core::FlowKey, Opening, core::FlowKeyHash> openings_;
+    std::map<int, base::TimePoint> evacuatedAt_; // by host
     boost::unordered_flat_map<std::uint64_t, int> executions_;
     Counts all_;
     Counts recent_;
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -35,7 +35,7 @@
         { "store-connections", &Schedule::disruptStoreConnections }, { "store-calls", &Schedule::failStoreCalls },
         { "store-history", &Schedule::compactStore }, { "links", &Schedule::degradeLinks },
         { "isolation", &Schedule::isolateBalancer }, { "store-silence", &Schedule::silenceStore },
-        { "foreign-entries", &Schedule::leaveForeignEntries } };
+        { "foreign-entries", &Schedule::leaveForeignEntries }, { "evacuation", &Schedule::evacuateDomain } };
     return faults;
 }
 
@@ -120,6 +120,8 @@
         deployment_.link() = {};
         deployment_.proxy().setFault(ConnectionFault::None);
         deployment_.store().faults() = {};
+        for (const auto& domain : failureDomains)
+            deployment_.endEvacuation(domain);
         for (auto& instance : deployment_.instances())
             deployment_.resume(instance);
     });
@@ -370,6 +372,21 @@
         [this] { deployment_.link().isolated.clear(); });
 }
 
+// One failure domain, evacuated once or twice in succession. Several may be evacuated at the same time.
+void Schedule::evacuateDomain(base::TimePoint at)
+{
+    const auto& domain = failureDomains[random_.below(failureDomains.size())];
+    const auto times = 1 + random_.below(2);
+    for (std::uint64_t i = 0; i < times; ++i) {
+        add(at, "failure domain " + domain + " is evacuated", [this, &domain] { deployment_.evacuate(domain); });
+        at += randomDuration(1'000, 12'000);
+        add(at, "the evacuation of failure domain " + domain + " ends",
+            [this, &domain] { deployment_.endEvacuation(domain); });
+        extendFaults(at);
+        at += randomDuration(20, 1'500);
+    }
+}
+
 void Schedule::rollingRestart(base::TimePoint at)
 {
     const bool balancers = random_.below(2) == 0;
--- a/soak/schedule.hpp
+++ b/soak/schedule.hpp
@@ -80,6 +80,7 @@
     void compactStore(base::TimePoint at);
     void degradeLinks(base::TimePoint at);
     void isolateBalancer(base::TimePoint at);
+    void evacuateDomain(base::TimePoint at);
     void rollingRestart(base::TimePoint at);
     void changeConfiguration(base::TimePoint at);
     void drainHost(base::TimePoint at);
