--- a/bench/interleaving_models.cpp
+++ b/bench/interleaving_models.cpp
@@ -128,4 +128,18 @@
     std::erase_if(hosts, [&](const auto& item) { return now >= item.second.expiresAt; });
 }
 
+void StoreModel::setEvacuated(std::uint64_t domain, bool evacuated)
+{
+    auto& domains = evacuation.domains;
+    const auto at = std::lower_bound(domains.begin(), domains.end(), domain);
+    const bool present = at != domains.end() && *at == domain;
+    if (!available || present == evacuated)
+        return;
+    if (evacuated)
+        domains.insert(at, domain);
+    else
+        domains.erase(at);
+    ++evacuation.revision;
+}
+
 } // namespace celerystile::bench
--- a/bench/interleaving_models.hpp
+++ b/bench/interleaving_models.hpp
@@ -127,9 +127,13 @@
     bool available = true;
     std::map<Endpoint, Entry> hosts;
     std::map<Endpoint, fleet::HeldFlows> checkpoints;
+    fleet::EvacuationState evacuation; ///< revision 0 until the first evacuation
 
     std::vector<fleet::HostRecord> listHosts() const;
     void expire(TimePoint now);
+
+    /// @brief Writes or removes the key that evacuates a failure domain, if the store is available.
+    void setEvacuated(std::uint64_t domain, bool evacuated);
 };
 
 /// @brief Payload size of every request in these models.
--- a/bench/interleaving_schedule.hpp
+++ b/bench/interleaving_schedule.hpp
@@ -13,7 +13,8 @@
 
 namespace celerystile::bench {
 
-/// @brief What happens in one step. The step's `target` selects the flow, slot or balancer, modulo their number.
+/// @brief What happens in one step. The step's `target` selects the flow, slot, balancer or failure
+/// domain, modulo their number.
 enum class StepKind : std::uint8_t {
     OpenFlow, ///< a caller opens a flow
     Request, ///< a caller sends a request on an open flow
@@ -45,6 +46,8 @@
     LoseForwards, ///< a balancer's messages and packets to one of the sidecars are lost for 8 to 18 s
     LoseInstance, ///< the instance fails; one with a host of the same service gets its address 5 to 15 s later
     LoseHeartbeats, ///< a host's heartbeats do not arrive for 3 to 8 s, though it serves its flows
+    Evacuate, ///< a failure domain is evacuated, unless the store is away
+    Return, ///< the evacuation of a failure domain ends, unless the store is away
     Count_,
 };
 
--- a/bench/interleaving_test.cpp
+++ b/bench/interleaving_test.cpp
@@ -266,6 +266,16 @@
         { StepKind::OpenFlow, StepKind::Request, StepKind::KillBalancer, StepKind::ClockAhead, StepKind::ClockBack });
 }
 
+// Guards against balancers and sidecars that place new flows in an evacuated domain, or never again after its return,
+// because one of them has restarted, was suspended or has missed a notice.
+TEST_CASE("interleavings: evacuations among restarts, lost messages and outages of the store violate no invariant")
+{
+    checkRandomSchedules(1'000,
+        { StepKind::OpenFlow, StepKind::Request, StepKind::KillSidecar, StepKind::StopSidecar, StepKind::FreezeSidecar,
+            StepKind::RestartHost, StepKind::KillBalancer, StepKind::FreezeBalancer, StepKind::StoreAway,
+            StepKind::Lose, StepKind::Wait, StepKind::LoseForwards, StepKind::Evacuate, StepKind::Return });
+}
+
 TEST_CASE("interleavings: random schedules with a time of day of its own for each instance violate no invariant")
 {
     checkRandomSchedules(1'000, kindsWithOwnClocks());
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -24,9 +24,12 @@
     constexpr std::size_t balancerCount = 2;
     constexpr std::size_t slotCount = 3;
     constexpr std::array<const char*, 2> serviceNames { "desk", "archive" };
+    constexpr std::array<const char*, 2> domainNames { "a", "b" };
     constexpr milliseconds timeStep { 5 };
     constexpr milliseconds contactBound { 4'000 }; // an instance is fault-free this long after its last fault
     constexpr milliseconds drainBound { 3'000 };
+    constexpr milliseconds evacuationBound { 1'000 };
+    constexpr milliseconds watchDelay { 50 }; // until a balancer sees a change of the operators' keys
     constexpr milliseconds misroutedWindow { 2'000 };
     constexpr std::size_t misroutedLimit
         = 3; // packets at other hosts within the window, with none at the flow's own host
@@ -91,6 +94,9 @@
         return { base::IpAddress::fromV4(0xc6120001U + static_cast<std::uint32_t>(service)), 443 };
     }
 
+    // One host of the desk is in each domain, the one of the archive in the first.
+    std::uint64_t domainOf(std::size_t slot) { return core::hashName(domainNames[slot % domainNames.size()]); }
+
     fleet::RouteTablePtr allRoutes()
     {
         auto table = std::make_shared<fleet::RouteTable>();
@@ -141,6 +147,7 @@
         // that is lost or wrongly reset shows.
         void runUntilCalm()
         {
+            endsEvacuations_ = true;
             while (now_ < calmAt_) {
                 requestOnAllFlows();
                 run(useInterval);
@@ -263,6 +270,8 @@
             store::ListCompleteness completeness { store::ListCompletenessOptions {} };
             TimePoint nextList {};
             TimePoint nextPeerFetch {};
+            TimePoint nextWatch {};
+            std::map<std::uint64_t, TimePoint> evacuatedSince; // by domain that this process knows to be evacuated
         };
 
         struct Delivery {
@@ -346,7 +355,9 @@
                 whenRunning(*slots_[*slot], [this, forward, bytes](Slot& at) {
                     auto copy = forward;
                     copy.packet = bytes;
+                    forwardedBy_ = balancerAt(forward.balancer);
                     at.process->onForward(copy, segmentOf(bytes), now_);
+                    forwardedBy_.reset();
                 });
             });
         }
@@ -381,6 +392,8 @@
                         at.process->onHello(*hello, now_);
                     else if (const auto* held = std::get_if<fleet::HeldFlows>(&message))
                         at.process->onHeldFlows(*held, now_);
+                    else if (const auto* notice = std::get_if<fleet::EvacuationNotice>(&message))
+                        at.process->onEvacuationNotice(*notice, now_);
                 });
             } else if (const auto balancer = balancerAt(to)) {
                 whenRunning(*balancers_[*balancer], [this, message](BalancerNode& at) { onMessage(at, message); });
@@ -395,6 +408,16 @@
                 at.process->onSidecarHello(*hello);
             else if (const auto* declined = std::get_if<fleet::SynDeclined>(&message))
                 at.process->onDeclined(*declined, now_);
+            else if (const auto* notice = std::get_if<fleet::EvacuationNotice>(&message))
+                recordEvacuation(at, at.process->onEvacuationNotice(*notice, now_));
+        }
+
+        void recordEvacuation(BalancerNode& at, const fleet::EvacuationChange& change)
+        {
+            for (const auto domain : change.started)
+                at.evacuatedSince[domain] = now_;
+            for (const auto domain : change.ended)
+                at.evacuatedSince.erase(domain);
         }
 
         // A frozen instance handles the messages that arrived meanwhile when it runs again.
@@ -488,6 +511,16 @@
             }
             if (slot.drainedAt && now_ - *slot.drainedAt > drainBound)
                 recordViolation("DRAIN", "a draining host accepted a new flow later than the bound");
+            if (forwardedBy_)
+                checkNotEvacuated(slot, *balancers_[*forwardedBy_]);
+        }
+
+        void checkNotEvacuated(const Slot& slot, const BalancerNode& balancer)
+        {
+            const auto known = balancer.evacuatedSince.find(domainOf(slot.index));
+            if (known != balancer.evacuatedSince.end() && now_ - known->second > evacuationBound
+                && timeBoundApplies(slot, balancer))
+                recordViolation("EVACUATE", "a host in an evacuated failure domain accepted a new flow");
         }
 
         void checkExecuted(Slot& slot, const FlowKey& key, std::uint32_t request)
@@ -607,6 +640,7 @@
                 options.process = base::mix(++startedSidecars_);
                 options.instance = slot.instanceNumber + 1;
                 options.relearnPeriod = contactBound;
+                options.failureDomain = domainOf(slot.index);
                 slot.process = std::make_unique<fleet::Sidecar>(options, slot, now_);
                 slot.predecessorRead = false;
                 slot.readAttempts = 0;
@@ -624,6 +658,7 @@
         void startBalancer(BalancerNode& balancer, milliseconds after)
         {
             balancer.process.reset();
+            balancer.evacuatedSince.clear();
             const auto generation = ++balancer.generation;
             scheduleAfter(after, [this, &balancer, generation] {
                 if (balancer.generation != generation)
@@ -689,10 +724,24 @@
                 balancer.nextPeerFetch = now_ + 600ms;
                 const auto& other = *balancers_[1 - balancer.index];
                 if (other.process && isRunning(other))
-                    balancer.process->addHosts(other.process->hostRecords(now_), now_);
+                    fetchSnapshot(balancer, *other.process);
             }
         }
 
+        void fetchSnapshot(BalancerNode& balancer, const fleet::Balancer& neighbour)
+        {
+            recordEvacuation(balancer, balancer.process->onEvacuation(neighbour.evacuation().state(), now_));
+            balancer.process->addHosts(neighbour.hostRecords(now_), now_);
+        }
+
+        void watchOperatorKeys(BalancerNode& balancer)
+        {
+            if (!store_.available || store_.evacuation.revision == 0 || now_ < balancer.nextWatch)
+                return;
+            balancer.nextWatch = now_ + watchDelay;
+            recordEvacuation(balancer, balancer.process->onEvacuation(store_.evacuation, now_));
+        }
+
         void advance()
         {
             while (!queue_.empty() && queue_.begin()->first <= now_) {
@@ -704,6 +753,8 @@
                 store_.available = true;
             if (store_.available || leasesExpire_)
                 store_.expire(now_);
+            for (std::size_t domain = 0; endsEvacuations_ && domain < domainNames.size(); ++domain)
+                store_.setEvacuated(domainOf(domain), false);
             for (auto& slot : slots_) {
                 if (!isRunning(*slot))
                     continue;
@@ -719,6 +770,7 @@
             for (auto& balancer : balancers_) {
                 if (!balancer->process || !isRunning(*balancer))
                     continue;
+                watchOperatorKeys(*balancer);
                 refreshHostList(*balancer);
                 balancer->process->tick(now_);
             }
@@ -996,6 +1048,9 @@
                 return loseInstance(step.target);
             case StepKind::LoseHeartbeats:
                 return loseHeartbeats(step.target);
+            case StepKind::Evacuate:
+            case StepKind::Return:
+                return store_.setEvacuated(domainOf(step.target % domainNames.size()), step.kind == StepKind::Evacuate);
             case StepKind::Wait:
             case StepKind::Count_:
                 return;
@@ -1012,6 +1067,8 @@
         bool leasesExpire_ = false;
         TimePoint storeBackAt_ {};
         TimePoint lastFaultAt_ {};
+        bool endsEvacuations_ = false; // as soon as the store is available
+        std::optional<std::size_t> forwardedBy_; // the balancer whose packet a sidecar handles now
         TimePoint calmAt_ {}; // end of the faults that outlast their step by seconds
         std::uint64_t startedHosts_ = 0;
         std::uint64_t startedSidecars_ = 0;
--- a/bench/interleaving_world.hpp
+++ b/bench/interleaving_world.hpp
@@ -13,6 +13,8 @@
 ///   begins.
 /// - TWICE: no request is executed on two hosts.
 /// - DRAIN: a host accepts no new flow later than drainBound after its sidecar received the draining state.
+/// - EVACUATE: no host in an evacuated failure domain accepts a new flow through a balancer that has known of the
+///   evacuation for evacuationBound. After unplanned faults this applies as FLOW does.
 /// - RECOVER: after the last fault new flows open and are served.
 
 namespace celerystile::bench {
