--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -79,6 +79,13 @@
     checkSoak({ "--seed", "4", "--seconds", "8", "--fault", "foreign-entries", "--fault", "kill" });
 }
 
+// Guards against processes that place or accept new flows in an evacuated failure domain, or none after its return. With
+// daemons that ignored evacuations, this seed had 3 violations.
+TEST_CASE("soak: hosts in evacuated failure domains receive no new flows, and all do afterwards")
+{
+    checkSoak({ "--seed", "1", "--seconds", "8", "--fault", "evacuation" });
+}
+
 // The heartbeats and reports of a host whose `born` was lower than before were ignored as those of an older
 // incarnation.
 TEST_CASE("soak: hosts that start again after the time of day has stepped back serve as before")
