--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -49,7 +49,6 @@
     bool settled = false; ///< all candidates were visited; the receiver has the shortest wait and accepts the flow
     bool unanswered = false; ///< a host visited before has not answered the SYN, but may still accept it
     bool deferred = false; ///< a host visited before declined the SYN only because of its slow start
-    bool repeatable = false; ///< the route's requests may be run twice
     CandidateList candidates; ///< sidecars in the order of the visits
     core::Bytes packet; ///< not owned; refers to the received datagram
 };
--- a/include/celerystile/fleet/route_table.hpp
+++ b/include/celerystile/fleet/route_table.hpp
@@ -30,7 +30,6 @@
     std::uint32_t priority = 0; ///< 0 is the most important
     std::chrono::milliseconds latencyObjective { 0 }; ///< time within which callers want an answer
     std::chrono::milliseconds timeout { 0 }; ///< after which callers give up a request; 0: unknown
-    bool repeatable = false; ///< requests may be run twice
 
     bool operator==(const Route&) const = default;
 
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -37,7 +37,6 @@
         to.setSettled(value.settled);
         to.setUnanswered(value.unanswered);
         to.setDeferred(value.deferred);
-        to.setRepeatable(value.repeatable);
         to.setWaitKnown(value.shortestWait.has_value());
         to.setWaitPosition(value.shortestWait.value_or(fleet::ShortestWait {}).position);
         to.setWaitMilliseconds(value.shortestWait.value_or(fleet::ShortestWait {}).milliseconds);
@@ -69,7 +68,6 @@
         value.settled = from.getSettled();
         value.unanswered = from.getUnanswered();
         value.deferred = from.getDeferred();
-        value.repeatable = from.getRepeatable();
         if (from.getWaitKnown())
             value.shortestWait = fleet::ShortestWait { from.getWaitPosition(), from.getWaitMilliseconds() };
         if (value.shortestWait && value.shortestWait->position >= value.candidates.size())
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -27,7 +27,6 @@
   waitMilliseconds @13 :UInt32;
   unanswered @14 :Bool;
   deferred @15 :Bool;
-  repeatable @16 :Bool;
 }
 
 struct HostRecord {
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -361,8 +361,6 @@
 
   inline bool getDeferred() const;
 
-  inline bool getRepeatable() const;
-
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -451,9 +449,6 @@
   inline bool getDeferred();
   inline void setDeferred(bool value);
 
-  inline bool getRepeatable();
-  inline void setRepeatable(bool value);
-
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1960,20 +1955,6 @@
       ::capnp::bounded<19>() * ::capnp::ELEMENTS, value);
 }
 
-inline bool FleetForward::Reader::getRepeatable() const {
-  return _reader.getDataField<bool>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
-}
-
-inline bool FleetForward::Builder::getRepeatable() {
-  return _builder.getDataField<bool>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS);
-}
-inline void FleetForward::Builder::setRepeatable(bool value) {
-  _builder.setDataField<bool>(
-      ::capnp::bounded<20>() * ::capnp::ELEMENTS, value);
-}
-
 inline bool HostRecord::Reader::hasSidecar() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
