review: pending SYNs are placed by the version before

Cause: a SYN that got no answer stays pending at the balancer with the service that was selected for its first copy; a new configuration leaves it as it is.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,4 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-g++ -std=c++20 -O1 -Wall -Wextra -o target/review-2/cases review/stand-2/rig.cpp review/stand-2/cases.cpp
+g++ -std=c++20 -O1 -Wall -Wextra -o target/review-2/cases review/stand-2/rig.cc review/stand-2/cases.cc
--- a/review/stand-2/cases.cpp
+++ b/review/stand-2/cases.cc
@@ -1,4 +1,4 @@
-#include "rig.hpp"
+#include "rig.h"
 
 #include <algorithm>
 #include <csignal>
@@ -43,7 +43,8 @@
     int version = 1;
 
     explicit Fleet(const std::string& name)
-        : folder((std::filesystem::temp_directory_path() / ("review-" + name + "-" + std::to_string(::getpid()))).string())
+        : folder(
+            (std::filesystem::temp_directory_path() / ("review-" + name + "-" + std::to_string(::getpid()))).string())
     {
         std::filesystem::create_directories(folder);
         platform = std::make_unique<Platform>(folder);
@@ -73,13 +74,16 @@
     {
         const auto storeText = address(storeIp, storePort).text();
         for (int i = 1; i <= balancers; ++i) {
-            nodes.push_back({ "edge-a-" + std::to_string(i), "balancer", balancerIp(i), "", seeds(balancers), storeText, "6" });
+            nodes.push_back(
+                { "edge-a-" + std::to_string(i), "balancer", balancerIp(i), "", seeds(balancers), storeText, "6" });
             routers.add(nodes.back().name, nodes.back().ip);
         }
         for (std::size_t i = 1; i <= services.size(); ++i) {
             const auto ip = sidecarIp(static_cast<int>(i));
-            nodes.push_back({ "side-a-" + std::to_string(i), "sidecar", ip, services[i - 1], seeds(balancers), storeText, "6" });
-            hosts.push_back(std::make_unique<Host>(HostPlan { "host-" + std::to_string(i), services[i - 1], ip, 5 }, runs));
+            nodes.push_back(
+                { "side-a-" + std::to_string(i), "sidecar", ip, services[i - 1], seeds(balancers), storeText, "6" });
+            hosts.push_back(
+                std::make_unique<Host>(HostPlan { "host-" + std::to_string(i), services[i - 1], ip, 5 }, runs));
         }
         for (int i = 1; i <= clientCount; ++i)
             clients.push_back(std::make_unique<Client>(net() + ".3." + std::to_string(i), routers));
@@ -95,7 +99,8 @@
                 continue;
             auto host = route(static_cast<int>(i) + 1).text();
             host = host.substr(0, host.find(':'));
-            list += (list.empty() ? "" : ",") + std::string("{\"name\":\"r-") + std::to_string(i + 1) + "\",\"host\":\"" + host
+            list += (list.empty() ? "" : ",") + std::string("{\"name\":\"r-") + std::to_string(i + 1) + "\",\"host\":\""
+                + host
                 + "\",\"prefix\":\"/443/\",\"routeKind\":\"idempotent\",\"timeoutMs\":2000,\"targetLatencyMs\":200,"
                   "\"priority\":2,\"service\":\""
                 + routes[i] + "\",\"maxAttempts\":2}";
@@ -103,9 +108,8 @@
         }
         record("operator: version %d:%s", version, shown.c_str());
         const auto acknowledgedAt = store->put("op/config",
-            "{\"version\":" + std::to_string(version) + ",\"routes\":[" + list
-                + "],\"services\":["
-                + serviceList() + "],"
+            "{\"version\":" + std::to_string(version) + ",\"routes\":[" + list + "],\"services\":[" + serviceList()
+                + "],"
                   "\"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":262144,\"headerTimeoutMs\":3000,"
                   "\"idleTimeoutMs\":15000}}");
         version += 3;
@@ -159,13 +163,16 @@
         after(interval, [this, interval, routeNumber, active] { openEvery(interval, routeNumber, active); });
     }
 
-    // Waits until all balancers are in rotation, all hosts are acknowledged, and each of the routes has served ten flows.
+    // Waits until all balancers are in rotation, all hosts are acknowledged, and each of the routes has served ten
+    // flows.
     void waitUntilServed(const std::vector<int>& routes)
     {
         const bool up = runUntil(now() + startTimeout, [&] {
-            return routers.ready() == static_cast<int>(std::count_if(nodes.begin(), nodes.end(),
-                       [](const NodeSettings& node) { return node.role == "balancer"; }))
-                && std::all_of(hosts.begin(), hosts.end(), [](const auto& host) { return !host->up() || host->acknowledged(); });
+            return routers.ready()
+                == static_cast<int>(std::count_if(
+                    nodes.begin(), nodes.end(), [](const NodeSettings& node) { return node.role == "balancer"; }))
+                && std::all_of(
+                    hosts.begin(), hosts.end(), [](const auto& host) { return !host->up() || host->acknowledged(); });
         });
         if (!up)
             cannotRun("the deployment did not start");
@@ -175,10 +182,11 @@
                 open(number);
         }
         runUntil(now() + 2'000);
-        const auto served
-            = std::count_if(tries.begin(), tries.end(), [](const auto& attempt) { return attempt->outcome == "answered"; });
+        const auto served = std::count_if(
+            tries.begin(), tries.end(), [](const auto& attempt) { return attempt->outcome == "answered"; });
         if (served < static_cast<long>(tries.size()))
-            cannotRun("the deployment serves " + std::to_string(served) + " of " + std::to_string(tries.size()) + " flows");
+            cannotRun(
+                "the deployment serves " + std::to_string(served) + " of " + std::to_string(tries.size()) + " flows");
     }
 
     std::map<std::string, std::shared_ptr<Try>> triesById() const
@@ -261,13 +269,14 @@
             continue;
         ++broken;
         record("CONFIG: %s, opened by a packet sent %.0f ms after the acknowledgement, through %s, was run by %s of %s",
-            run.request.c_str(), sentAt - inForce->acknowledgedAt, front.c_str(), run.host.c_str(), run.service.c_str());
+            run.request.c_str(), sentAt - inForce->acknowledgedAt, front.c_str(), run.host.c_str(),
+            run.service.c_str());
     }
     return verdict("CONFIG", broken, judged);
 }
 
 // CONFIG, second sentence. The node beside the only host of a service is stopped and starts again; 250 ms after the
-// SIGTERM the operator moves route 1 to the other service. Eight times.
+// SIGTERM the operator moves route 1 to the other service, or drops it and adds route 3. Four times each.
 int pendingSyn()
 {
     constexpr int rounds = 8;
@@ -278,9 +287,11 @@
     fleet.waitUntilServed({ 1, 2 });
     const auto active = std::make_shared<bool>(true);
     fleet.openEvery(20, 1, active);
+    fleet.openEvery(20, 3, active);
     struct Version {
         Time acknowledgedAt;
         Time replacedAt;
+        bool dropsRoute1;
     };
     std::vector<Version> moved;
     for (int i = 0; i < rounds; ++i) {
@@ -288,7 +299,9 @@
         if (trouble())
             fleet.platform->restart("side-a-1", SIGTERM, 300);
         runUntil(now() + 250);
-        moved.push_back({ fleet.configure({ "beta", "beta" }), 0 });
+        const bool drops = i % 2 == 1;
+        moved.push_back(
+            { drops ? fleet.configure({ "", "beta", "beta" }) : fleet.configure({ "beta", "beta" }), 0, drops });
         runUntil(now() + 3'500);
         moved.back().replacedAt = fleet.configure({ "alpha", "beta" });
         runUntil(now() + 3'500);
@@ -304,28 +317,32 @@
             const auto& attempt = *byId.at(run.request);
             const auto [sentAt, front] = openingOf(run, attempt);
             const bool inForce = run.at > version.acknowledgedAt && run.at < version.replacedAt;
-            if (!inForce || attempt.service != Fleet::route(1))
+            const bool onRoute1 = attempt.service == Fleet::route(1);
+            if (!inForce || (!onRoute1 && attempt.service != Fleet::route(3)))
                 continue;
             ++judged;
-            if (run.service == "beta") {
+            const bool newVersionOnly = version.dropsRoute1 ? !onRoute1 : run.service == "beta";
+            if (newVersionOnly) {
                 if (!seenAt.contains(front))
                     record("%s has version applied: %s was run by %s at %.1f", front.c_str(), run.request.c_str(),
                         run.host.c_str(), run.at);
                 seenAt.try_emplace(front, run.at);
             } else if (seenAt.contains(front) && sentAt > seenAt[front] + downgradeSlackMs) {
                 ++broken;
-                record("CONFIG: %s, opened by copy %u of its SYN, sent at %.1f through %s, %.0f ms after a host saw the "
-                       "version's effect, was run at %.1f by %s of %s",
+                record(
+                    "CONFIG: %s, opened by copy %u of its SYN, sent at %.1f through %s, %.0f ms after a host saw the "
+                    "version's effect, was run at %.1f by %s of %s%s",
                     run.request.c_str(), run.synCopy, sentAt, front.c_str(), sentAt - seenAt[front], run.at,
-                    run.host.c_str(), run.service.c_str());
+                    run.host.c_str(), run.service.c_str(),
+                    version.dropsRoute1 ? ", with a route that was dropped" : "");
             }
         }
     }
     return verdict("CONFIG", broken, judged);
 }
 
-// CONFIG, first sentence. A service that is new gets its first host, and one second later the operator adds the route to
-// it. Four times.
+// CONFIG, first sentence. A service that is new gets its first host, and one second later the operator adds the route
+// to it. Four times.
 int newService()
 {
     const std::vector<std::string> services { "gamma", "delta", "epsilon", "zeta" };
@@ -336,7 +353,8 @@
     fleet.configure(routes);
     const auto start = [&](std::size_t i) {
         const auto& host = fleet.hosts[4 + i];
-        record("planned: %s, the first host of %s, is added with its node", host->plan().name.c_str(), services[i].c_str());
+        record("planned: %s, the first host of %s, is added with its node", host->plan().name.c_str(),
+            services[i].c_str());
         fleet.platform->start("side-a-" + std::to_string(5 + i));
         host->start();
     };
@@ -375,51 +393,8 @@
             continue;
         ++broken;
         record("CONFIG: %s to %s, sent %.0f ms after the bound, was refused by %s", attempt->id.c_str(),
-            attempt->service.text().c_str(), attempt->synSentAt.front() - from->second, attempt->synFront.front().c_str());
-    }
-    return verdict("CONFIG", broken, judged);
-}
-
-// CONFIG, first sentence. The store moves to another address; the settings files name it, and all processes get SIGHUP.
-int storeMoves()
-{
-    Fleet fleet("moves");
-    fleet.build(3, { "alpha", "alpha", "beta", "beta" }, 4);
-    fleet.configure({ "alpha", "beta" });
-    fleet.start();
-    fleet.waitUntilServed({ 1, 2 });
-    if (trouble()) {
-        const auto moved = address(net() + ".200.2", storePort);
-        record("disruption: the store serves at %s from now on; the settings files change, and SIGHUP", moved.text().c_str());
-        for (auto& node : fleet.nodes) {
-            node.store = moved.text();
-            fleet.platform->configure(node);
-        }
-        fleet.store->moveTo(moved);
-        for (const auto& node : fleet.nodes)
-            fleet.platform->signal(node.name, SIGHUP);
-    }
-    runUntil(now() + 6'000);
-    const auto acknowledgedAt = fleet.configure({ "beta", "beta" });
-    const auto active = std::make_shared<bool>(true);
-    fleet.openEvery(50, 1, active);
-    runUntil(now() + 25'000);
-    *active = false;
-    runUntil(now() + 4'500);
-    const auto byId = fleet.triesById();
-    int broken = 0;
-    int judged = 0;
-    for (const auto& run : fleet.runs) {
-        const auto& attempt = *byId.at(run.request);
-        const auto [sentAt, front] = openingOf(run, attempt);
-        if (attempt.service != Fleet::route(1) || sentAt <= acknowledgedAt + configApplyMs)
-            continue;
-        ++judged;
-        if (run.service == "beta")
-            continue;
-        ++broken;
-        record("CONFIG: %s, opened by a packet sent %.0f ms after the acknowledgement, through %s, was run by %s of %s",
-            run.request.c_str(), sentAt - acknowledgedAt, front.c_str(), run.host.c_str(), run.service.c_str());
+            attempt->service.text().c_str(), attempt->synSentAt.front() - from->second,
+            attempt->synFront.front().c_str());
     }
     return verdict("CONFIG", broken, judged);
 }
@@ -480,8 +455,8 @@
     return verdict("RECOVER", broken ? asked - served : 0, asked);
 }
 
-// FLOW (a). The node beside a host is stopped and started again as planned; a heartbeat of another writer, for a service
-// that no configuration names, reaches it before the host's next one.
+// FLOW (a). The node beside a host is stopped and started again as planned; a heartbeat of another writer, for a
+// service that no configuration names, reaches it before the host's next one.
 int foreignHeartbeat()
 {
     Fleet fleet("foreign");
@@ -532,7 +507,6 @@
         { "new-service", newService },
         { "pending-syn", pendingSyn },
         { "silent-watch", silentWatch },
-        { "store-moves", storeMoves },
     };
     const auto found = argc == 2 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
