Sidecar: a heartbeat for another service names no host

Cause: a sidecar compared a heartbeat with nothing that it knows of its host. One complete heartbeat of another writer, for a service that no configuration names, with a later start and the first number, was believed as proof that the incarnation of the checkpoint had ended. It also took the host out of use until its own heartbeats had displaced it.

Evidence (logs of the failing case): checkpoint_read flows=20; 84 ms later host_started id=i-of-another-writer service=nobody sequence=1, and in the same millisecond flow_reset "the host has restarted" for the flows of the checkpoint; then heartbeat_refused "older than the last heartbeat accepted" for the host's own heartbeats. HostStatus::hasEnded is right for heartbeats of the host itself and is unchanged.

Fix: the settings file names the service of a sidecar's host; it was not read. A heartbeat for another service is answered with 400, logged with both services and counted (heartbeats_foreign), and reaches no state machine, so that neither the flows nor the state of the host can depend on it. The file is read again before a heartbeat is refused: it may have changed without a signal.

Test: "processes: a heartbeat for a service that is not the host's resets no flow and keeps the host in use".

--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -9,6 +9,7 @@
 #include "platform/operator_config.hpp"
 #include "platform/packet.hpp"
 
+#include <atomic>
 #include <boost/asio/detached.hpp>
 
 /// @file
@@ -51,6 +52,7 @@
             , checkpointEntry_(store_, clock_, controlContext_,
                   std::string(flowsPrefix) + settings.node.packetEndpoint.toString(), makeCheckpointOptions())
             , replica_({}, fleet::instanceId(settings.node.name))
+            , hostService_(settings.node.hostService)
         {
         }
 
@@ -294,6 +296,15 @@
                 logEvent(Event::HeartbeatRefused, { { "detail", call.error().detail } });
                 co_return base::HttpReply { 400, "{}", "application/json" };
             }
+            if (const auto* report = std::get_if<fleet::HostReport>(&*call); report && !isFromOwnHost(*report)) {
+                ++foreignHeartbeats_;
+                logEvent(Event::HeartbeatRefused,
+                    { { "id", report->id },
+                        { "detail", "of another writer: its service is not that of this sidecar's host" },
+                        { "service", report->service }, { "expected", hostService_ },
+                        { "born", std::to_string(report->born) }, { "sequence", std::to_string(report->sequence) } });
+                co_return base::HttpReply { 400, "{}", "application/json" };
+            }
             // The reply acknowledges the report, so it is sent only after the report has taken effect on the traffic
             // thread.
             co_await asio::co_spawn(
@@ -307,6 +318,16 @@
             co_return base::HttpReply { 200, "{}", "application/json" };
         }
 
+        // The settings file may have changed without a signal, so it is read again before a heartbeat is refused.
+        bool isFromOwnHost(const fleet::HostReport& report)
+        {
+            if (hostService_.empty() || report.service == hostService_)
+                return true;
+            if (auto node = platform::readNodeSettings(settings_.settingsFile))
+                hostService_ = std::move(node->hostService);
+            return hostService_.empty() || report.service == hostService_;
+        }
+
         void applyHostApiRequest(const platform::HostApiRequest& call)
         {
             const auto now = clock_.now();
@@ -345,6 +366,7 @@
             state["busy_flows"] = record.busyFlows;
             state["host_state"] = fleet::toString(record.state);
             state["host_born"] = record.born;
+            state["heartbeats_foreign"] = foreignHeartbeats_.load();
             state["slow_start"] = sidecar_.inSlowStart(now);
             state["slow_start_left_ms"] = record.coldMilliseconds;
             state["opening_limit"] = sidecar_.openings().limit();
@@ -409,6 +431,8 @@
         fleet::ConfigurationReplica replica_; // used by the traffic thread only
         std::uint64_t configurationVersion_ = 0; // this and the text: used by the control thread only
         std::string configurationText_;
+        std::string hostService_; // used by the control thread only; empty: unknown
+        std::atomic<std::uint64_t> foreignHeartbeats_ = 0;
         DecisionLog log_ { settings_.logDecisionsPerSecond };
         std::uint64_t checkpointedVersion_ = 0;
         base::TimePoint checkpointedAt_ {};
--- a/src/celerystile/base/events.cpp
+++ b/src/celerystile/base/events.cpp
@@ -120,7 +120,8 @@
         EventInfo { Event::OverflowEnded, Level::Info, "overflow_ended",
             "The hosts of the failure domain suffice for the service again.", "-" },
         EventInfo { Event::HeartbeatRefused, Level::Warning, "heartbeat_refused",
-            "A heartbeat is malformed or stale, or its sender may have ended; it was not applied.",
+            "A heartbeat is malformed, stale or for another service, or its sender may have ended; it was not "
+            "applied.",
             "Look for another sender of heartbeats." },
         EventInfo { Event::HostStarted, Level::Info, "host_started",
             "The host beside the sidecar has started a new incarnation.", "-" },
--- a/tests/heartbeat_test.cpp
+++ b/tests/heartbeat_test.cpp
@@ -35,11 +35,12 @@
     constexpr auto timeout = 20s;
     constexpr auto settleTime = 100ms; // until a stopped process runs no more
     constexpr auto heartbeatInterval = 300ms;
+    constexpr const char* instanceName = "side-1";
     constexpr const char* passphrase = "a passphrase for the test";
 
     class SidecarProcess {
     public:
-        SidecarProcess()
+        explicit SidecarProcess(const char* service = nullptr)
             : address_(
                 "127." + std::to_string((::getpid() >> 8) % 200 + 1) + "." + std::to_string(::getpid() % 256) + ".9")
         {
@@ -52,6 +53,7 @@
             REQUIRE(balancer);
             balancer_ = std::move(*balancer);
             host_->start([this](core::Bytes, const base::Endpoint&) { ++delivered_; });
+            writeSettings(service);
             start();
         }
 
@@ -64,19 +66,26 @@
         SidecarProcess(const SidecarProcess&) = delete;
         SidecarProcess& operator=(const SidecarProcess&) = delete;
 
-        void start()
+        /// Writes the settings file. The process reads it when it starts.
+        /// @param service of the host; null: the file names none
+        void writeSettings(const char* service) const
         {
-            const auto file = folder_ + "/settings.json";
             const json::object listen { { "datagramAddr", text(portPackets) }, { "readyAddr", text(portReady) },
                 { "outbound", text(portOutbound) }, { "control", text(portControl) } };
-            std::ofstream(file) << json::serialize(json::object { { "nodeName", "side-1" }, { "zone", "a" },
-                { "listen", listen }, { "internalPorts", { portInternal, portInternal + 15 } },
-                { "seeds", json::array {} }, { "heartbeatMs", heartbeatInterval.count() },
-                { "bounds", { { "graceS", 6 }, { "contactMs", 4'000 } } },
-                { "platform", { { "address", text(portStore) }, { "minTtlMs", 1'000 } } }, { "app", text(portApp) } });
+            json::object settings { { "nodeName", instanceName }, { "zone", "a" }, { "listen", listen },
+                { "internalPorts", { portInternal, portInternal + 15 } }, { "seeds", json::array {} },
+                { "heartbeatMs", heartbeatInterval.count() }, { "bounds", { { "graceS", 6 }, { "contactMs", 4'000 } } },
+                { "platform", { { "address", text(portStore) }, { "minTtlMs", 1'000 } } }, { "app", text(portApp) } };
+            if (service)
+                settings["service"] = service;
+            std::ofstream(settingsFile()) << json::serialize(settings);
+        }
+
+        void start()
+        {
             process_.emplace("sidecar",
                 std::vector<std::string> { std::string(CELERYSTILE_BINARY_DIR) + "/celerystiled", "sidecar",
-                    "--settings-file", file, "--key", passphrase },
+                    "--settings-file", settingsFile(), "--key", passphrase },
                 folder_ + "/log");
             REQUIRE_MESSAGE(waitUntil([&] { return !dump().empty(); }, timeout), process_->output());
         }
@@ -132,10 +141,20 @@
             hello.configurationVersion = 1;
             hello.known = { 1, 1 };
             hello.coldOpeningsPerSecond = limit;
-            peer::DatagramBuffer buffer;
-            peer::encode(hello, *peer::Keyring::create(passphrase, ""), buffer);
-            balancer_->send(endpoint(portPackets), buffer.bytes());
-            balancer_->flush();
+            sendMessage(hello);
+        }
+
+        /// Sends the checkpoint of a predecessor, which names one open flow of the incarnation `born`.
+        void sendCheckpoint(std::uint64_t born, std::uint64_t sequence)
+        {
+            fleet::HeldFlows held;
+            held.instance = fleet::instanceId(instanceName);
+            held.born = born;
+            held.sequence = sequence;
+            held.flows.push_back(
+                { { { *base::IpAddress::parse("100.64.0.7"), 39'999 }, *base::Endpoint::parse("198.18.0.1:443") }, 700,
+                    900, true });
+            sendMessage(held);
         }
 
         /// Remaining slow start in the heartbeats that follow.
@@ -152,11 +171,8 @@
             forward.balancer = balancer_->local();
             forward.candidates = { endpoint(portPackets) };
             forward.packet = packet;
-            peer::DatagramBuffer buffer;
-            peer::encode(forward, *peer::Keyring::create(passphrase, ""), buffer);
             const auto before = number("flows_opened") + number("syn_declined");
-            balancer_->send(endpoint(portPackets), buffer.bytes());
-            balancer_->flush();
+            sendMessage(forward);
             REQUIRE(waitUntil([&] { return number("flows_opened") + number("syn_declined") > before; }, timeout));
             context_.run_for(settleTime);
             context_.restart();
@@ -167,6 +183,16 @@
         base::Endpoint endpoint(std::uint16_t port) const { return { *base::IpAddress::parse(address_), port }; }
         std::string text(std::uint16_t port) const { return endpoint(port).toString(); }
 
+        std::string settingsFile() const { return folder_ + "/settings.json"; }
+
+        void sendMessage(const fleet::Message& message)
+        {
+            peer::DatagramBuffer buffer;
+            peer::encode(message, *peer::Keyring::create(passphrase, ""), buffer);
+            balancer_->send(endpoint(portPackets), buffer.bytes());
+            balancer_->flush();
+        }
+
         std::string heartbeat(const char* service, int sequence, std::int64_t born) const
         {
             return json::serialize(json::object { { "service", service }, { "address", text(portApp) }, { "zone", "a" },
@@ -233,6 +259,35 @@
     CHECK(sidecar.number("host_born") == 5'000);
 }
 
+// review/6: after a planned restart, one heartbeat of another writer made the sidecar reset the open flows of its host.
+TEST_CASE("processes: a heartbeat for a service that is not the host's resets no flow and keeps the host in use")
+{
+    SidecarProcess sidecar("desk");
+    sidecar.sendCheckpoint(4'000, 50);
+    std::this_thread::sleep_for(settleTime);
+    CHECK_FALSE(sidecar.exchange("archive", 1, 9'000));
+    CHECK(sidecar.number("host_born") == 0);
+    CHECK(sidecar.number("heartbeats_foreign") == 1);
+    REQUIRE(sidecar.exchange("desk", 51, 4'000));
+    CHECK(sidecar.number("host_born") == 4'000);
+    CHECK_FALSE(sidecar.exchange("archive", 2, 9'000));
+    CHECK(sidecar.number("host_born") == 4'000);
+    CHECK(sidecar.number("flows_adopted") == 1);
+    CHECK(sidecar.number("flows_reset") == 0);
+    CHECK(sidecar.offer("desk") == 1);
+}
+
+// Guards against refusing the host's own heartbeats for good when its service changes while the process runs.
+TEST_CASE("processes: a sidecar follows a change of its host's service in the settings file")
+{
+    SidecarProcess sidecar("desk");
+    REQUIRE(sidecar.exchange("desk", 1, 4'000));
+    sidecar.writeSettings("archive");
+    CHECK(sidecar.exchange("archive", 1, 5'000));
+    CHECK(sidecar.number("host_born") == 5'000);
+    CHECK(sidecar.number("heartbeats_foreign") == 0);
+}
+
 // Guards against a process that does not hand the hello's limit or the heartbeat's slow start to the limiter, or hides
 // them from operators.
 TEST_CASE("processes: a sidecar's dump shows slow start, its limit and the openings in the window")
