Store: a long poll without an answer is sent again in time

Cause: nothing bounded the age of what a balancer knows of the operators' keys. A long poll waited for 20 s and 1 s more, and what was to find a dead one before, a stale read every 2 s, may itself be seconds old.

Evidence: logs could not tell a dead watch from a late answer of the store or a slow process: configuration_applied names the store in each case. The new metric store_watch_age_ms could: read every 0.7 s on the code before the fix, it rose to 20.5 s on the late balancer while versions 7 and 10 were applied there, so these came by stale reads.

Fix: the store answers a long poll even if nothing has changed, so that a missing answer shows that the connection is silent. A long poll takes 0.6 of the shortest bound for changes that the settings state, and an overdue one is sent again at once on a new connection, for an immediate answer. That is counted (store_watches_overdue) and is no failure of the store; the circuit breaker and the health of the store are affected only if the second call fails.

Tests: "a change is known in time although the connection on which the watch waits has gone silent", failed before with 3,902 ms, and with 3,157 ms for a value of 300 KB, against the bound of 3 s.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -44,7 +44,8 @@
                   usesOverflow() ? &overflow_ : nullptr)
             , link_(fleet::makeLinkOptions(settings.node.linkMegabitsPerSecond), *this)
             , configurationWatch_(
-                  store_, controlContext_, std::string(platform::configurationPrefix), {},
+                  store_, controlContext_, std::string(platform::configurationPrefix),
+                  store::watchOptionsFor(settings.node.changeDeadline),
                   [this](const auto& items, auto revision) { onOperatorKeys(items, revision); },
                   [this](bool available, const auto& detail) {
                       storeAvailable_ = available;
--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -246,6 +246,9 @@
     state["store_failures"] = calls.failures;
     state["store_items_unreadable"] = calls.unreadableItems;
     state["store_watches_renewed"] = calls.renewedWatches;
+    state["store_watches_overdue"] = calls.overdueWatches;
+    if (const auto answeredAt = store_.watchAnsweredAt())
+        state["store_watch_age_ms"] = toMilliseconds(clock_.now() - *answeredAt);
     const auto& breaker = store_.breaker();
     const auto probe = breaker.probe();
     state["store_suspensions"] = breaker.suspensions();
--- a/fakes/metadata_store.cpp
+++ b/fakes/metadata_store.cpp
@@ -78,7 +78,7 @@
     if (target.starts_with("/api/kv-key"))
         return get(parameter(target, "key"));
     if (target.starts_with("/api/kv-range"))
-        return range(parameter(target, "prefix"), parameter(target, "after"));
+        return range(parameter(target, "prefix"), parameter(target, "after"), parameter(target, "allowStale") == "1");
     if (constexpr std::string_view keep = "/api/kv-keep/"; target.starts_with(keep)) {
         const auto found = leases_.find(std::stoull(target.substr(keep.size())));
         if (found == leases_.end())
@@ -108,12 +108,28 @@
             { "lease", item.lease }, { "storeRevision", revision_ } });
 }
 
-base::HttpReply MetadataStore::range(const std::string& prefix, const std::string& after) const
+std::map<std::string, MetadataStore::Item> MetadataStore::itemsAt(base::TimePoint time) const
+{
+    std::map<std::string, Item> items;
+    for (const auto& change : history_) {
+        if (change.at > time)
+            break;
+        if (change.deleted)
+            items.erase(change.key);
+        else
+            items[change.key] = change.item;
+    }
+    return items;
+}
+
+base::HttpReply MetadataStore::range(const std::string& prefix, const std::string& after, bool stale) const
 {
     constexpr std::size_t page = 50;
     json::array items;
     bool more = false;
-    for (auto at = items_.lower_bound(prefix); at != items_.end() && at->first.starts_with(prefix); ++at) {
+    const bool old = stale && faults_.staleness > std::chrono::milliseconds(0);
+    const auto& shown = old ? itemsAt(clock_.now() - faults_.staleness) : items_;
+    for (auto at = shown.lower_bound(prefix); at != shown.end() && at->first.starts_with(prefix); ++at) {
         if (at->first <= after)
             continue;
         more = items.size() == page;
@@ -130,8 +146,13 @@
 {
     constexpr std::chrono::milliseconds pollInterval { 10 };
     const auto until = clock_.now() + wait;
+    const auto silences = watchSilences_;
     boost::asio::steady_timer timer(co_await boost::asio::this_coro::executor);
     while (true) {
+        if (watchSilences_ != silences) {
+            timer.expires_at(base::TimePoint::max());
+            co_await timer.async_wait(base::useNothrowAwaitable);
+        }
         if (faults_.status != 0)
             co_return reply(faults_.status);
         if (after < compactedAt_)
@@ -201,7 +222,7 @@
     item.revision = ++revision_;
     item.created = found == items_.end() ? revision_ : found->second.created;
     items_[key] = item;
-    history_.push_back({ revision_, key, false, item });
+    history_.push_back({ clock_.now(), revision_, key, false, item });
     if (history_.size() > historyLength)
         history_.pop_front();
 }
@@ -209,7 +230,7 @@
 void MetadataStore::erase(const std::string& key)
 {
     if (items_.erase(key) > 0)
-        history_.push_back({ ++revision_, key, true, {} });
+        history_.push_back({ clock_.now(), ++revision_, key, true, {} });
 }
 
 void MetadataStore::expireAllLeases()
--- a/fakes/metadata_store.hpp
+++ b/fakes/metadata_store.hpp
@@ -19,6 +19,7 @@
     bool silent = false; ///< calls get no answer, and neither do later ones on the same connection
     unsigned status = 0; ///< not 0: every call is answered with this status and has no effect
     std::chrono::milliseconds delay { 2 }; ///< before every answer
+    std::chrono::milliseconds staleness { 0 }; ///< age of the state that stale listings show
     double lostResponseShare = 0; ///< share of the writes that take effect but are answered with a failure
 
     bool operator==(const MetadataStoreFaults&) const = default;
@@ -48,6 +49,9 @@
     /// @brief Discards the history of changes, so that watches from earlier revisions fail.
     void compact();
 
+    /// @brief The watches that wait now are never answered, as if their connections had gone silent. Other calls are.
+    void silenceWaitingWatches() { ++watchSilences_; }
+
     MetadataStoreFaults& faults() { return faults_; }
     std::uint64_t calls() const { return calls_; }
 
@@ -63,6 +67,7 @@
     };
 
     struct Change {
+        base::TimePoint at {};
         std::uint64_t revision = 0;
         std::string key;
         bool deleted = false;
@@ -76,7 +81,8 @@
 
     base::HttpReply answer(const base::HttpRequest& request);
     base::HttpReply get(const std::string& key) const;
-    base::HttpReply range(const std::string& prefix, const std::string& after) const;
+    base::HttpReply range(const std::string& prefix, const std::string& after, bool stale) const;
+    std::map<std::string, Item> itemsAt(base::TimePoint time) const;
     boost::asio::awaitable<base::HttpReply> watch(
         std::string prefix, std::uint64_t after, std::chrono::milliseconds wait);
     base::HttpReply transact(const boost::json::object& body);
@@ -94,6 +100,7 @@
     std::uint64_t compactedAt_ = 0;
     std::uint64_t lastLease_ = 0;
     std::uint64_t calls_ = 0;
+    std::uint64_t watchSilences_ = 0;
 };
 
 } // namespace celerystile::fakes
--- a/include/celerystile/store/prefix_watch.hpp
+++ b/include/celerystile/store/prefix_watch.hpp
@@ -21,6 +21,10 @@
     std::size_t maxRecheckBytes = 65'536; ///< larger values are not read again; instead, watch calls are shorter
 };
 
+/// @brief Settings of a watch whose changes are known within `deadline` although its connection may go silent: a long
+/// poll takes only a part of that time.
+PrefixWatchOptions watchOptionsFor(std::chrono::milliseconds deadline);
+
 /// @brief Watches a prefix. Runs on one io_context.
 class PrefixWatch {
 public:
--- a/src/celerystile/store/prefix_watch.cpp
+++ b/src/celerystile/store/prefix_watch.cpp
@@ -2,12 +2,29 @@
 
 #include "celerystile/base/stream.hpp"
 
+#include <algorithm>
 #include <numeric>
 
 namespace celerystile::store {
 
 namespace asio = boost::asio;
 
+namespace {
+
+    // The rest of the deadline is for an overdue answer, a new connection and the effect of the change.
+    constexpr double longPollShare = 0.6;
+    constexpr std::chrono::milliseconds minLongPollTimeout { 500 }; // limits the calls to the store
+
+} // namespace
+
+PrefixWatchOptions watchOptionsFor(std::chrono::milliseconds deadline)
+{
+    PrefixWatchOptions options;
+    const auto share = std::chrono::duration_cast<std::chrono::milliseconds>(deadline * longPollShare);
+    options.longPollTimeout = std::clamp(share, minLongPollTimeout, options.longPollTimeout);
+    return options;
+}
+
 PrefixWatch::PrefixWatch(KeyValueStore& store, asio::io_context& context, std::string prefix,
     PrefixWatchOptions options, Handler handler, HealthHandler health)
     : store_(store)
@@ -75,7 +92,8 @@
 
 asio::awaitable<bool> PrefixWatch::pollChanges()
 {
-    const auto wait = tooLargeToRecheck() ? options_.recheckInterval : options_.longPollTimeout;
+    const auto wait
+        = tooLargeToRecheck() ? std::min(options_.recheckInterval, options_.longPollTimeout) : options_.longPollTimeout;
     const auto changes = co_await store_.watch(prefix_, revision_, wait);
     if (stopped_ || !changes)
         co_return reportHealth(false, changes ? "stopped" : changes.error().detail);
