Balancer: pending SYNs follow a change of their route

Cause: a pending SYN kept the service that was selected for its first copy, and retries, copies, declined SYNs and SYNs without a host were placed by it for up to 1.5 s. setRoutes left pending SYNs as they were.

Evidence (log of the failing run): configuration_applied version=4, then flow_placed reason="new flow" version=4 at the hosts of the new service, and between them reason="no answer from any candidate" version=4 at the host of the old one. Existing lines told the hypotheses apart; the counter syn_rerouted is new.

Fix: setRoutes selects the service of each pending SYN anew. If it differs, the host that has the SYN may answer for the usual 40 ms; then, or at once if no host is expected to answer, it is placed among the hosts of the new service. Without a route it is refused then: no host may accept it any more, so there is nothing to wait for. SYNs that wait for hosts or slow start take the same path.

--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -24,6 +24,7 @@
     ForwardedLookup, ///< packets of open flows without a known owner
     FlowsPlaced, ///< SYNs sent to a host
     SynRetried, ///< SYNs sent to another host because one did not answer
+    SynRerouted, ///< pending SYNs whose service or route a configuration changed
     SynRefused, ///< resets in answer to a SYN
     FlowsReset, ///< resets to callers of open flows whose host's address another instance has
     DropNoRoute, ///< packets of open flows for an address that has no route
@@ -100,7 +101,7 @@
     Balancer(BalancerOptions options, const Placement& placement, BalancerOutput& output, base::TimePoint start,
         DomainOverflow* overflow = nullptr);
 
-    /// @brief Applies a configuration. Sidecars whose limits it changes are told at once.
+    /// @brief Applies a configuration, to pending SYNs as well. Sidecars whose limits it changes are told at once.
     void setRoutes(RouteTablePtr routes);
 
     /// @brief Applies the entries of the host registry.
@@ -154,11 +155,12 @@
     struct PendingSyn {
         core::Segment segment;
         std::vector<std::uint8_t> packet;
-        ServiceId service = 0;
+        ServiceId service = 0; // 0: the configuration has no route for it
         CandidateList candidates;
         std::vector<Endpoint> tried;
         std::uint8_t position = 0;
         bool unanswered = false; // a host may have accepted it: it left the SYN unanswered
+        bool rerouted = false; // a configuration has changed its service since it was sent
         bool deferred = false; // a host declined since the last pause, only because of its slow start
         std::uint8_t deferrals = 0; // pauses for hosts in slow start
         std::string_view holdReason; // of the last pause
@@ -175,6 +177,8 @@
         const std::vector<const KnownHost*>& eligible, base::TimePoint now);
     void place(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void applyHostList(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
+    void reroutePending();
+    void reroute(PendingSyn& pending, ServiceId service);
     bool holdForHosts(PendingSyn& pending, base::TimePoint now);
     bool holdForSlowStart(PendingSyn& pending, base::TimePoint now);
     void hold(PendingSyn& pending, std::string_view reason, base::TimePoint until);
@@ -183,6 +187,7 @@
     void sendSyn(PendingSyn& pending, std::string_view reason, base::TimePoint now);
     void retry(PendingSyn& pending, base::TimePoint now);
     void refuse(const core::Segment& segment, std::string_view reason);
+    void refusePending(const PendingSyn& pending, std::string_view reason);
     void resetReplacedFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now);
     void setUrgency(Forward& forward, const core::Segment& segment) const;
     void updateOverflow(base::TimePoint now);
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -10,12 +10,14 @@
 namespace {
 
     constexpr base::Duration sweepInterval = std::chrono::seconds(1);
+    constexpr std::string_view noRoute = "no route for the service address";
 
     constexpr std::array<std::string_view, balancerCounts> countNames {
         "forwarded_owned",
         "forwarded_lookup",
         "flows_placed",
         "syn_retried",
+        "syn_rerouted",
         "syn_refused",
         "flows_reset",
         "drop_no_route",
@@ -118,16 +120,18 @@
     }
     if (owner)
         owners_.erase(segment.key); // the caller has reused its port for a new flow
+    const auto* route = routes_->find(segment.key.service);
     if (const auto found = pending_.find(segment.key); found != pending_.end()) {
+        if (!route)
+            return refusePending(found->second, noRoute);
         found->second.packet.assign(packet.begin(), packet.end());
         found->second.segment = segment;
         return retry(found->second, now);
     }
     if (routes_->version == 0)
         return increment(BalancerCount::DropUnsettled);
-    const auto* route = routes_->find(segment.key.service);
     if (!route)
-        return refuse(segment, "no route for the service address");
+        return refuse(segment, noRoute);
     if (pending_.size() >= options_.maxPendingSyns)
         return increment(BalancerCount::DropUnsettled);
     PendingSyn pending;
@@ -166,9 +170,11 @@
 }
 
 // Sends the SYN to the best of the hosts that have not been tried. If there is none, the caller is refused at once,
-// unless a host may have accepted the flow, whose claim is late or lost.
+// unless a host may have accepted the flow, whose claim is late or lost. Without a route no flow may be accepted.
 void Balancer::place(PendingSyn& pending, std::string_view reason, base::TimePoint now)
 {
+    if (!routes_->find(pending.segment.key.service))
+        return refusePending(pending, noRoute);
     const auto untried = [&](std::vector<const KnownHost*> hosts) {
         std::erase_if(hosts, [&](const KnownHost* host) { return contains(pending.tried, host->record.sidecar); });
         return hosts;
@@ -192,9 +198,7 @@
         increment(BalancerCount::DropNoHost);
         if (evacuated)
             increment(BalancerCount::EvacuationRefused);
-        const auto segment = pending.segment;
-        pending_.erase(segment.key);
-        return refuse(segment,
+        return refusePending(pending,
             evacuated ? "all hosts of the service are in evacuated failure domains" : "no host accepts the flow");
     }
     countPlacedElsewhere(pending.service, now);
@@ -214,6 +218,7 @@
         overflow_->recordPlacement(host->record);
     increment(BalancerCount::FlowsPlaced);
     pending.sentAt = now;
+    pending.rerouted = false;
     pending.retryAt = now + options_.synAnswerTimeout;
     scheduleWakeup(pending.retryAt);
     Forward forward;
@@ -253,6 +258,13 @@
     output_.reset(segment);
 }
 
+void Balancer::refusePending(const PendingSyn& pending, std::string_view reason)
+{
+    const auto segment = pending.segment;
+    pending_.erase(segment.key);
+    refuse(segment, reason);
+}
+
 // With the reset the caller can reconnect at once; otherwise it would wait for its timeout.
 void Balancer::resetReplacedFlow(const core::Segment& segment, const Owner& owner, base::TimePoint now)
 {
@@ -325,7 +337,7 @@
             continue;
         }
         const bool more = pending.position + 1U < pending.candidates.size();
-        if (more || pending.candidates.empty())
+        if (more || pending.candidates.empty() || pending.rerouted)
             retry(pending, now);
         else
             pending.retryAt = pending.expiresAt; // the caller's retransmission triggers the next attempt
--- a/src/celerystile/fleet/balancer_holding.cpp
+++ b/src/celerystile/fleet/balancer_holding.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <utility>
 
-// SYNs that wait at a balancer because no host accepts them at present, and are placed again after a pause.
+// SYNs that wait at a balancer: because no host accepts them at present, so that they are placed again after a pause,
+// or for the answer of a host while a configuration changes their route.
 
 namespace celerystile::fleet {
 
@@ -45,6 +46,37 @@
     scheduleWakeup(until);
 }
 
+// Whatever happens to a pending SYN from now on follows the new routes, as a new SYN would.
+void Balancer::reroutePending()
+{
+    for (auto& [key, pending] : pending_) {
+        const auto* route = routes_->find(key.service);
+        const auto service = route ? route->select(key.hash()) : 0;
+        if (service != pending.service)
+            reroute(pending, service);
+    }
+}
+
+// The host that has the SYN now may still answer it until retryAt. The other candidates, to which a retry would send
+// it, are of the earlier service. A SYN that no host is expected to answer is due at once.
+void Balancer::reroute(PendingSyn& pending, ServiceId service)
+{
+    increment(BalancerCount::SynRerouted);
+    const bool awaitsAnswer = !pending.candidates.empty() && pending.retryAt < pending.expiresAt;
+    if (!pending.candidates.empty()) {
+        CandidateList present;
+        present.push_back(pending.candidates[pending.position]);
+        pending.candidates = present;
+        pending.position = 0;
+    }
+    pending.service = service;
+    pending.tried.clear();
+    pending.rerouted = true;
+    if (!awaitsAnswer)
+        pending.retryAt = {};
+    scheduleWakeup(pending.retryAt);
+}
+
 void Balancer::dropExpired(const PendingSyn& pending)
 {
     const auto key = pending.segment.key;
--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -25,6 +25,7 @@
 void Balancer::setRoutes(RouteTablePtr routes)
 {
     routes_ = std::move(routes);
+    reroutePending();
     for (const auto& [sidecar, host] : hostTable_.hosts())
         announceLimit(host.record);
 }
