Store: the comment on stale listings says what they are for

With the fix of the silent watch they no longer have to find a dead connection; what is left is a watch that misses a change. No change of behaviour.

--- a/include/celerystile/store/prefix_watch.hpp
+++ b/include/celerystile/store/prefix_watch.hpp
@@ -43,8 +43,8 @@
     /// @brief Runs until stop().
     boost::asio::awaitable<void> run();
 
-    /// @brief Lists the prefix at intervals, concurrently with run(). A watch on a dead connection would deliver
-    /// nothing until its timeout. Values above maxRecheckBytes are not listed: their watch times out soon enough.
+    /// @brief Lists the prefix at intervals, concurrently with run(), in case that the watch misses a change. The
+    /// listing may be seconds old, so it does not replace the watch. Values above maxRecheckBytes are not listed.
     boost::asio::awaitable<void> recheck();
     void stop();
 
