Settings: a fraction in a bound keeps no process from starting

Cause: graceS was read as an integer, and a field that can't be read voids the whole file. A running process keeps its last good settings; one that starts has none, so that a field that sets only the pause before a planned stop kept it down.

Evidence: the binary before the fix ends with status 2 and "graceS" must be an integer from 0 to 604800.

No bound is required: one that can't be read is logged (settings_rejected, kept="the default of this bound") and its default applies.

--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -48,6 +48,12 @@
         return text;
     }
 
+    void logIgnoredBounds(const platform::NodeSettings& node)
+    {
+        for (const auto& error : node.ignoredBounds)
+            logEvent(Event::SettingsRejected, { { "detail", error }, { "kept", "the default of this bound" } });
+    }
+
 } // namespace
 
 FleetProcess::FleetProcess(const FleetSettings& settings, const base::WallClock& wallClock)
@@ -76,6 +82,7 @@
         { { "instance", node.name }, { "neighbours", neighbours }, { "failure_domain", node.failureDomain },
             { "store", node.storeEndpoint.toString() }, { "version", std::string(base::version) },
             { "process", std::to_string(processId_) }, { "epoch", std::to_string(epoch_) } });
+    logIgnoredBounds(node);
     auto opened = start();
     if (opened)
         opened = serve(node.readinessEndpoint);
@@ -161,6 +168,8 @@
             // Sockets are bound once at start: changed addresses take effect after a restart.
             logEvent(Event::SettingsReloaded,
                 { { "changed", *read == known ? "no" : "yes" }, { "by", error ? "file" : "signal" } });
+            if (*read != known)
+                logIgnoredBounds(*read);
             known = std::move(*read);
         }
     }
