Balancer: an up-to-date list of hosts before a refusal for want of hosts

A host is added, the first of a new service, and one second later the operator adds its route.

Cause: a sidecar that starts greets the three balancers that its settings name; the others read the registry every 2.5 s, with reads that may be seconds old. A list that had been complete once counted as complete whatever its age, so that a SYN of a service without a host was refused as one that nothing can serve.

Evidence (logs of the failing case): only that balancer has flow_refused, 395 lines with the new version, from 40 ms after its configuration_applied until its registry_changed hosts=5, 5.5 s after the start of the host. The logs sufficed.

Fix: a balancer requests an up-to-date list before it refuses a SYN because its service has no usable host, and keeps the SYN until the list is there, for 0.5 s at most. At most one list in 2 s is requested; in between SYNs are refused at once, as the list has just shown no host. The list only adds hosts.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -281,7 +281,21 @@
             });
         }
 
-        void onRegistry(const std::vector<store::Item>& items, bool complete)
+        // Without an answer the balancer goes on by its timeout.
+        Task checkHostList()
+        {
+            const auto listing = co_await store_.list(std::string(hostsPrefix), store::ReadConsistency::Latest);
+            if (!listing)
+                co_return;
+            postToTrafficThread([this, records = readHosts(listing->items)] {
+                balancer_.onHostListChecked(records, clock_.now());
+                transport_.flush();
+                updateReady(clock_.now());
+                scheduleWakeup();
+            });
+        }
+
+        std::vector<fleet::HostRecord> readHosts(const std::vector<store::Item>& items)
         {
             std::vector<fleet::HostRecord> records;
             std::map<std::string, store::Revision> unreadable;
@@ -298,6 +312,12 @@
                         Event::RegistryEntryUnreadable, { { "key", item.key }, { "detail", report.error().detail } });
             }
             unreadableEntries_ = std::move(unreadable);
+            return records;
+        }
+
+        void onRegistry(const std::vector<store::Item>& items, bool complete)
+        {
+            auto records = readHosts(items);
             logEvent(Event::RegistryChanged,
                 { { "hosts", std::to_string(records.size()) }, { "complete", complete ? "yes" : "no" } });
             registryComplete_ = complete;
@@ -413,6 +433,11 @@
                     { "known_epoch", std::to_string(known.epoch) } });
         }
 
+        void requestHostList() override
+        {
+            asio::post(controlContext_, [this] { spawn("host list check", [this] { return checkHostList(); }); });
+        }
+
         fleet::DomainOverflow overflow_; // traffic thread only
         std::unique_ptr<fleet::Placement> placement_;
         FleetTransport transport_;
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -260,6 +260,7 @@
             void reset(const Segment& about) override { world.resetCaller(about.key, *this, lastReason); }
             void recordDecision(const fleet::Decision& decision) override { lastReason = decision.reason; }
             void recordOutdated(const fleet::OutdatedRecord&) override { }
+            void requestHostList() override { } // its lists are never older than the store
 
             World& world;
             std::size_t index;
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -31,6 +31,7 @@
     DropNoHost, ///< packets for a service without a known host
     DropUnsettled, ///< SYNs without a known configuration or above maxPendingSyns
     SynHeld, ///< SYNs without a host while the host list is incomplete
+    HostListChecks, ///< requests for an up-to-date host list, because a SYN found no usable host of its service
     SynDeferred, ///< pauses of SYNs that only wait for hosts in slow start
     SynDeferredExpired, ///< SYNs whose caller gave up during such a pause
     ClaimsAsked, ///< requests to sidecars for all their claims
@@ -64,6 +65,9 @@
 
     /// @brief Logs a host record that was not applied.
     virtual void recordOutdated(const OutdatedRecord& record) = 0;
+
+    /// @brief Requests an up-to-date list of the hosts, for onHostListChecked().
+    virtual void requestHostList() = 0;
 };
 
 /// @brief Settings of a balancer.
@@ -85,6 +89,8 @@
     base::Duration maxDeferralPause = std::chrono::milliseconds(200);
     base::Duration deferredSynLifetime
         = std::chrono::milliseconds(1350); ///< no later placement, so that the answer arrives while the caller waits
+    base::Duration hostCheckTimeout = std::chrono::milliseconds(500); ///< wait of a SYN for an up-to-date host list
+    base::Duration hostCheckInterval = std::chrono::seconds(2); ///< minimum time between two requests for one
     std::size_t maxPendingSyns = 4'096;
     std::size_t maxFlows = 400'000; ///< entries of the owner table; 64 bytes each
     base::Duration minHelloInterval = std::chrono::seconds(1); ///< between two hellos to a sidecar
@@ -107,6 +113,10 @@
     /// @brief Applies the entries of the host registry.
     void setRegistry(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now);
 
+    /// @brief Applies the list of hosts that the balancer requested: adds those that are missing. SYNs that wait for it
+    /// are placed or refused at once.
+    void onHostListChecked(const std::vector<HostRecord>& records, base::TimePoint now);
+
     /// @brief Adds hosts from another balancer's snapshot.
     void addHosts(const std::vector<HostRecord>& records, base::TimePoint now);
 
@@ -160,6 +170,7 @@
         std::vector<Endpoint> tried;
         std::uint8_t position = 0;
         bool unanswered = false; // a host may have accepted it: it left the SYN unanswered
+        bool awaitsHostList = false; // the one that requestHostList() was called for
         bool rerouted = false; // a configuration has changed its service since it was sent
         bool deferred = false; // a host declined since the last pause, only because of its slow start
         std::uint8_t deferrals = 0; // pauses for hosts in slow start
@@ -181,6 +192,7 @@
     void reroute(PendingSyn& pending, ServiceId service);
     bool holdForHosts(PendingSyn& pending, base::TimePoint now);
     bool holdForSlowStart(PendingSyn& pending, base::TimePoint now);
+    bool holdForHostCheck(PendingSyn& pending, base::TimePoint now);
     void hold(PendingSyn& pending, std::string_view reason, base::TimePoint until);
     void dropExpired(const PendingSyn& pending);
     void scheduleWakeup(base::TimePoint at) { wakeupAt_ = std::min(wakeupAt_, at); }
@@ -216,6 +228,8 @@
     RouteTablePtr routes_ = std::make_shared<const RouteTable>();
     bool hostsComplete_ = false; // the last registry list was complete
     bool hostsOnceComplete_ = false; // at least one registry list was complete
+    base::TimePoint nextHostCheckAt_ {}; // no up-to-date list is requested before
+    base::TimePoint hostCheckEndsAt_ {}; // of the last request: SYNs wait for the list until then
     HostTable hostTable_;
     OwnerTable owners_;
     ClaimRepair repair_;
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -24,6 +24,7 @@
         "drop_no_host",
         "drop_unsettled",
         "syn_held",
+        "host_list_checks",
         "syn_deferred",
         "syn_deferred_expired",
         "claims_asked",
@@ -187,7 +188,8 @@
     if (hosts.empty())
         hosts = untried(usable); // ejected hosts are used if no other is left
     const bool evacuated = hosts.empty() && onlyEvacuatedHosts(pending.service, now);
-    if (hosts.empty() && !evacuated && (holdForSlowStart(pending, now) || holdForHosts(pending, now)))
+    if (hosts.empty() && !evacuated
+        && (holdForSlowStart(pending, now) || holdForHosts(pending, now) || holdForHostCheck(pending, now)))
         return;
     if (hosts.empty() && pending.unanswered) {
         increment(BalancerCount::DropNoHost);
--- a/src/celerystile/fleet/balancer_holding.cpp
+++ b/src/celerystile/fleet/balancer_holding.cpp
@@ -37,6 +37,37 @@
     return true;
 }
 
+// The list of hosts may be seconds old and lack one that has just started, so an up-to-date list is requested before a
+// SYN is refused because its service has no usable host. Requests are limited: a service may have none for long.
+bool Balancer::holdForHostCheck(PendingSyn& pending, base::TimePoint now)
+{
+    if (pending.service == 0 || !hostTable_.usable(pending.service, now).empty())
+        return false;
+    if (now >= nextHostCheckAt_) {
+        increment(BalancerCount::HostListChecks);
+        nextHostCheckAt_ = now + options_.hostCheckInterval;
+        hostCheckEndsAt_ = now + options_.hostCheckTimeout;
+        output_.requestHostList();
+    }
+    if (now >= hostCheckEndsAt_)
+        return false;
+    pending.awaitsHostList = true;
+    hold(pending, "retry with an up-to-date host list", std::min(hostCheckEndsAt_, pending.expiresAt));
+    return true;
+}
+
+void Balancer::onHostListChecked(const std::vector<HostRecord>& records, base::TimePoint now)
+{
+    applyHostList(records, ListExtent::Partial, now);
+    hostCheckEndsAt_ = now;
+    for (auto& [key, pending] : pending_) {
+        if (std::exchange(pending.awaitsHostList, false) && pending.candidates.empty()) {
+            pending.retryAt = now;
+            scheduleWakeup(now);
+        }
+    }
+}
+
 void Balancer::hold(PendingSyn& pending, std::string_view reason, base::TimePoint until)
 {
     pending.candidates.clear();
--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -1,6 +1,7 @@
 #include "celerystile/fleet/balancer.hpp"
 
 #include <algorithm>
+#include <utility>
 
 // Membership in a balancer: host list, reports of sidecars, hellos and claim repair.
 
@@ -44,7 +45,9 @@
 
 void Balancer::setRegistry(const std::vector<HostRecord>& records, ListExtent extent, base::TimePoint now)
 {
-    hostsComplete_ = extent == ListExtent::Complete;
+    const bool wasComplete = std::exchange(hostsComplete_, extent == ListExtent::Complete);
+    if (hostsComplete_ && !wasComplete) // lists are up to date until they are complete
+        nextHostCheckAt_ = now + options_.hostCheckInterval;
     hostsOnceComplete_ = hostsOnceComplete_ || hostsComplete_;
     applyHostList(records, extent, now);
 }
--- a/src/celerystile/fleet/fleet_test_support.hpp
+++ b/src/celerystile/fleet/fleet_test_support.hpp
@@ -103,8 +103,10 @@
 class BalancerRecorder final : public Recorder<BalancerOutput> {
 public:
     void recordOutdated(const OutdatedRecord& record) override { outdated.push_back(record); }
+    void requestHostList() override { ++hostListRequests; }
 
     std::vector<OutdatedRecord> outdated;
+    int hostListRequests = 0;
 };
 
 class SidecarRecorder final : public Recorder<SidecarOutput> {
--- a/src/celerystile/fleet/slow_start_fleet_test.cpp
+++ b/src/celerystile/fleet/slow_start_fleet_test.cpp
@@ -64,6 +64,7 @@
         struct BalancerNode final : Node<BalancerOutput> {
             using Node::Node;
             void recordOutdated(const OutdatedRecord&) override { }
+            void requestHostList() override { }
 
             std::unique_ptr<Balancer> machine;
         };
