Soak: silent watches, heartbeats of another writer, stale reads that are old

Stale reads show the state of 3 s ago in all runs.

A change of the configuration was checked against the newest version only, so that the next change hid a late one; now each version is due three seconds after its acknowledgement.

--- a/fakes/metadata_store.cpp
+++ b/fakes/metadata_store.cpp
@@ -108,16 +108,22 @@
             { "lease", item.lease }, { "storeRevision", revision_ } });
 }
 
+void MetadataStore::apply(const Change& change, std::map<std::string, Item>& items)
+{
+    if (change.deleted)
+        items.erase(change.key);
+    else
+        items[change.key] = change.item;
+}
+
+// Discarded changes count as older than any time.
 std::map<std::string, MetadataStore::Item> MetadataStore::itemsAt(base::TimePoint time) const
 {
-    std::map<std::string, Item> items;
+    auto items = itemsBeforeHistory_;
     for (const auto& change : history_) {
         if (change.at > time)
             break;
-        if (change.deleted)
-            items.erase(change.key);
-        else
-            items[change.key] = change.item;
+        apply(change, items);
     }
     return items;
 }
@@ -127,8 +133,8 @@
     constexpr std::size_t page = 50;
     json::array items;
     bool more = false;
-    const bool old = stale && faults_.staleness > std::chrono::milliseconds(0);
-    const auto& shown = old ? itemsAt(clock_.now() - faults_.staleness) : items_;
+    const bool old = stale && staleness_ > std::chrono::milliseconds(0);
+    const auto& shown = old ? itemsAt(clock_.now() - staleness_) : items_;
     for (auto at = shown.lower_bound(prefix); at != shown.end() && at->first.starts_with(prefix); ++at) {
         if (at->first <= after)
             continue;
@@ -223,8 +229,10 @@
     item.created = found == items_.end() ? revision_ : found->second.created;
     items_[key] = item;
     history_.push_back({ clock_.now(), revision_, key, false, item });
-    if (history_.size() > historyLength)
+    if (history_.size() > historyLength) {
+        apply(history_.front(), itemsBeforeHistory_);
         history_.pop_front();
+    }
 }
 
 void MetadataStore::erase(const std::string& key)
@@ -242,6 +250,7 @@
 
 void MetadataStore::compact()
 {
+    itemsBeforeHistory_ = items_;
     history_.clear();
     compactedAt_ = revision_;
 }
--- a/fakes/metadata_store.hpp
+++ b/fakes/metadata_store.hpp
@@ -19,7 +19,6 @@
     bool silent = false; ///< calls get no answer, and neither do later ones on the same connection
     unsigned status = 0; ///< not 0: every call is answered with this status and has no effect
     std::chrono::milliseconds delay { 2 }; ///< before every answer
-    std::chrono::milliseconds staleness { 0 }; ///< age of the state that stale listings show
     double lostResponseShare = 0; ///< share of the writes that take effect but are answered with a failure
 
     bool operator==(const MetadataStoreFaults&) const = default;
@@ -49,6 +48,9 @@
     /// @brief Discards the history of changes, so that watches from earlier revisions fail.
     void compact();
 
+    /// @brief Sets the age of the state that stale listings show. Not a fault: the platform sets no limit to it.
+    void setStaleness(std::chrono::milliseconds staleness) { staleness_ = staleness; }
+
     /// @brief The watches that wait now are never answered, as if their connections had gone silent. Other calls are.
     void silenceWaitingWatches() { ++watchSilences_; }
 
@@ -82,6 +84,7 @@
     base::HttpReply answer(const base::HttpRequest& request);
     base::HttpReply get(const std::string& key) const;
     base::HttpReply range(const std::string& prefix, const std::string& after, bool stale) const;
+    static void apply(const Change& change, std::map<std::string, Item>& items);
     std::map<std::string, Item> itemsAt(base::TimePoint time) const;
     boost::asio::awaitable<base::HttpReply> watch(
         std::string prefix, std::uint64_t after, std::chrono::milliseconds wait);
@@ -95,12 +98,14 @@
     MetadataStoreFaults faults_;
     std::map<std::string, Item> items_;
     std::map<std::uint64_t, Lease> leases_;
+    std::map<std::string, Item> itemsBeforeHistory_; // changes of history_ apply to these
     std::deque<Change> history_;
     std::uint64_t revision_ = 100;
     std::uint64_t compactedAt_ = 0;
     std::uint64_t lastLease_ = 0;
     std::uint64_t calls_ = 0;
     std::uint64_t watchSilences_ = 0;
+    std::chrono::milliseconds staleness_ { 0 };
 };
 
 } // namespace celerystile::fakes
--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -72,6 +72,7 @@
     , store_(clock, plan.seed)
     , proxy_(context, endpointOf(storeAddressIndex, portProxy), endpointOf(storeAddressIndex, portStore))
 {
+    store_.setStaleness(3s);
     auto pattern = (std::filesystem::temp_directory_path() / "celerystile-soak-XXXXXX").string();
     folder_ = ::mkdtemp(pattern.data());
 }
@@ -105,8 +106,10 @@
         { "listen", listen }, { "internalPorts", { portInternal, portInternal + 15 } }, { "seeds", seeds },
         { "heartbeatMs", 300 }, { "bounds", { { "graceS", 6 }, { "contactMs", 4'000 } } },
         { "platform", { { "address", endpointOf(storeAddressIndex, portProxy).toString() }, { "minTtlMs", 1'000 } } } };
-    if (!instance.balancer)
+    if (!instance.balancer) {
         settings["app"] = endpointOf(addressIndex, portApp).toString();
+        settings["service"] = isArchive(instance.index) ? archive : desk;
+    }
     return json::serialize(settings);
 }
 
@@ -208,7 +211,7 @@
     store_.put("op/config",
         json::serialize(json::object { { "version", version_ }, { "routes", routes }, { "services", json::array {} },
             { "limits", { { "idleTimeoutMs", 15'000 } } } }));
-    configuredAt_ = clock_.now();
+    acknowledged_.emplace_back(version_, clock_.now());
 }
 
 void Deployment::evacuate(const std::string& failureDomain)
@@ -229,6 +232,36 @@
     }
 }
 
+// The host's own heartbeat may come first, or the sidecar may not listen yet, so the sender repeats it for a while.
+asio::awaitable<void> Deployment::sendForeignHeartbeats(int host)
+{
+    constexpr int repetitions = 10;
+    constexpr std::chrono::milliseconds pause { 50 };
+    asio::steady_timer timer(context_);
+    for (int i = 0; i < repetitions; ++i) {
+        const auto born = std::chrono::duration_cast<std::chrono::milliseconds>(
+            std::chrono::system_clock::now().time_since_epoch());
+        base::HttpRequest request;
+        request.method = "PUT";
+        request.target = "/api/instances/of-another-writer";
+        request.body = json::serialize(json::object { { "service", "nobody" },
+            { "address", endpointOf(firstHostAddressIndex + host, portApp).toString() }, { "zone", "a" },
+            { "version", "v1" }, { "slots", 2 }, { "state", "ready" }, { "coldLeftMs", 0 }, { "sequence", 1 },
+            { "born", born.count() } });
+        base::HttpConnection connection(endpointOf(firstHostAddressIndex + host, portControl));
+        if (const auto reply = co_await connection.exchange(std::move(request), pause); reply && reply->status == 200)
+            checker_.recordViolation(
+                "the sidecar of host " + std::to_string(host) + " accepted a heartbeat for another service");
+        timer.expires_after(pause);
+        co_await timer.async_wait(base::useNothrowAwaitable);
+    }
+}
+
+void Deployment::leaveForeignHeartbeats(int host)
+{
+    asio::co_spawn(context_, sendForeignHeartbeats(host), asio::detached);
+}
+
 void Deployment::leaveForeignEntries()
 {
     constexpr std::size_t depth = 100'000;
@@ -314,16 +347,19 @@
 
 void Deployment::checkConfiguration(const Instance& balancer, std::uint64_t inForce) const
 {
-    const auto age = clock_.now() - configuredAt_;
+    const auto now = clock_.now();
     const bool running = !balancer.down && !balancer.killed && !balancer.stopping && !balancer.paused;
     const bool excused = !running || !checker_.undisturbed(balancer.place())
         || !checker_.undisturbed({ Place::Kind::Store, 0 })
-        || clock_.now() - balancer.launchedAt < checker_.options().contactTime;
-    if (inForce >= version_ || excused || age < checker_.options().configurationBound + readTime)
+        || now - balancer.launchedAt < checker_.options().contactTime;
+    // The newest version that has to be in force: later ones are no reason to lack it.
+    const auto due = std::find_if(acknowledged_.rbegin(), acknowledged_.rend(),
+        [&](const auto& version) { return now - version.second >= checker_.options().configurationBound + readTime; });
+    if (excused || due == acknowledged_.rend() || inForce >= due->first)
         return;
     checker_.recordViolation(balancer.name + " has version " + std::to_string(inForce) + " in force, "
-        + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(age).count()) + " ms after version "
-        + std::to_string(version_) + " was acknowledged");
+        + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(now - due->second).count())
+        + " ms after version " + std::to_string(due->first) + " was acknowledged");
 }
 
 void Deployment::kill(Instance& instance, std::chrono::milliseconds down)
--- a/soak/deployment.hpp
+++ b/soak/deployment.hpp
@@ -91,6 +91,9 @@
     /// large, with a port out of range, empty.
     void leaveForeignEntries();
 
+    /// @brief Sends heartbeats for a service that nobody has to the sidecar of a host, as another writer may.
+    void leaveForeignHeartbeats(int host);
+
     /// @brief Writes the key that evacuates a failure domain, or removes it.
     void evacuate(const std::string& failureDomain);
     void endEvacuation(const std::string& failureDomain);
@@ -119,6 +122,7 @@
     boost::asio::awaitable<void> deliverLater(base::DatagramSocket& from, base::Endpoint to,
         std::vector<std::uint8_t> packet, std::chrono::milliseconds delay);
     boost::asio::awaitable<void> probe(int balancer);
+    boost::asio::awaitable<void> sendForeignHeartbeats(int host);
     boost::asio::awaitable<void> watchConfiguration(int balancer);
     void checkConfiguration(const Instance& balancer, std::uint64_t inForce) const;
 
@@ -138,7 +142,7 @@
     std::vector<std::unique_ptr<Caller>> callers_;
     std::map<int, int> missedProbes_; ///< consecutive failed probes by balancer; two take it out of rotation
     std::uint64_t version_ = 0;
-    base::TimePoint configuredAt_ {}; ///< when the present version was acknowledged
+    std::vector<std::pair<std::uint64_t, base::TimePoint>> acknowledged_; ///< all versions, and when
     std::set<std::string> foreignEntries_;
 };
 
--- a/soak/schedule.cpp
+++ b/soak/schedule.cpp
@@ -35,7 +35,8 @@
         { "store-connections", &Schedule::disruptStoreConnections }, { "store-calls", &Schedule::failStoreCalls },
         { "store-history", &Schedule::compactStore }, { "links", &Schedule::degradeLinks },
         { "isolation", &Schedule::isolateBalancer }, { "store-silence", &Schedule::silenceStore },
-        { "foreign-entries", &Schedule::leaveForeignEntries }, { "evacuation", &Schedule::evacuateDomain } };
+        { "foreign-entries", &Schedule::leaveForeignEntries }, { "evacuation", &Schedule::evacuateDomain },
+        { "foreign-heartbeats", &Schedule::leaveForeignHeartbeats }, { "watch-silence", &Schedule::silenceWatches } };
     return faults;
 }
 
@@ -341,6 +342,30 @@
         [this] { deployment_.leaveForeignEntries(); });
 }
 
+// Another writer's heartbeats reach sidecars that restart at the same time.
+void Schedule::leaveForeignHeartbeats(base::TimePoint at)
+{
+    constexpr std::size_t most = 2;
+    for (auto* instance : randomInstances(false, most)) {
+        addRestart(at, *instance);
+        add(at + randomDuration(20, 400), instance->name + ": another writer sends heartbeats",
+            [this, instance] { deployment_.leaveForeignHeartbeats(instance->index); });
+    }
+}
+
+// The connections on which balancers wait for changes go silent, while all other calls work. A change follows when that
+// is no excuse any more.
+void Schedule::silenceWatches(base::TimePoint at)
+{
+    constexpr auto calmTime = 5'200ms;
+    add(at, "the connections of waiting watches go silent", [this] {
+        checker_.recordFault({ Place::Kind::Store, 0 });
+        deployment_.store().silenceWaitingWatches();
+    });
+    extendFaults(at + calmTime);
+    changeConfiguration(at + calmTime);
+}
+
 void Schedule::failStoreCalls(base::TimePoint at)
 {
     const auto status = random_.below(2) == 0 ? 503U : 429U;
--- a/soak/schedule.hpp
+++ b/soak/schedule.hpp
@@ -76,6 +76,8 @@
     void disruptStoreConnections(base::TimePoint at);
     void silenceStore(base::TimePoint at);
     void leaveForeignEntries(base::TimePoint at);
+    void leaveForeignHeartbeats(base::TimePoint at);
+    void silenceWatches(base::TimePoint at);
     void failStoreCalls(base::TimePoint at);
     void compactStore(base::TimePoint at);
     void degradeLinks(base::TimePoint at);
--- a/tests/soak_test.cpp
+++ b/tests/soak_test.cpp
@@ -73,6 +73,18 @@
     second.check();
 }
 
+// review/7: only stale reads showed a change while the connections of watches were silent.
+TEST_CASE("soak: a change is in force in time while the connections of watches are silent")
+{
+    checkSoak({ "--seed", "1", "--seconds", "8", "--fault", "watch-silence" });
+}
+
+// review/6: a sidecar that restarted took another writer's heartbeat for a new incarnation of its host.
+TEST_CASE("soak: heartbeats of another writer are not accepted by sidecars that restart")
+{
+    checkSoak({ "--seed", "1", "--seconds", "8", "--fault", "foreign-heartbeats" });
+}
+
 // Guards against processes that end, or follow the list of hosts no more, because of another writer's entry in it.
 TEST_CASE("soak: odd entries among those of the hosts end no process and hide no host")
 {
