--- a/soak/deployment.cpp
+++ b/soak/deployment.cpp
@@ -237,10 +237,10 @@
 {
     constexpr int repetitions = 10;
     constexpr std::chrono::milliseconds pause { 50 };
+    const auto& timeOfDay = *instances_[static_cast<std::size_t>(plan_.balancers + host)].timeOfDay;
     asio::steady_timer timer(context_);
     for (int i = 0; i < repetitions; ++i) {
-        const auto born = std::chrono::duration_cast<std::chrono::milliseconds>(
-            std::chrono::system_clock::now().time_since_epoch());
+        const auto born = std::chrono::duration_cast<std::chrono::milliseconds>(timeOfDay.now().time_since_epoch());
         base::HttpRequest request;
         request.method = "PUT";
         request.target = "/api/instances/of-another-writer";
