Sidecar: flow_lost tells how long its host has been silent on the flow

The line had age_ms=0 in all cases, so that a flow that its host has just lost and a record that should not exist any more looked the same.

--- a/include/celerystile/fleet/decision.hpp
+++ b/include/celerystile/fleet/decision.hpp
@@ -47,7 +47,7 @@
     std::optional<base::Endpoint> host; ///< sidecar of the host concerned
     std::uint64_t version = 0; ///< configuration version (balancer) or host incarnation (sidecar)
     std::uint32_t load = 0; ///< known number of open flows of that host
-    base::Duration age { 0 }; ///< age of that load
+    base::Duration age { 0 }; ///< age of that load; for FlowLost, time since the host's last packet on the flow
     std::optional<HostEvidence> evidence {}; ///< of a reset by a balancer
 };
 
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -241,7 +241,8 @@
     using SavedForwards = boost::unordered_flat_map<core::FlowKey, SavedForward, core::FlowKeyHash>;
 
     void increment(SidecarCount which) { ++counts_[static_cast<std::size_t>(which)]; }
-    void recordDecision(DecisionKind kind, const core::FlowKey& key, std::string_view reason);
+    void recordDecision(
+        DecisionKind kind, const core::FlowKey& key, std::string_view reason, base::Duration age = {});
     static SavedForward save(const Forward& forward, const core::Segment& segment, base::TimePoint now);
 
     void onSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
--- a/src/celerystile/base/events.cpp
+++ b/src/celerystile/base/events.cpp
@@ -97,7 +97,9 @@
         EventInfo { Event::FlowAdopted, Level::Info, "flow_adopted",
             "After a restart the sidecar found that its host holds the flow.", "-" },
         EventInfo { Event::FlowLost, Level::Warning, "flow_lost",
-            "The host no longer holds a flow that it held before.", "Check whether that host has restarted." },
+            "The host no longer holds a flow that it held before; age_ms is the time since its last packet on the "
+            "flow.",
+            "Check whether that host has restarted." },
         EventInfo { Event::FlowReset, Level::Warning, "flow_reset",
             "The host of an open flow has ended; a reset was sent to the caller.", "Check that host." },
         EventInfo { Event::PacketUnclaimed, Level::Warning, "packet_unclaimed",
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -60,9 +60,10 @@
     return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(now - start_).count());
 }
 
-void Sidecar::recordDecision(DecisionKind kind, const core::FlowKey& key, std::string_view reason)
+void Sidecar::recordDecision(
+    DecisionKind kind, const core::FlowKey& key, std::string_view reason, base::Duration age)
 {
-    output_.recordDecision({ kind, key, reason, options_.self, host_.born(), table_.openFlows(), {} });
+    output_.recordDecision({ kind, key, reason, options_.self, host_.born(), table_.openFlows(), age });
 }
 
 Sidecar::SavedForward Sidecar::save(const Forward& forward, const core::Segment& segment, base::TimePoint now)
@@ -218,7 +219,8 @@
         return increment(SidecarCount::DropUnclaimed);
     const bool open = record->state == core::FlowState::Open;
     increment(SidecarCount::FlowsLost);
-    recordDecision(DecisionKind::FlowLost, segment.key, "the host does not hold the flow");
+    recordDecision(DecisionKind::FlowLost, segment.key, "the host does not hold the flow",
+        std::chrono::seconds(secondsSinceStart(now) - record->hostLastSeen));
     endFlow(segment.key);
     if (open)
         output_.reset(segment);
