Sidecar: a packet of another flow with the same ports is not taken for its own

A caller gives up a flow with a reset and later uses its port again.

Cause: a sidecar took any packet with a known pair of addresses and ports for one of the flow that it had a record of. Packets of the later flow refreshed the earlier one's record and overwrote its acknowledgement, went to a host that does not hold the flow, and when the host returned them, the sidecar took its own flow for lost and reset the caller.

Change: a packet belongs to the flow of a record if it acknowledges a byte that the host has sent or may send next. Others are passed on like those of unknown flows, change nothing in the record and are counted (packets_of_other_flow). The acknowledgement of an adopted flow may be outdated, so such a packet goes to the host on trial until one of either end has been seen; a returned packet resets the caller only if it belongs to the flow.

It works because hosts choose their initial sequence numbers at random: about one of 28,000 pairs of flows can't be told apart.

--- a/include/celerystile/core/flow_table.hpp
+++ b/include/celerystile/core/flow_table.hpp
@@ -32,6 +32,8 @@
     bool callerFinSeen : 1 = false;
     bool hostFinSeen : 1 = false;
     bool resetSeen : 1 = false; ///< a possibly forged RST was seen; it takes effect if no packet follows for a time
+    bool callerAckSeen : 1
+        = false; ///< callerAck is of a packet that this process has seen, not of a checkpoint or claim
     bool displaced : 1 = false; ///< the owner is not a candidate of the flow; it is found by pointers
 
     bool operator==(const FlowRecord&) const = default;
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -39,6 +39,7 @@
     ClaimsDropped, ///< the caller acknowledged another host's SYN+ACK
     Trials, ///< packets of unknown flows delivered to the host to find out whether it holds them
     PassedOn, ///< packets of unknown flows forwarded to the next candidate
+    PacketsOfOtherFlow, ///< packets of another flow than the one held with the same addresses and ports
     DropUnclaimed, ///< packets of flows that no sidecar claims
     DropTableFull,
     EpochRaised, ///< hellos of balancers that took another process for the latest at this address
@@ -241,8 +242,7 @@
     using SavedForwards = boost::unordered_flat_map<core::FlowKey, SavedForward, core::FlowKeyHash>;
 
     void increment(SidecarCount which) { ++counts_[static_cast<std::size_t>(which)]; }
-    void recordDecision(
-        DecisionKind kind, const core::FlowKey& key, std::string_view reason, base::Duration age = {});
+    void recordDecision(DecisionKind kind, const core::FlowKey& key, std::string_view reason, base::Duration age = {});
     static SavedForward save(const Forward& forward, const core::Segment& segment, base::TimePoint now);
 
     void onSyn(const Forward& forward, const core::Segment& segment, base::TimePoint now);
@@ -265,6 +265,9 @@
     bool evacuated() const;
     void answerHello(const BalancerHello& hello, bool newProcess);
     void onUnknownFlow(const Forward& forward, const core::Segment& segment, base::TimePoint now);
+    void onPacketOfOtherFlow(
+        const core::FlowRecord& record, const Forward& forward, const core::Segment& segment, base::TimePoint now);
+    void deliverOnTrial(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     bool startTrial(const Forward& forward, const core::Segment& segment, base::TimePoint now);
     void passOn(Forward forward, const core::Segment& segment, base::TimePoint now);
     bool forwardToNext(Forward forward);
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr base::Duration expiryInterval = std::chrono::seconds(2);
+    constexpr std::uint32_t maxAckDistance = 76'800; // four times what a host has in flight
 
     constexpr std::array<std::string_view, sidecarCounts> countNames {
         "delivered",
@@ -29,6 +30,7 @@
         "claims_dropped",
         "trials",
         "passed_on",
+        "packets_of_other_flow",
         "drop_unclaimed",
         "drop_table_full",
         "epoch_raised",
@@ -36,6 +38,26 @@
         "evacuation_declined",
     };
 
+    // Whether a caller's packet can belong to the flow of the record: it acknowledges a byte that the host has sent or
+    // may send next. Otherwise it is of another flow with the same addresses and ports, whose host chose another
+    // initial sequence number.
+    bool isOfFlow(const core::FlowRecord& record, const core::Segment& segment)
+    {
+        if (!segment.ack)
+            return true; // nothing to compare
+        const auto ahead = segment.acknowledgement - record.callerAck;
+        if (ahead <= maxAckDistance || ahead >= 0U - maxAckDistance)
+            return true;
+        return record.hostIsnKnown && segment.acknowledgement - record.hostIsn <= record.callerAck - record.hostIsn;
+    }
+
+    // Whether the flow was adopted and neither end has sent a packet on it since, so that its acknowledgement may be
+    // outdated.
+    bool isUnseen(const core::FlowRecord& record)
+    {
+        return record.state == core::FlowState::Open && !record.callerAckSeen;
+    }
+
 } // namespace
 
 std::string_view toString(SidecarCount count) { return countNames[static_cast<std::size_t>(count)]; }
@@ -60,8 +82,7 @@
     return static_cast<std::uint32_t>(std::chrono::duration_cast<std::chrono::seconds>(now - start_).count());
 }
 
-void Sidecar::recordDecision(
-    DecisionKind kind, const core::FlowKey& key, std::string_view reason, base::Duration age)
+void Sidecar::recordDecision(DecisionKind kind, const core::FlowKey& key, std::string_view reason, base::Duration age)
 {
     output_.recordDecision({ kind, key, reason, options_.self, host_.born(), table_.openFlows(), age });
 }
@@ -85,6 +106,8 @@
         return onUnknownFlow(forward, segment, now);
     if (record->state == core::FlowState::Opening && !confirmOpening(*record, forward, segment, now))
         return;
+    if (record->state != core::FlowState::Opening && !isOfFlow(*record, segment))
+        return onPacketOfOtherFlow(*record, forward, segment, now);
     if (forward.purpose == ForwardPurpose::Lookup)
         sendClaim(forward.balancer, segment.key, now);
     if (!holdRequest(forward, segment, now))
@@ -108,16 +131,30 @@
     }
     openingSyns_.erase(segment.key);
     table_.setState(record, core::FlowState::Open);
+    record.callerAck = segment.acknowledgement;
+    record.callerAckSeen = true;
     recordHeld(segment.key);
     ++checkpointVersion_;
     return true;
 }
 
+// The acknowledgement of an adopted flow may be outdated, so the host shows whether the packet belongs to it.
+void Sidecar::onPacketOfOtherFlow(
+    const core::FlowRecord& record, const Forward& forward, const core::Segment& segment, base::TimePoint now)
+{
+    if (isUnseen(record))
+        return deliverOnTrial(forward, segment, now);
+    increment(SidecarCount::PacketsOfOtherFlow);
+    passOn(forward, segment, now);
+}
+
 void Sidecar::deliver(core::FlowRecord& record, const core::Segment& segment, core::Bytes packet, base::TimePoint now)
 {
     record.lastSeen = secondsSinceStart(now);
-    if (segment.ack && !segment.rst)
+    if (segment.ack && !segment.rst) {
         record.callerAck = segment.acknowledgement;
+        record.callerAckSeen = true;
+    }
     if (segment.fin || segment.rst)
         meter_.cancel(segment.key); // the caller needs no further answer
     else if (segment.payloadBytes > 0)
@@ -172,6 +209,10 @@
         return;
     record->lastSeen = secondsSinceStart(now);
     record->hostLastSeen = record->lastSeen;
+    if (isUnseen(*record) && !segment.syn && !segment.rst) {
+        record->callerAck = segment.sequence; // the caller acknowledges it next
+        record->callerAckSeen = true;
+    }
     if (segment.rst)
         meter_.recordReset(segment.key, now);
     if (segment.payloadBytes > 0 || segment.fin) {
@@ -211,11 +252,13 @@
     if (const auto saved = trials_.find(segment.key); saved != trials_.end()) {
         auto original = std::move(saved->second);
         trials_.erase(saved);
+        if (const auto* adopted = table_.find(segment.key); adopted && isUnseen(*adopted))
+            endFlow(segment.key); // the host holds no flow with this key
         original.forward.packet = packet; // the host bounces it unchanged
         return passOn(original.forward, original.segment, now);
     }
     const auto* record = table_.find(segment.key);
-    if (!record)
+    if (!record || !isOfFlow(*record, segment))
         return increment(SidecarCount::DropUnclaimed);
     const bool open = record->state == core::FlowState::Open;
     increment(SidecarCount::FlowsLost);
--- /dev/null
+++ b/src/celerystile/fleet/sidecar_port_reuse_test.cpp
@@ -0,0 +1,196 @@
+#include "celerystile/fleet/sidecar.hpp"
+
+#include "fleet_test_support.hpp"
+
+#include <doctest/doctest.h>
+
+// A caller that aborts or vanishes uses the flow's port again later, for a flow that another host may hold. The
+// sidecar's record of the earlier flow must not affect the later one.
+
+namespace celerystile::fleet {
+
+namespace {
+
+    using namespace testing;
+
+    constexpr const char* caller = "100.64.0.7:40001";
+    constexpr std::uint32_t hostSequence = 900;
+    constexpr std::uint32_t laterAck = 3'000'000'000; // acknowledges the other host's SYN+ACK of the later flow
+    const Endpoint self = endpoint("10.0.0.1:80");
+    const Endpoint other = endpoint("10.0.0.2:80");
+    const Endpoint balancer = endpoint("10.9.0.1:7720");
+
+    Forward forwardFor(ForwardPurpose purpose)
+    {
+        Forward forward;
+        forward.purpose = purpose;
+        forward.service = core::hashName("desk");
+        forward.balancer = balancer;
+        if (purpose != ForwardPurpose::Owned)
+            forward.candidates = { self, other };
+        forward.packet = packetBytes;
+        return forward;
+    }
+
+    core::Segment resetOf(std::uint32_t acknowledgement)
+    {
+        auto segment = dataOf(caller, acknowledgement, 0);
+        segment.rst = true;
+        return segment;
+    }
+
+    struct Fixture {
+        /// @param firstHeartbeat number of the first heartbeat that this process receives; 0: none
+        explicit Fixture(std::uint64_t firstHeartbeat = 1)
+            : sequence(firstHeartbeat)
+        {
+            if (firstHeartbeat > 0)
+                heartbeat(firstHeartbeat);
+            sidecar.onHello({ balancer, 5, 3 }, now);
+            output.sent.clear();
+        }
+
+        void heartbeat(std::uint64_t number, std::uint64_t born = 1'000)
+        {
+            sidecar.onHeartbeat(
+                { "i-1", "desk", endpoint("10.0.0.1:8080"), 2, false, milliseconds(0), number, born }, now);
+        }
+
+        void open()
+        {
+            sidecar.onForward(forwardFor(ForwardPurpose::Open), synOf(caller), now);
+            sidecar.onHostPacket(synAckOf(caller, hostSequence), packetBytes, now);
+            sidecar.onForward(forwardFor(ForwardPurpose::Owned), dataOf(caller, hostSequence + 1), now);
+            output.delivered.clear();
+        }
+
+        void packet(ForwardPurpose purpose, const core::Segment& segment)
+        {
+            sidecar.onForward(forwardFor(purpose), segment, now);
+        }
+
+        void advance(milliseconds time)
+        {
+            for (milliseconds at { 0 }; at < time; at += milliseconds(100)) {
+                now += milliseconds(100);
+                heartbeat(++sequence);
+                sidecar.tick(now);
+            }
+        }
+
+        std::size_t claimsSent(const Endpoint& to) const
+        {
+            std::size_t claims = 0;
+            for (const auto& [receiver, message] : output.sent) {
+                if (const auto* report = std::get_if<FlowReport>(&message); report && receiver == to)
+                    claims += report->held.size();
+            }
+            return claims;
+        }
+
+        static SidecarOptions options()
+        {
+            SidecarOptions options;
+            options.self = self;
+            options.epoch = 3;
+            options.process = 30;
+            return options;
+        }
+
+        base::TimePoint now { std::chrono::hours(1) };
+        std::uint64_t sequence;
+        SidecarRecorder output;
+        Sidecar sidecar { options(), output, now };
+    };
+
+} // namespace
+
+// Guards against resets of a flow that another host holds, by the sidecar that held an earlier one on the same ports.
+TEST_CASE("a packet of a later flow on the same ports does not reach the host of the earlier one, nor is it reset")
+{
+    Fixture fixture;
+    fixture.open();
+    fixture.advance(std::chrono::seconds(63)); // the caller has vanished
+    REQUIRE(fixture.sidecar.flows().size() == 1);
+    fixture.output.sent.clear();
+    SUBCASE("a balancer takes this sidecar for the owner")
+    {
+        fixture.packet(ForwardPurpose::Owned, dataOf(caller, laterAck));
+        const auto reports = fixture.output.sentOf<FlowReport>();
+        REQUIRE(!reports.empty());
+        REQUIRE(reports.back().ended.size() == 1);
+        CHECK(reports.back().ended.front().key == synOf(caller).key);
+    }
+    SUBCASE("a balancer looks for the owner")
+    {
+        fixture.packet(ForwardPurpose::Lookup, dataOf(caller, laterAck));
+        REQUIRE(fixture.output.forwards.size() == 1);
+        CHECK(fixture.output.forwards.front().to == other);
+        CHECK(fixture.claimsSent(balancer) == 0);
+    }
+    SUBCASE("the later flow's caller aborts it")
+    {
+        fixture.packet(ForwardPurpose::Lookup, resetOf(laterAck));
+        REQUIRE(fixture.output.forwards.size() == 1);
+        CHECK(fixture.output.forwards.front().to == other);
+    }
+    CHECK(fixture.output.delivered.empty());
+    CHECK(fixture.output.resets.empty());
+}
+
+// Guards against a record that packets of a later flow keep alive, and whose acknowledgement then resets that flow.
+TEST_CASE("packets of a later flow on the same ports do not refresh the record of the earlier one")
+{
+    Fixture fixture;
+    fixture.open();
+    for (int second = 0; second < 130; ++second) {
+        fixture.advance(std::chrono::seconds(1));
+        fixture.packet(ForwardPurpose::Lookup, dataOf(caller, laterAck));
+    }
+    CHECK(fixture.sidecar.flows().size() == 0);
+}
+
+// Guards against FLOW on long flows: packets that are late or far into the flow are still its own.
+TEST_CASE("a packet within the flow's sequence space is delivered, however much the host has sent")
+{
+    Fixture fixture;
+    fixture.open();
+    constexpr std::uint32_t step = 19'200; // as much as a host has in flight
+    std::uint32_t ack = hostSequence + 1;
+    for (int i = 0; i < 1'000; ++i) {
+        ack += step;
+        fixture.packet(ForwardPurpose::Owned, dataOf(caller, ack, 0));
+    }
+    fixture.packet(ForwardPurpose::Owned, dataOf(caller, hostSequence + 1, 0)); // a late copy
+    CHECK(fixture.output.delivered.size() == 1'001);
+    CHECK(fixture.output.forwards.empty());
+}
+
+// Guards against flows that a restarted sidecar no longer delivers, because the checkpoint's acknowledgement is old.
+TEST_CASE("an adopted flow is delivered until a packet shows its present acknowledgement; a returned one is no proof")
+{
+    Fixture fixture(40);
+    HeldFlows held { 0, 1'000, false, 39, { { synOf(caller).key, 0, hostSequence + 1, true } } };
+    fixture.sidecar.onHeldFlows(held, fixture.now);
+    fixture.packet(ForwardPurpose::Lookup, dataOf(caller, laterAck));
+    REQUIRE(fixture.output.delivered.size() == 1);
+    SUBCASE("the host answers")
+    {
+        auto answer = dataOf(caller, 141);
+        answer.sequence = laterAck;
+        fixture.sidecar.onHostPacket(answer, packetBytes, fixture.now);
+        fixture.packet(ForwardPurpose::Owned, dataOf(caller, laterAck + 40));
+        CHECK(fixture.output.delivered.size() == 2);
+        CHECK(fixture.sidecar.flows().openFlows() == 1);
+    }
+    SUBCASE("the host returns it: it belongs to another flow, which another host may hold")
+    {
+        fixture.sidecar.onBounced(dataOf(caller, laterAck), packetBytes, fixture.now);
+        REQUIRE(fixture.output.forwards.size() == 1);
+        CHECK(fixture.output.forwards.front().to == other);
+        CHECK(fixture.sidecar.flows().size() == 0);
+    }
+    CHECK(fixture.output.resets.empty());
+}
+
+} // namespace celerystile::fleet
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -345,11 +345,16 @@
     if (!first && now - entry->second < options_.trialRetention)
         return false;
     entry->second = now;
+    deliverOnTrial(forward, segment, now);
+    return true;
+}
+
+void Sidecar::deliverOnTrial(const Forward& forward, const core::Segment& segment, base::TimePoint now)
+{
     auto& saved = trials_.insert_or_assign(segment.key, save(forward, segment, now)).first->second;
     saved.forward.packet = saved.packet;
     increment(SidecarCount::Trials);
     output_.deliver(forward.packet);
-    return true;
 }
 
 void Sidecar::passOn(Forward forward, const core::Segment& segment, base::TimePoint now)
