Sidecar: a caller's reset ends the flow

Cause: a caller's RST was handed to the host, which ends the flow, but the sidecar's record stayed open for the idle timeout of 120 s, twice maxFlowS. It was counted in the host's load, claimed to balancers, written into checkpoints, and its caller was reset when the host restarted.

Change: an RST that belongs to the flow closes its record as one of the host does: it takes late packets for five seconds and is then reported as ended. Closed flows are no longer claimed, neither in reports nor in transfers.

Before the change "a caller's reset ends the flow…" failed (openFlows() 1, a flow in the checkpoint, claims in the transfer, no report of its end).

--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -160,6 +160,8 @@
     else if (segment.payloadBytes > 0)
         meter_.begin(segment.key, now);
     record.callerFinSeen = record.callerFinSeen || segment.fin;
+    if (segment.rst && record.state == core::FlowState::Open)
+        record.callerFinSeen = record.hostFinSeen = true; // neither end uses the flow any more
     output_.deliver(packet);
     increment(SidecarCount::Delivered);
     closeIfFinished(record, segment.key, now);
--- a/src/celerystile/fleet/sidecar_port_reuse_test.cpp
+++ b/src/celerystile/fleet/sidecar_port_reuse_test.cpp
@@ -193,4 +193,44 @@
     CHECK(fixture.output.resets.empty());
 }
 
+// Guards against claims, counts and resets in the name of a flow that its caller has aborted.
+TEST_CASE("a caller's reset ends the flow: it is no longer counted, claimed, checkpointed or reset")
+{
+    Fixture fixture;
+    fixture.open();
+    fixture.packet(ForwardPurpose::Owned, resetOf(hostSequence + 1));
+    CHECK(fixture.output.delivered.size() == 1); // the host ends it too
+    CHECK(fixture.sidecar.flows().openFlows() == 0);
+    CHECK(fixture.sidecar.checkpoint().flows.empty());
+    SUBCASE("a balancer requests all claims")
+    {
+        fixture.output.sent.clear();
+        fixture.sidecar.onHello({ balancer, 5, 3, 0, true }, fixture.now);
+        for (const auto& report : fixture.output.sentOf<FlowReport>())
+            CHECK(report.held.empty());
+    }
+    SUBCASE("the host restarts")
+    {
+        fixture.advance(std::chrono::seconds(1));
+        fixture.heartbeat(1, 2'000);
+        CHECK(fixture.output.resets.empty());
+    }
+    SUBCASE("its record is removed and reported after a time for late packets")
+    {
+        fixture.advance(std::chrono::seconds(6));
+        CHECK(fixture.sidecar.flows().size() == 0);
+        std::size_t ended = 0;
+        for (const auto& report : fixture.output.sentOf<FlowReport>())
+            ended += report.ended.size();
+        CHECK(ended == 1);
+    }
+    SUBCASE("a late reset of an earlier flow does not end a later one")
+    {
+        Fixture later;
+        later.open();
+        later.packet(ForwardPurpose::Owned, resetOf(laterAck));
+        CHECK(later.sidecar.flows().openFlows() == 1);
+    }
+}
+
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -443,7 +443,7 @@
         return;
     std::vector<FlowClaim> held;
     for (const auto& key : heldSinceReport_) {
-        if (const auto* record = table_.find(key))
+        if (const auto* record = table_.find(key); record && record->state != core::FlowState::Closed)
             held.push_back(claimOf(key, *record));
     }
     std::vector<FlowReport> reports(1);
@@ -473,7 +473,8 @@
     auto& keys = transfers_[balancer];
     keys.clear();
     for (const auto& [key, record] : table_.records()) {
-        if (record.hostIsnKnown || record.state == core::FlowState::Open)
+        const bool answered = record.state == core::FlowState::Opening && record.hostIsnKnown;
+        if (answered || record.state == core::FlowState::Open)
             keys.push_back(key);
     }
     sendTransferPart(balancer, keys, now);
@@ -487,7 +488,7 @@
     FlowReport report;
     report.host = nextRecord(now);
     while (!keys.empty() && report.held.size() < maxFlowsPerDatagram) {
-        if (const auto* flow = table_.find(keys.back()))
+        if (const auto* flow = table_.find(keys.back()); flow && flow->state != core::FlowState::Closed)
             report.held.push_back(claimOf(keys.back(), *flow));
         keys.pop_back();
     }
