Claims carry the age of their flow, and the later flow's claim holds

A flow that was open and served at its host was sent to another one some seconds later.

Cause: a proven claim replaced any other. When claim repair requested all claims of a sidecar, the claims of flows that had ended replaced those of the flows which their callers had opened on the same ports since. A claim named its sidecar and instance, but nothing told which use of the ports it was of, or how old it was.

Change: a claim has the time since its flow's last packet (idleSeconds, in bits that the message had free). Two flows on the same ports do not overlap, so that the one with the more recent packet is the later one; a claim of an earlier flow is not applied and is counted (claims_outdated). The same holds for a late report of an earlier flow at the same sidecar, and for unproven claims. Checkpoints and the flows that a balancer returns to a restarted sidecar carry the age as well, so that a restart does not make a claim younger. Earlier versions send no age, which reads as 0.

Ages are measured by the sidecar and added to the receiver's own clock; neither uses the time of day.

--- a/apps/celerystiled/fleet_balancer.cpp
+++ b/apps/celerystiled/fleet_balancer.cpp
@@ -136,7 +136,7 @@
             if (const auto* report = std::get_if<fleet::FlowReport>(&message))
                 onReport(*report, now);
             else if (const auto* hello = std::get_if<fleet::SidecarHello>(&message))
-                balancer_.onSidecarHello(*hello);
+                balancer_.onSidecarHello(*hello, now);
             else if (const auto* declined = std::get_if<fleet::SynDeclined>(&message))
                 balancer_.onDeclined(*declined, now);
             else if (const auto* notice = std::get_if<fleet::EvacuationNotice>(&message))
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -408,7 +408,7 @@
             if (const auto* report = std::get_if<fleet::FlowReport>(&message))
                 at.process->onReport(*report, now_);
             else if (const auto* hello = std::get_if<fleet::SidecarHello>(&message))
-                at.process->onSidecarHello(*hello);
+                at.process->onSidecarHello(*hello, now_);
             else if (const auto* declined = std::get_if<fleet::SynDeclined>(&message))
                 at.process->onDeclined(*declined, now_);
             else if (const auto* notice = std::get_if<fleet::EvacuationNotice>(&message))
--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -35,6 +35,7 @@
     SynDeferred, ///< pauses of SYNs that only wait for hosts in slow start
     SynDeferredExpired, ///< SYNs whose caller gave up during such a pause
     ClaimsAsked, ///< requests to sidecars for all their claims
+    ClaimsOutdated, ///< claims that were not applied, because they are of an earlier flow on the same ports
     ReportsOutdated, ///< reports that were not applied, because the host table holds a later one
     HostsOutdated, ///< records of other processes in the registry or a snapshot that were not applied for that reason
     EvacuationAvoided, ///< flows placed while usable hosts of their service were left out because of an evacuation
@@ -127,7 +128,7 @@
     void onReport(const FlowReport& report, base::TimePoint now);
 
     /// @brief Handles a started sidecar's hello: sends a hello and the flows that were held at its address.
-    void onSidecarHello(const SidecarHello& from);
+    void onSidecarHello(const SidecarHello& from, base::TimePoint now);
 
     /// @brief Places a declined SYN among the hosts that have not been tried.
     void onDeclined(const SynDeclined& declined, base::TimePoint now);
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -53,12 +53,19 @@
     core::Bytes packet; ///< not owned; refers to the received datagram
 };
 
+/// @brief Maximum of FlowClaim::idleSeconds; longer times are claimed as this one.
+inline constexpr std::uint32_t maxIdleSeconds = 65'535;
+
 /// @brief The claim that a host holds a flow, with the host's initial sequence number. IPv4.
+///
+/// A claim may outlive its flow, and the caller's port may have a later flow at another host by then. The later flow is
+/// the one with the more recent packet.
 struct FlowClaim {
     core::FlowKey key;
     std::uint32_t hostSequence = 0; ///< 0: unknown
     std::uint32_t callerAck = 0; ///< the caller's last acknowledgement; a reset must be near it to be accepted
     bool proven = false; ///< the caller has acknowledged this host's SYN+ACK
+    std::uint32_t idleSeconds = 0; ///< since the last packet of the flow that the claim's author has seen, rounded down
 
     bool operator==(const FlowClaim&) const = default;
 };
--- a/include/celerystile/fleet/owner_table.hpp
+++ b/include/celerystile/fleet/owner_table.hpp
@@ -29,13 +29,20 @@
     bool operator==(const ResolvedOwner&) const = default;
 };
 
+/// @brief Effect of a claim on the table.
+enum class ClaimOutcome : std::uint8_t {
+    Applied,
+    Outdated, ///< of an earlier flow with the same addresses and ports; not applied
+};
+
 /// @brief Number of known flows by the sidecar that holds them.
 using ClaimCounts = boost::unordered_flat_map<Endpoint, std::uint32_t, core::EndpointHash>;
 
 /// @brief The table. Not thread-safe.
 ///
 /// Two hosts may claim a flow whose SYN reached both; the caller's first acknowledgement shows whose SYN+ACK it
-/// accepted.
+/// accepted. A proven claim of another sidecar is that of another flow, for which the caller has used its port before
+/// or after: the later flow is the one with the more recent packet, since the two do not overlap.
 class OwnerTable {
 public:
     explicit OwnerTable(std::size_t maxFlows)
@@ -43,9 +50,9 @@
     {
     }
 
-    /// @brief Adds or updates a claim. A proven claim replaces others; an unproven one does not replace a proven one.
-    /// New flows are ignored while the table is full.
-    void addClaim(const Owner& owner, const FlowClaim& claim, base::TimePoint now);
+    /// @brief Adds or updates a claim. A proven claim replaces others unless it is of an earlier flow; an unproven one
+    /// does not replace a proven one. New flows are ignored while the table is full.
+    ClaimOutcome addClaim(const Owner& owner, const FlowClaim& claim, base::TimePoint now);
 
     /// @brief Removes the sidecar's claim; a competing claim stays.
     void removeClaim(const Endpoint& sidecar, const core::FlowKey& key);
@@ -55,8 +62,8 @@
     /// @return the owner of a packet's flow. A packet past the handshake resolves which of two claims is valid.
     std::optional<ResolvedOwner> resolve(const core::Segment& segment, base::TimePoint now);
 
-    /// @return the proven flows of sidecars at this address, by their instance.
-    std::map<InstanceId, std::vector<FlowClaim>> flowsHeldBy(const Endpoint& sidecar) const;
+    /// @return the proven flows of sidecars at this address, by their instance, as old as they are at `now`.
+    std::map<InstanceId, std::vector<FlowClaim>> flowsHeldBy(const Endpoint& sidecar, base::TimePoint now) const;
 
     /// @return the number of flows of each sidecar.
     ClaimCounts claimCounts() const;
@@ -77,13 +84,16 @@
         std::optional<Claim> competing; // only until the caller's first acknowledgement
         bool proven = false;
         std::uint32_t callerAck = 0;
-        base::TimePoint lastSeenAt {};
+        base::TimePoint lastSeenAt {}; // of the flow's last packet, as far as known
     };
 
     std::size_t maxFlows_;
     boost::unordered_flat_map<core::FlowKey, Flow, core::FlowKeyHash> flows_;
 };
 
+/// @return the time of the claimed flow's last packet, at the latest, if the claim is received at `now`.
+base::TimePoint lastSeenAt(const FlowClaim& claim, base::TimePoint now);
+
 /// @return whether an acknowledgement number acknowledges a SYN+ACK with this sequence number.
 bool acknowledges(std::uint32_t acknowledgement, std::uint32_t hostSequence);
 
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -273,6 +273,7 @@
     bool forwardToNext(Forward forward);
     bool confirmOpening(
         core::FlowRecord& record, const Forward& forward, const core::Segment& segment, base::TimePoint now);
+    void recordCallerPacket(core::FlowRecord& record, const core::Segment& segment, base::TimePoint now) const;
     void deliver(core::FlowRecord& record, const core::Segment& segment, core::Bytes packet, base::TimePoint now);
     void adoptFlow(const core::Segment& segment, base::TimePoint now);
     bool checkpointWasComplete() const;
@@ -281,7 +282,7 @@
     void adoptClaim(const FlowClaim& claim, bool attributed, base::TimePoint now);
     void resolveUncertainFlows(base::TimePoint now);
     void resetCaller(const FlowClaim& claim, std::string_view reason);
-    static FlowClaim claimOf(const core::FlowKey& key, const core::FlowRecord& record);
+    FlowClaim claimOf(const core::FlowKey& key, const core::FlowRecord& record, base::TimePoint now) const;
     void endFlow(const core::FlowKey& key);
     void closeIfFinished(core::FlowRecord& record, const core::FlowKey& key, base::TimePoint now);
     void resetPredecessorFlows(base::TimePoint now);
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -28,6 +28,7 @@
         "syn_deferred",
         "syn_deferred_expired",
         "claims_asked",
+        "claims_outdated",
         "reports_outdated",
         "hosts_outdated",
         "evacuation_avoided",
--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -100,7 +100,10 @@
         announceLimit(report.host);
     }
     for (const auto& claim : report.held) {
-        owners_.addClaim({ report.host.sidecar, report.host.instance }, claim, now);
+        if (owners_.addClaim({ report.host.sidecar, report.host.instance }, claim, now) == ClaimOutcome::Outdated) {
+            increment(BalancerCount::ClaimsOutdated);
+            continue;
+        }
         settlePending(claim.key, report.host, now);
     }
     for (const auto& claim : report.ended)
@@ -113,11 +116,11 @@
         output_.recordOutdated(record);
 }
 
-void Balancer::onSidecarHello(const SidecarHello& from)
+void Balancer::onSidecarHello(const SidecarHello& from, base::TimePoint now)
 {
     sendHello(from.sidecar);
     const auto* host = hostTable_.find(from.sidecar);
-    for (const auto& [instance, flows] : owners_.flowsHeldBy(from.sidecar)) {
+    for (const auto& [instance, flows] : owners_.flowsHeldBy(from.sidecar, now)) {
         for (std::size_t at = 0; at < flows.size(); at += maxFlowsPerDatagram) {
             const auto end = std::min(flows.size(), at + maxFlowsPerDatagram);
             HeldFlows part;
--- a/src/celerystile/fleet/balancer_test.cpp
+++ b/src/celerystile/fleet/balancer_test.cpp
@@ -235,7 +235,7 @@
     Fixture fixture;
     fixture.balancer.onReport({ hostOf("10.0.0.1:80"), { { synOf(caller).key, 900, 901, true } }, {} }, fixture.now);
     fixture.packet(dataOf(caller, 4'901));
-    fixture.balancer.onSidecarHello({ endpoint("10.0.0.1:80") });
+    fixture.balancer.onSidecarHello({ endpoint("10.0.0.1:80") }, fixture.now);
     const auto held = fixture.output.sentOf<HeldFlows>();
     REQUIRE(held.size() == 1);
     CHECK(held.front().born == 1'000);
@@ -257,7 +257,7 @@
     fixture.balancer.onReport({ record, {}, {} }, fixture.now);
     SUBCASE("the new sidecar requests its held flows")
     {
-        fixture.balancer.onSidecarHello({ record.sidecar });
+        fixture.balancer.onSidecarHello({ record.sidecar }, fixture.now);
         const auto held = fixture.output.sentOf<HeldFlows>();
         REQUIRE(held.size() == 1);
         CHECK(held.front().instance == 1);
--- a/src/celerystile/fleet/owner_table.cpp
+++ b/src/celerystile/fleet/owner_table.cpp
@@ -1,37 +1,63 @@
 #include "celerystile/fleet/owner_table.hpp"
 
+#include <algorithm>
+
 namespace celerystile::fleet {
 
+namespace {
+
+    // Rounded down, like the ages in claims.
+    std::uint32_t idleSecondsSince(base::TimePoint lastSeenAt, base::TimePoint now)
+    {
+        const auto idle = std::chrono::duration_cast<std::chrono::seconds>(now - lastSeenAt).count();
+        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(idle, 0, maxIdleSeconds));
+    }
+
+} // namespace
+
+base::TimePoint lastSeenAt(const FlowClaim& claim, base::TimePoint now)
+{
+    return now - std::chrono::seconds(claim.idleSeconds);
+}
+
 bool acknowledges(std::uint32_t acknowledgement, std::uint32_t hostSequence)
 {
     return acknowledgement == hostSequence || acknowledgement == hostSequence + 1;
 }
 
-void OwnerTable::addClaim(const Owner& owner, const FlowClaim& claim, base::TimePoint now)
+ClaimOutcome OwnerTable::addClaim(const Owner& owner, const FlowClaim& claim, base::TimePoint now)
 {
+    const auto seenAt = lastSeenAt(claim, now);
+    const Flow claimed { { owner, claim.hostSequence }, std::nullopt, claim.proven, claim.callerAck, seenAt };
     const auto found = flows_.find(claim.key);
     if (found == flows_.end()) {
         if (flows_.size() < maxFlows_)
-            flows_.emplace(
-                claim.key, Flow { { owner, claim.hostSequence }, std::nullopt, claim.proven, claim.callerAck, now });
-        return;
+            flows_.emplace(claim.key, claimed);
+        return ClaimOutcome::Applied;
     }
     auto& flow = found->second;
-    flow.lastSeenAt = now;
-    if (flow.primary.owner.sidecar == owner.sidecar) {
-        flow.primary.owner = owner;
-        flow.primary.hostSequence = claim.hostSequence;
-        flow.proven = flow.proven || claim.proven;
-        if (claim.proven)
-            flow.competing.reset();
-        return;
+    const bool sameSidecar = flow.primary.owner.sidecar == owner.sidecar;
+    const bool otherFlow
+        = sameSidecar ? claim.hostSequence != 0 && claim.hostSequence != flow.primary.hostSequence : claim.proven;
+    if (otherFlow && seenAt < flow.lastSeenAt)
+        return ClaimOutcome::Outdated;
+    if (otherFlow) {
+        flow = claimed;
+        return ClaimOutcome::Applied;
+    }
+    if (!sameSidecar) {
+        if (!flow.proven)
+            flow.competing = Claim { owner, claim.hostSequence };
+        return ClaimOutcome::Applied;
     }
+    flow.primary.owner = owner;
+    flow.lastSeenAt = std::max(flow.lastSeenAt, seenAt);
     if (claim.proven) {
-        flow = { { owner, claim.hostSequence }, std::nullopt, true, claim.callerAck, now };
-        return;
+        flow.proven = true;
+        flow.callerAck = claim.callerAck;
+        flow.competing.reset();
     }
-    if (!flow.proven)
-        flow.competing = Claim { owner, claim.hostSequence };
+    return ClaimOutcome::Applied;
 }
 
 void OwnerTable::removeClaim(const Endpoint& sidecar, const core::FlowKey& key)
@@ -76,12 +102,13 @@
     return ResolvedOwner { flow.primary.owner, flow.proven };
 }
 
-std::map<InstanceId, std::vector<FlowClaim>> OwnerTable::flowsHeldBy(const Endpoint& sidecar) const
+std::map<InstanceId, std::vector<FlowClaim>> OwnerTable::flowsHeldBy(const Endpoint& sidecar, base::TimePoint now) const
 {
     std::map<InstanceId, std::vector<FlowClaim>> flows;
     for (const auto& [key, flow] : flows_) {
         if (flow.proven && flow.primary.owner.sidecar == sidecar)
-            flows[flow.primary.owner.instance].push_back({ key, flow.primary.hostSequence, flow.callerAck, true });
+            flows[flow.primary.owner.instance].push_back(
+                { key, flow.primary.hostSequence, flow.callerAck, true, idleSecondsSince(flow.lastSeenAt, now) });
     }
     return flows;
 }
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -108,6 +108,7 @@
         return;
     if (record->state != core::FlowState::Opening && !isOfFlow(*record, segment))
         return onPacketOfOtherFlow(*record, forward, segment, now);
+    recordCallerPacket(*record, segment, now);
     if (forward.purpose == ForwardPurpose::Lookup)
         sendClaim(forward.balancer, segment.key, now);
     if (!holdRequest(forward, segment, now))
@@ -148,13 +149,17 @@
     passOn(forward, segment, now);
 }
 
-void Sidecar::deliver(core::FlowRecord& record, const core::Segment& segment, core::Bytes packet, base::TimePoint now)
+void Sidecar::recordCallerPacket(core::FlowRecord& record, const core::Segment& segment, base::TimePoint now) const
 {
     record.lastSeen = secondsSinceStart(now);
-    if (segment.ack && !segment.rst) {
-        record.callerAck = segment.acknowledgement;
-        record.callerAckSeen = true;
-    }
+    if (!segment.ack || segment.rst)
+        return;
+    record.callerAck = segment.acknowledgement;
+    record.callerAckSeen = true;
+}
+
+void Sidecar::deliver(core::FlowRecord& record, const core::Segment& segment, core::Bytes packet, base::TimePoint now)
+{
     if (segment.fin || segment.rst)
         meter_.cancel(segment.key); // the caller needs no further answer
     else if (segment.payloadBytes > 0)
@@ -186,7 +191,7 @@
     meter_.cancel(key);
     if (heldRequests_.erase(key) > 0)
         queue_.remove(key);
-    endedSinceReport_.push_back(claimOf(key, *record));
+    endedSinceReport_.push_back({ key, record->hostIsn });
     openingSyns_.erase(key);
     uncertainFlows_.erase(key);
     unattributedFlows_.erase(key);
--- a/src/celerystile/fleet/sidecar_port_reuse_test.cpp
+++ b/src/celerystile/fleet/sidecar_port_reuse_test.cpp
@@ -233,4 +233,31 @@
     }
 }
 
+// Guards against claims that look younger than the flow is, after the sidecar has restarted.
+TEST_CASE("a claim tells how long its flow has been idle, also after a restart of the sidecar")
+{
+    Fixture before;
+    before.open();
+    before.advance(std::chrono::seconds(40));
+    before.output.sent.clear();
+    before.sidecar.onHello({ balancer, 5, 3, 0, true }, before.now);
+    const auto reports = before.output.sentOf<FlowReport>();
+    REQUIRE(reports.size() == 1);
+    REQUIRE(reports.front().held.size() == 1);
+    CHECK(reports.front().held.front().idleSeconds == 40);
+    const auto checkpoint = before.sidecar.checkpoint();
+    REQUIRE(checkpoint.flows.size() == 1);
+    CHECK(checkpoint.flows.front().idleSeconds == 40);
+
+    Fixture after(500);
+    after.sidecar.onHeldFlows(checkpoint, after.now);
+    after.advance(std::chrono::seconds(5));
+    after.output.sent.clear();
+    after.sidecar.onHello({ balancer, 6, 3 }, after.now);
+    REQUIRE(after.output.sentOf<FlowReport>().size() == 1);
+    CHECK(after.output.sentOf<FlowReport>().front().held.front().idleSeconds == 45);
+    after.packet(ForwardPurpose::Lookup, dataOf(caller, hostSequence + 1));
+    CHECK(after.output.sentOf<FlowReport>().back().held.front().idleSeconds == 0);
+}
+
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -94,9 +94,11 @@
     sendReports(now);
 }
 
-FlowClaim Sidecar::claimOf(const core::FlowKey& key, const core::FlowRecord& record)
+FlowClaim Sidecar::claimOf(const core::FlowKey& key, const core::FlowRecord& record, base::TimePoint now) const
 {
-    return { key, record.hostIsn, record.callerAck, record.state == core::FlowState::Open };
+    const auto idle = static_cast<std::int32_t>(secondsSinceStart(now) - record.lastSeen);
+    return { key, record.hostIsn, record.callerAck, record.state == core::FlowState::Open,
+        static_cast<std::uint32_t>(std::max(idle, 0)) };
 }
 
 // A paused process receives no heartbeats, so the pause does not count as time without heartbeats.
@@ -267,7 +269,7 @@
     record.hostIsn = claim.hostSequence;
     record.hostIsnKnown = claim.hostSequence != 0;
     record.callerAck = claim.callerAck;
-    record.lastSeen = secondsSinceStart(now);
+    record.lastSeen = secondsSinceStart(now) - claim.idleSeconds;
     table_.add(claim.key, record);
     if (!attributed)
         unattributedFlows_.insert(claim.key);
@@ -287,7 +289,7 @@
         const auto* record = table_.find(key);
         if (flow.born == host_.born() || (record != nullptr) != flow.adopted)
             continue;
-        const auto claim = record ? claimOf(key, *record) : flow.claim;
+        const auto claim = record ? claimOf(key, *record, now) : flow.claim;
         if (claim.proven) // otherwise another host may hold the flow
             resetCaller(claim, "the host has restarted");
         endFlow(key);
@@ -387,7 +389,7 @@
             continue;
         keys.push_back(key);
         if (record.state == core::FlowState::Open)
-            resetCaller(claimOf(key, record), reason);
+            resetCaller(claimOf(key, record, now), reason);
     }
     for (const auto& key : keys)
         endFlow(key);
@@ -415,7 +417,7 @@
     for (const auto& [key, record] : table_.records()) {
         const bool opening = record.state == core::FlowState::Opening;
         if (record.state == core::FlowState::Open || (restarting_ && opening))
-            (unattributedFlows_.contains(key) ? unattributed : held.flows).push_back(claimOf(key, record));
+            (unattributedFlows_.contains(key) ? unattributed : held.flows).push_back(claimOf(key, record, lastTick_));
     }
     held.unattributed = static_cast<std::uint32_t>(unattributed.size());
     held.flows.insert(held.flows.end(), unattributed.begin(), unattributed.end());
@@ -429,7 +431,7 @@
         return;
     FlowReport report;
     report.host = nextRecord(now);
-    report.held.push_back(claimOf(key, *record));
+    report.held.push_back(claimOf(key, *record, now));
     output_.send(balancer, report);
 }
 
@@ -444,7 +446,7 @@
     std::vector<FlowClaim> held;
     for (const auto& key : heldSinceReport_) {
         if (const auto* record = table_.find(key); record && record->state != core::FlowState::Closed)
-            held.push_back(claimOf(key, *record));
+            held.push_back(claimOf(key, *record, now));
     }
     std::vector<FlowReport> reports(1);
     reports.front().host = nextRecord(now);
@@ -489,7 +491,7 @@
     report.host = nextRecord(now);
     while (!keys.empty() && report.held.size() < maxFlowsPerDatagram) {
         if (const auto* flow = table_.find(keys.back()); flow && flow->state != core::FlowState::Closed)
-            report.held.push_back(claimOf(keys.back(), *flow));
+            report.held.push_back(claimOf(keys.back(), *flow, now));
         keys.pop_back();
     }
     output_.send(balancer, report);
--- a/src/celerystile/fleet/succession_test.cpp
+++ b/src/celerystile/fleet/succession_test.cpp
@@ -80,7 +80,7 @@
             forward.purpose = ForwardPurpose::Owned;
             node.process->onForward(forward, callerData(), now);
             run(std::chrono::seconds(1));
-            REQUIRE(balancer.owners().flowsHeldBy(node.address).size() == 1);
+            REQUIRE(balancer.owners().flowsHeldBy(node.address, now).size() == 1);
         }
 
         static core::Segment callerData() { return dataOf(caller, hostSequence + 1); }
@@ -144,7 +144,7 @@
             if (const auto* report = std::get_if<FlowReport>(&message))
                 balancer.onReport(*report, now);
             else if (const auto* hello = std::get_if<SidecarHello>(&message))
-                balancer.onSidecarHello(*hello);
+                balancer.onSidecarHello(*hello, now);
         }
 
         base::Duration reportAge(const Node& node) const
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -86,6 +86,7 @@
         to.setHostSequence(value.hostSequence);
         to.setProven(value.proven);
         to.setCallerAck(value.callerAck);
+        to.setIdleSeconds(static_cast<std::uint16_t>(std::min(value.idleSeconds, fleet::maxIdleSeconds)));
     }
 
     fleet::FlowClaim read(schema::FlowClaim::Reader from)
@@ -96,6 +97,7 @@
         value.hostSequence = from.getHostSequence();
         value.proven = from.getProven();
         value.callerAck = from.getCallerAck();
+        value.idleSeconds = from.getIdleSeconds();
         return value;
     }
 
--- a/src/celerystile/peer/fleet_message_test.cpp
+++ b/src/celerystile/peer/fleet_message_test.cpp
@@ -44,7 +44,7 @@
         return record;
     }
 
-    fleet::FlowClaim claim() { return { { endpoint("100.64.0.7:1"), endpoint("198.18.0.1:443") }, 5, 6, true }; }
+    fleet::FlowClaim claim() { return { { endpoint("100.64.0.7:1"), endpoint("198.18.0.1:443") }, 5, 6, true, 70 }; }
 
 } // namespace
 
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -59,6 +59,7 @@
   hostSequence @4 :UInt32;
   proven @5 :Bool;
   callerAck @6 :UInt32;
+  idleSeconds @7 :UInt16;
 }
 
 # Up to the ports laid out as FlowClaim, which earlier versions send.
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -679,6 +679,8 @@
 
   inline  ::uint32_t getCallerAck() const;
 
+  inline  ::uint16_t getIdleSeconds() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -728,6 +730,9 @@
   inline  ::uint32_t getCallerAck();
   inline void setCallerAck( ::uint32_t value);
 
+  inline  ::uint16_t getIdleSeconds();
+  inline void setIdleSeconds( ::uint16_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2344,6 +2349,20 @@
       ::capnp::bounded<5>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint16_t FlowClaim::Reader::getIdleSeconds() const {
+  return _reader.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint16_t FlowClaim::Builder::getIdleSeconds() {
+  return _builder.getDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS);
+}
+inline void FlowClaim::Builder::setIdleSeconds( ::uint16_t value) {
+  _builder.setDataField< ::uint16_t>(
+      ::capnp::bounded<9>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint32_t SynDeclined::Reader::getCallerIp() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
