Balancer: a packet of another flow than the claimed one is looked up, not reset

Seen by callers: the reset of a later flow on the same ports, by a balancer.

Cause: a balancer took each packet with a claimed pair of addresses and ports for one of the claimed flow. It kept the claim of an ended flow alive, replaced the acknowledgement that it returns to a restarted sidecar, and reset the later flow's caller when another instance had got the address of the earlier flow's host.

Change: a packet whose acknowledgement can't belong to the claimed flow (belongsToFlow, the same test as at the sidecar) changes nothing in the claim. It starts a lookup at the claim's sidecar, which passes it on if it doesn't hold the flow. If the flow is only far ahead of the claim, because other balancers have forwarded its packets, that sidecar answers with a claim as of now.

Evidence: before the change "a packet that does not belong to the claimed flow…" failed (the packet went to the claim's sidecar alone), and "a packet of a later flow is not reset because…" failed with one reset. With it the caller of the earlier flow is still reset, and the one of the later flow is not.

--- a/include/celerystile/fleet/owner_table.hpp
+++ b/include/celerystile/fleet/owner_table.hpp
@@ -25,6 +25,7 @@
 struct ResolvedOwner {
     Owner owner;
     bool proven = false; ///< the caller has acknowledged this host's SYN+ACK; otherwise another host may hold the flow
+    bool sameFlow = true; ///< false if the packet may be of another flow with the same addresses and ports
 
     bool operator==(const ResolvedOwner&) const = default;
 };
@@ -94,6 +95,11 @@
 /// @return the time of the claimed flow's last packet, at the latest, if the claim is received at `now`.
 base::TimePoint lastSeenAt(const FlowClaim& claim, base::TimePoint now);
 
+/// @return whether a caller's packet with this acknowledgement can belong to the flow in which the host's initial
+/// sequence number was `hostSequence` (0: unknown) and the caller's last acknowledgement `callerAck`: it acknowledges a
+/// byte that the host has sent or may send next. Hosts choose their initial sequence numbers at random.
+bool belongsToFlow(std::uint32_t acknowledgement, std::uint32_t hostSequence, std::uint32_t callerAck);
+
 /// @return whether an acknowledgement number acknowledges a SYN+ACK with this sequence number.
 bool acknowledges(std::uint32_t acknowledgement, std::uint32_t hostSequence);
 
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -78,8 +78,12 @@
         return lookUp(segment, packet, now);
     }
     const bool replaced = hostTable_.replaced(owner->owner.sidecar, owner->owner.instance);
-    if (replaced && owner->proven && !segment.rst)
+    if (replaced && owner->proven && owner->sameFlow && !segment.rst)
         return resetReplacedFlow(segment, owner->owner, now);
+    // The owner decides first: the claim may be of an earlier flow on the same ports, or the flow may be far ahead of
+    // the claim because other balancers have forwarded its packets.
+    if (!owner->sameFlow && routes_->find(segment.key.service))
+        return lookUp(segment, packet, now, replaced ? std::nullopt : std::optional(owner->owner.sidecar));
     // Another host may hold a flow whose claim is unproven. A proven one stays with its host while the sidecar is
     // silent: silence does not show that the host has ended.
     if (!owner->proven && !segment.rst && (replaced || hostTable_.silent(owner->owner.sidecar, now))) {
@@ -281,7 +285,8 @@
     output_.reset(segment);
 }
 
-void Balancer::lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now)
+void Balancer::lookUp(
+    const core::Segment& segment, core::Bytes packet, base::TimePoint now, std::optional<Endpoint> first)
 {
     const auto* route = routes_->find(segment.key.service);
     if (!route)
@@ -296,13 +301,18 @@
     forward.balancer = options_.self;
     forward.packet = packet;
     setUrgency(forward, segment);
-    if (hosts.empty())
+    if (hosts.empty() && !first)
         return increment(BalancerCount::DropNoHost);
     const auto round = lookups_.nextRound(segment.key, now);
     const auto order = searchOrder(hosts, { segment.key.hash(), options_.failureDomain, now }, {});
-    const auto parts = (order.size() + maxCandidates - 1) / maxCandidates;
-    for (auto at = round % parts * maxCandidates; at < order.size() && forward.candidates.size() < maxCandidates; ++at)
-        forward.candidates.push_back(order[at]->record.sidecar);
+    const auto parts = std::max<std::size_t>(1, (order.size() + maxCandidates - 1) / maxCandidates);
+    if (first)
+        forward.candidates.push_back(*first);
+    for (auto at = round % parts * maxCandidates; at < order.size() && forward.candidates.size() < maxCandidates;
+         ++at) {
+        if (order[at]->record.sidecar != first)
+            forward.candidates.push_back(order[at]->record.sidecar);
+    }
     increment(BalancerCount::ForwardedLookup);
     output_.forward(forward.candidates.front(), forward);
 }
--- a/src/celerystile/fleet/balancer_port_reuse_test.cpp
+++ b/src/celerystile/fleet/balancer_port_reuse_test.cpp
@@ -105,4 +105,64 @@
     CHECK(fixture.sentTo(second, ForwardPurpose::Owned));
 }
 
+// Guards against packets of the later flow that follow the only claim known, and keep it alive.
+TEST_CASE("a packet that does not belong to the claimed flow starts a lookup at the claim's sidecar")
+{
+    Fixture fixture;
+    fixture.claims(first, earlierClaim(0));
+    fixture.packet(dataOf(caller, earlierSequence + 1));
+    CHECK(fixture.sentTo(first, ForwardPurpose::Owned));
+    fixture.advance(std::chrono::seconds(60));
+    fixture.packet(dataOf(caller, laterSequence + 1));
+    REQUIRE(fixture.sentTo(first, ForwardPurpose::Lookup));
+    CHECK(fixture.output.forwards.front().forward.candidates.size() == 3);
+
+    SUBCASE("the claim's sidecar does not hold it, and another claims it")
+    {
+        fixture.claims(second, laterClaim());
+        fixture.packet(dataOf(caller, laterSequence + 1));
+        CHECK(fixture.sentTo(second, ForwardPurpose::Owned));
+    }
+    SUBCASE("the claim's sidecar holds it: other balancers have forwarded its packets meanwhile")
+    {
+        fixture.claims(first, { synOf(caller).key, earlierSequence, laterSequence + 1, true, 0 });
+        fixture.packet(dataOf(caller, laterSequence + 1));
+        CHECK(fixture.sentTo(first, ForwardPurpose::Owned));
+    }
+    SUBCASE("its sidecar restarts: it gets the claim as old as it is")
+    {
+        fixture.balancer.onSidecarHello({ endpoint(first) }, fixture.now);
+        const auto held = fixture.output.sentOf<HeldFlows>();
+        REQUIRE(held.size() == 1);
+        REQUIRE(held.front().flows.size() == 1);
+        CHECK(held.front().flows.front() == earlierClaim(60));
+    }
+}
+
+// Guards against resets of the later flow by a balancer, because the earlier flow's instance has lost its address.
+TEST_CASE("a packet of a later flow is not reset because the earlier flow's instance was replaced")
+{
+    Fixture fixture;
+    auto record = hostOf(first);
+    record.instance = 1;
+    fixture.balancer.onReport({ record, { earlierClaim(0) }, {} }, fixture.now);
+    record.instance = 2;
+    record.born = 2'000;
+    fixture.balancer.onReport({ record, {}, {} }, fixture.now);
+    fixture.advance(milliseconds(600));
+    fixture.balancer.onReport({ record, {}, {} }, fixture.now);
+    SUBCASE("of the later flow")
+    {
+        fixture.packet(dataOf(caller, laterSequence + 1));
+        CHECK(fixture.output.resets.empty());
+        REQUIRE(fixture.output.forwards.size() == 1);
+        CHECK((fixture.output.forwards.front().forward.purpose == ForwardPurpose::Lookup));
+    }
+    SUBCASE("of the earlier flow")
+    {
+        fixture.packet(dataOf(caller, earlierSequence + 1));
+        CHECK(fixture.output.resets.size() == 1);
+    }
+}
+
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/owner_table.cpp
+++ b/src/celerystile/fleet/owner_table.cpp
@@ -60,6 +60,15 @@
     return ClaimOutcome::Applied;
 }
 
+bool belongsToFlow(std::uint32_t acknowledgement, std::uint32_t hostSequence, std::uint32_t callerAck)
+{
+    constexpr std::uint32_t maxDistance = 76'800; // four times what a host has in flight
+    const auto ahead = acknowledgement - callerAck;
+    if (ahead <= maxDistance || ahead >= 0U - maxDistance)
+        return true;
+    return hostSequence != 0 && acknowledgement - hostSequence <= callerAck - hostSequence;
+}
+
 void OwnerTable::removeClaim(const Endpoint& sidecar, const core::FlowKey& key)
 {
     const auto found = flows_.find(key);
@@ -86,9 +95,12 @@
     if (found == flows_.end())
         return std::nullopt;
     auto& flow = found->second;
-    flow.lastSeenAt = now;
     if (segment.isInitialSyn())
         return ResolvedOwner { flow.primary.owner, flow.proven };
+    if (flow.proven && segment.ack && !belongsToFlow(segment.acknowledgement, flow.primary.hostSequence, flow.callerAck))
+        return ResolvedOwner { flow.primary.owner, true, false };
+    if (!segment.rst)
+        flow.lastSeenAt = now;
     if (segment.ack && !segment.rst)
         flow.callerAck = segment.acknowledgement;
     if (flow.proven)
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -12,7 +12,6 @@
 namespace {
 
     constexpr base::Duration expiryInterval = std::chrono::seconds(2);
-    constexpr std::uint32_t maxAckDistance = 76'800; // four times what a host has in flight
 
     constexpr std::array<std::string_view, sidecarCounts> countNames {
         "delivered",
@@ -38,17 +37,11 @@
         "evacuation_declined",
     };
 
-    // Whether a caller's packet can belong to the flow of the record: it acknowledges a byte that the host has sent or
-    // may send next. Otherwise it is of another flow with the same addresses and ports, whose host chose another
-    // initial sequence number.
     bool isOfFlow(const core::FlowRecord& record, const core::Segment& segment)
     {
-        if (!segment.ack)
-            return true; // nothing to compare
-        const auto ahead = segment.acknowledgement - record.callerAck;
-        if (ahead <= maxAckDistance || ahead >= 0U - maxAckDistance)
-            return true;
-        return record.hostIsnKnown && segment.acknowledgement - record.hostIsn <= record.callerAck - record.hostIsn;
+        // Without an acknowledgement there is nothing to compare.
+        return !segment.ack
+            || belongsToFlow(segment.acknowledgement, record.hostIsnKnown ? record.hostIsn : 0, record.callerAck);
     }
 
     // Whether the flow was adopted and neither end has sent a packet on it since, so that its acknowledgement may be
