Balancer: the end of a flow removes no claim to a later one on the same ports

Seen by callers: nothing but a slower packet, which a lookup delivers. Found by asking the same of late and combined reports.

Cause: a report names ended flows by addresses and ports. A caller that uses its port again at the same host has its earlier flow in `ended` and its later one in `held` of one report; the end was applied last and removed the later flow's claim.

Change: an end has the host's sequence number, which the sidecar sent already, and removes a claim with another one only if one of the two is unknown.

Evidence: "the end of an earlier flow does not remove…" failed before (the packet was looked up) and passes.

--- a/include/celerystile/fleet/owner_table.hpp
+++ b/include/celerystile/fleet/owner_table.hpp
@@ -55,8 +55,9 @@
     /// does not replace a proven one. New flows are ignored while the table is full.
     ClaimOutcome addClaim(const Owner& owner, const FlowClaim& claim, base::TimePoint now);
 
-    /// @brief Removes the sidecar's claim; a competing claim stays.
-    void removeClaim(const Endpoint& sidecar, const core::FlowKey& key);
+    /// @brief Removes the sidecar's claim to an ended flow; a competing claim stays, and so does the sidecar's claim to
+    /// another flow on the same ports. An unknown host sequence number stands for any flow.
+    void removeClaim(const Endpoint& sidecar, const FlowClaim& ended);
 
     void erase(const core::FlowKey& key) { flows_.erase(key); }
 
--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -107,7 +107,7 @@
         settlePending(claim.key, report.host, now);
     }
     for (const auto& claim : report.ended)
-        owners_.removeClaim(report.host.sidecar, claim.key);
+        owners_.removeClaim(report.host.sidecar, claim);
 }
 
 void Balancer::onOutdatedRecord(const OutdatedRecord& record, base::TimePoint now)
--- a/src/celerystile/fleet/balancer_port_reuse_test.cpp
+++ b/src/celerystile/fleet/balancer_port_reuse_test.cpp
@@ -165,4 +165,15 @@
     }
 }
 
+// Guards against lookups of flows whose claim the report of another flow's end has removed.
+TEST_CASE("the end of an earlier flow does not remove the claim of a later one at the same sidecar")
+{
+    Fixture fixture;
+    fixture.claims(first, earlierClaim(0));
+    fixture.advance(std::chrono::seconds(2));
+    fixture.balancer.onReport({ hostOf(first), { laterClaim() }, { earlierClaim(2) } }, fixture.now);
+    fixture.packet(dataOf(caller, laterSequence + 1));
+    CHECK(fixture.sentTo(first, ForwardPurpose::Owned));
+}
+
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/owner_table.cpp
+++ b/src/celerystile/fleet/owner_table.cpp
@@ -69,17 +69,22 @@
     return hostSequence != 0 && acknowledgement - hostSequence <= callerAck - hostSequence;
 }
 
-void OwnerTable::removeClaim(const Endpoint& sidecar, const core::FlowKey& key)
+void OwnerTable::removeClaim(const Endpoint& sidecar, const FlowClaim& ended)
 {
-    const auto found = flows_.find(key);
+    const auto found = flows_.find(ended.key);
     if (found == flows_.end())
         return;
+    const auto isEnded = [&](const Claim& claim) {
+        const bool sameFlow
+            = ended.hostSequence == 0 || claim.hostSequence == 0 || claim.hostSequence == ended.hostSequence;
+        return claim.owner.sidecar == sidecar && sameFlow;
+    };
     auto& flow = found->second;
-    if (flow.competing && flow.competing->owner.sidecar == sidecar) {
+    if (flow.competing && isEnded(*flow.competing)) {
         flow.competing.reset();
         return;
     }
-    if (flow.primary.owner.sidecar != sidecar)
+    if (!isEnded(flow.primary))
         return;
     if (!flow.competing) {
         flows_.erase(found);
@@ -97,7 +102,8 @@
     auto& flow = found->second;
     if (segment.isInitialSyn())
         return ResolvedOwner { flow.primary.owner, flow.proven };
-    if (flow.proven && segment.ack && !belongsToFlow(segment.acknowledgement, flow.primary.hostSequence, flow.callerAck))
+    if (flow.proven && segment.ack
+        && !belongsToFlow(segment.acknowledgement, flow.primary.hostSequence, flow.callerAck))
         return ResolvedOwner { flow.primary.owner, true, false };
     if (!segment.rst)
         flow.lastSeenAt = now;
--- a/src/celerystile/fleet/placement_test.cpp
+++ b/src/celerystile/fleet/placement_test.cpp
@@ -128,7 +128,7 @@
                 table.addClaim({ sidecar }, { key, 900, 901, true }, now);
                 expected[key] = sidecar;
             } else {
-                table.removeClaim(sidecar, key);
+                table.removeClaim(sidecar, { key });
                 if (const auto found = expected.find(key); found != expected.end() && found->second == sidecar)
                     expected.erase(found);
             }
