Balancer: a claim that is older than a SYN does not answer it

Seen by callers: a new flow that fails to open. Found by asking the same of pending SYNs.

Cause: any claim with a SYN's addresses and ports counted as its answer. When a sidecar transferred its claims, one of an ended flow ended the retries of the SYN of the later one; and a balancer that received only a copy of the SYN sent it to the ended flow's sidecar alone.

Change: a claim whose flow had its last packet before the SYN's first copy is not applied while the SYN is pending. A copy of a SYN is a copy of the claimed flow's only if that flow has had a packet since, give or take the time that a packet may wait at a suspended process (maxPacketDelay, 5 s); otherwise it is placed as a new flow.

--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -92,6 +92,8 @@
         = std::chrono::milliseconds(1350); ///< no later placement, so that the answer arrives while the caller waits
     base::Duration hostCheckTimeout = std::chrono::milliseconds(500); ///< wait of a SYN for an up-to-date host list
     base::Duration hostCheckInterval = std::chrono::seconds(2); ///< minimum time between two requests for one
+    base::Duration maxPacketDelay
+        = std::chrono::seconds(5); ///< longest time that a caller's packet waits at a suspended process
     std::size_t maxPendingSyns = 4'096;
     std::size_t maxFlows = 400'000; ///< entries of the owner table; 64 bytes each
     base::Duration minHelloInterval = std::chrono::seconds(1); ///< between two hellos to a sidecar
--- a/include/celerystile/fleet/owner_table.hpp
+++ b/include/celerystile/fleet/owner_table.hpp
@@ -26,6 +26,7 @@
     Owner owner;
     bool proven = false; ///< the caller has acknowledged this host's SYN+ACK; otherwise another host may hold the flow
     bool sameFlow = true; ///< false if the packet may be of another flow with the same addresses and ports
+    base::Duration idle { 0 }; ///< time since the flow's packet before this one, as far as known
 
     bool operator==(const ResolvedOwner&) const = default;
 };
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -117,7 +117,8 @@
 {
     const bool copy = segment.acknowledgement > 0;
     const auto owner = owners_.resolve(segment, now);
-    if (owner && copy) {
+    // The first copy of this SYN opened the flow, unless the flow is older than that copy can be.
+    if (owner && copy && owner->idle <= synAge(segment) + options_.maxPacketDelay) {
         Forward forward;
         forward.purpose = ForwardPurpose::Owned;
         forward.balancer = options_.self;
--- a/src/celerystile/fleet/balancer_membership.cpp
+++ b/src/celerystile/fleet/balancer_membership.cpp
@@ -100,7 +100,10 @@
         announceLimit(report.host);
     }
     for (const auto& claim : report.held) {
-        if (owners_.addClaim({ report.host.sidecar, report.host.instance }, claim, now) == ClaimOutcome::Outdated) {
+        const auto pending = pending_.find(claim.key);
+        const bool precedesSyn = pending != pending_.end() && lastSeenAt(claim, now) < pending->second.firstCopyAt;
+        if (precedesSyn
+            || owners_.addClaim({ report.host.sidecar, report.host.instance }, claim, now) == ClaimOutcome::Outdated) {
             increment(BalancerCount::ClaimsOutdated);
             continue;
         }
--- a/src/celerystile/fleet/balancer_port_reuse_test.cpp
+++ b/src/celerystile/fleet/balancer_port_reuse_test.cpp
@@ -176,4 +176,35 @@
     CHECK(fixture.sentTo(first, ForwardPurpose::Owned));
 }
 
+// Guards against new flows that fail because an old claim takes their SYN.
+TEST_CASE("a claim that is older than a SYN does not answer it")
+{
+    Fixture fixture;
+    SUBCASE("it arrives while the SYN waits for an answer")
+    {
+        fixture.packet(synOf(caller));
+        REQUIRE(fixture.output.forwards.size() == 1);
+        const auto chosen = fixture.output.forwards.front().to;
+        fixture.claims(first, earlierClaim(65));
+        fixture.output.forwards.clear();
+        fixture.advance(milliseconds(45));
+        REQUIRE(fixture.output.forwards.size() == 1);
+        CHECK(fixture.output.forwards.front().to != chosen);
+    }
+    SUBCASE("the balancer receives only a copy of the SYN")
+    {
+        fixture.claims(first, earlierClaim(65));
+        fixture.packet(synOf(caller, 100, 1));
+        REQUIRE(fixture.output.forwards.size() == 1);
+        CHECK((fixture.output.forwards.front().forward.purpose == ForwardPurpose::Open));
+    }
+    SUBCASE("a copy of the SYN of an open flow, up to a process's longest pause late, goes to its host")
+    {
+        fixture.claims(first, earlierClaim(0));
+        fixture.advance(std::chrono::seconds(4));
+        fixture.packet(synOf(caller, 100, 1));
+        CHECK(fixture.sentTo(first, ForwardPurpose::Owned));
+    }
+}
+
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/owner_table.cpp
+++ b/src/celerystile/fleet/owner_table.cpp
@@ -101,23 +101,24 @@
         return std::nullopt;
     auto& flow = found->second;
     if (segment.isInitialSyn())
-        return ResolvedOwner { flow.primary.owner, flow.proven };
+        return ResolvedOwner { flow.primary.owner, flow.proven, true, now - flow.lastSeenAt };
     if (flow.proven && segment.ack
         && !belongsToFlow(segment.acknowledgement, flow.primary.hostSequence, flow.callerAck))
-        return ResolvedOwner { flow.primary.owner, true, false };
+        return ResolvedOwner { flow.primary.owner, true, false, now - flow.lastSeenAt };
+    const auto idle = now - flow.lastSeenAt;
     if (!segment.rst)
         flow.lastSeenAt = now;
     if (segment.ack && !segment.rst)
         flow.callerAck = segment.acknowledgement;
     if (flow.proven)
-        return ResolvedOwner { flow.primary.owner, flow.proven };
+        return ResolvedOwner { flow.primary.owner, true, true, idle };
     if (flow.competing && acknowledges(segment.acknowledgement, flow.competing->hostSequence))
         flow.primary = *flow.competing;
     if (acknowledges(segment.acknowledgement, flow.primary.hostSequence)) {
         flow.competing.reset();
         flow.proven = true;
     }
-    return ResolvedOwner { flow.primary.owner, flow.proven };
+    return ResolvedOwner { flow.primary.owner, flow.proven, true, idle };
 }
 
 std::map<InstanceId, std::vector<FlowClaim>> OwnerTable::flowsHeldBy(const Endpoint& sidecar, base::TimePoint now) const
