Sidecar: a flow that has been idle for long is reset only in answer to its own packet

Seen by callers: the reset of a flow whose port an earlier flow had at another host, when that host or its sidecar restarts.

Cause: when its host had restarted, a sidecar reset the callers of all flows in its table or in the checkpoint, however long nothing had been heard on them. A caller that vanishes without a reset leaves such a flow for 120 s.

Change: only flows with a packet within 15 s (maxResetIdle) are reset at once. The others stay in the table, and their callers are reset when the host returns a packet that belongs to them, which costs the caller nothing. This holds for restarts of the host, flows of the checkpoint, flows held while it is uncertain which incarnation is alive, and those of an earlier instance.

--- a/include/celerystile/fleet/owner_table.hpp
+++ b/include/celerystile/fleet/owner_table.hpp
@@ -97,6 +97,9 @@
 /// @return the time of the claimed flow's last packet, at the latest, if the claim is received at `now`.
 base::TimePoint lastSeenAt(const FlowClaim& claim, base::TimePoint now);
 
+/// @return the value for FlowClaim::idleSeconds of a flow with its last packet at `lastSeenAt`.
+std::uint32_t idleSecondsSince(base::TimePoint lastSeenAt, base::TimePoint now);
+
 /// @return whether a caller's packet with this acknowledgement can belong to the flow in which the host's initial
 /// sequence number was `hostSequence` (0: unknown) and the caller's last acknowledgement `callerAck`: it acknowledges a
 /// byte that the host has sent or may send next. Hosts choose their initial sequence numbers at random.
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -109,6 +109,8 @@
         = std::chrono::seconds(2); ///< of an unfinished handshake; callers give up after 1.4 s
     base::Duration closedLinger = std::chrono::seconds(5); ///< late packets of a closed flow are still delivered
     base::Duration idleTimeout = std::chrono::seconds(120); ///< twice the longest lifetime of a flow
+    base::Duration maxResetIdle = std::chrono::seconds(
+        15); ///< flows idle for longer are reset only in answer to a packet: their ports may be in use again
     base::Duration relearnPeriod = std::chrono::seconds(4); ///< from the start; unknown flows go to the host on trial
     base::Duration trialRetention = std::chrono::seconds(10); ///< each flow has at most one trial within this time
     base::Duration minBalancerLifetime
@@ -235,6 +237,7 @@
     // A flow that another incarnation of the host held before the start.
     struct UncertainFlow {
         FlowClaim claim;
+        base::TimePoint lastSeenAt {}; // as claimed
         std::uint64_t born = 0; // that incarnation
         bool adopted = false; // in the table; a flow of another instance is not
     };
@@ -281,6 +284,7 @@
     void adoptHeldFlows(const HeldFlows& held, base::TimePoint now);
     void adoptClaim(const FlowClaim& claim, bool attributed, base::TimePoint now);
     void resolveUncertainFlows(base::TimePoint now);
+    bool mayReset(const FlowClaim& claim) const;
     void resetCaller(const FlowClaim& claim, std::string_view reason);
     FlowClaim claimOf(const core::FlowKey& key, const core::FlowRecord& record, base::TimePoint now) const;
     void endFlow(const core::FlowKey& key);
--- a/src/celerystile/fleet/owner_table.cpp
+++ b/src/celerystile/fleet/owner_table.cpp
@@ -4,17 +4,6 @@
 
 namespace celerystile::fleet {
 
-namespace {
-
-    // Rounded down, like the ages in claims.
-    std::uint32_t idleSecondsSince(base::TimePoint lastSeenAt, base::TimePoint now)
-    {
-        const auto idle = std::chrono::duration_cast<std::chrono::seconds>(now - lastSeenAt).count();
-        return static_cast<std::uint32_t>(std::clamp<std::int64_t>(idle, 0, maxIdleSeconds));
-    }
-
-} // namespace
-
 base::TimePoint lastSeenAt(const FlowClaim& claim, base::TimePoint now)
 {
     return now - std::chrono::seconds(claim.idleSeconds);
@@ -60,6 +49,12 @@
     return ClaimOutcome::Applied;
 }
 
+std::uint32_t idleSecondsSince(base::TimePoint lastSeenAt, base::TimePoint now)
+{
+    const auto idle = std::chrono::duration_cast<std::chrono::seconds>(now - lastSeenAt).count();
+    return static_cast<std::uint32_t>(std::clamp<std::int64_t>(idle, 0, maxIdleSeconds));
+}
+
 bool belongsToFlow(std::uint32_t acknowledgement, std::uint32_t hostSequence, std::uint32_t callerAck)
 {
     constexpr std::uint32_t maxDistance = 76'800; // four times what a host has in flight
--- a/src/celerystile/fleet/sidecar_port_reuse_test.cpp
+++ b/src/celerystile/fleet/sidecar_port_reuse_test.cpp
@@ -260,4 +260,55 @@
     CHECK(after.output.sentOf<FlowReport>().back().held.front().idleSeconds == 0);
 }
 
+// Guards against resets of a later flow on the same ports, when the host of the earlier one restarts.
+TEST_CASE("a restart of the host resets a flow that has been idle for long only in answer to its next packet")
+{
+    Fixture fixture;
+    fixture.open();
+    fixture.advance(std::chrono::seconds(20));
+    fixture.heartbeat(fixture.sequence = 1, 2'000);
+    for (int i = 0; i < 30; ++i)
+        fixture.advance(milliseconds(100));
+    CHECK(fixture.output.resets.empty());
+    fixture.packet(ForwardPurpose::Owned, dataOf(caller, hostSequence + 1));
+    REQUIRE(fixture.output.delivered.size() == 1);
+    fixture.sidecar.onBounced(dataOf(caller, hostSequence + 1), packetBytes, fixture.now);
+    CHECK(fixture.output.resets.size() == 1);
+    CHECK(fixture.sidecar.flows().size() == 0);
+}
+
+// Guards against the same by a restarted sidecar, whose checkpoint or balancers name flows that had been idle.
+TEST_CASE("flows held before the start that had been idle for long are reset only in answer to a packet")
+{
+    Fixture fixture(0);
+    HeldFlows held { 0, 500, false, 39, { { synOf(caller).key, hostSequence, hostSequence + 1, true, 20 } } };
+    bool adopted = true;
+    SUBCASE("the host has restarted")
+    {
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        fixture.heartbeat(fixture.sequence = 1, 1'000);
+    }
+    SUBCASE("it is uncertain at first whether the host has restarted")
+    {
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        fixture.heartbeat(fixture.sequence = 12, 1'000);
+        for (int i = 0; i < 50; ++i)
+            fixture.advance(milliseconds(100));
+    }
+    SUBCASE("the host was another instance")
+    {
+        held.instance = 9;
+        fixture.sidecar.onHeldFlows(held, fixture.now);
+        fixture.heartbeat(fixture.sequence = 1, 1'000);
+        adopted = false;
+    }
+    CHECK(fixture.output.resets.empty());
+    CHECK(fixture.sidecar.flows().openFlows() == (adopted ? 1 : 0));
+    if (!adopted)
+        return;
+    fixture.packet(ForwardPurpose::Lookup, dataOf(caller, hostSequence + 1));
+    fixture.sidecar.onBounced(dataOf(caller, hostSequence + 1), packetBytes, fixture.now);
+    CHECK(fixture.output.resets.size() == 1);
+}
+
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -1,5 +1,7 @@
 #include "celerystile/fleet/sidecar.hpp"
 
+#include "celerystile/fleet/owner_table.hpp"
+
 #include <algorithm>
 #include <utility>
 
@@ -250,13 +252,15 @@
             uncertainFlows_.erase(uncertain); // the sources disagree
         if (table_.find(claim.key) || table_.size() >= options_.maxFlows)
             continue;
-        if (ended && (ofNamed || otherInstance)) {
+        const bool undecided = claim.proven && !mayReset(claim); // its next packet decides
+        if (ended && (ofNamed || otherInstance) && !undecided) {
             if (claim.proven)
                 resetCaller(claim, "the host has restarted");
             continue;
         }
-        if (certainlyOther && ofNamed)
-            uncertainFlows_.insert_or_assign(claim.key, UncertainFlow { claim, held.born, !otherInstance });
+        if (certainlyOther && ofNamed && !undecided)
+            uncertainFlows_.insert_or_assign(
+                claim.key, UncertainFlow { claim, lastSeenAt(claim, now), held.born, !otherInstance });
         if (!otherInstance)
             adoptClaim(claim, ofNamed, now);
     }
@@ -289,13 +293,24 @@
         const auto* record = table_.find(key);
         if (flow.born == host_.born() || (record != nullptr) != flow.adopted)
             continue;
-        const auto claim = record ? claimOf(key, *record, now) : flow.claim;
+        auto claim = flow.claim;
+        claim.idleSeconds = idleSecondsSince(flow.lastSeenAt, now);
+        if (record)
+            claim = claimOf(key, *record, now);
+        if (claim.proven && !mayReset(claim))
+            continue; // its next packet decides
         if (claim.proven) // otherwise another host may hold the flow
             resetCaller(claim, "the host has restarted");
         endFlow(key);
     }
 }
 
+// Whether the caller can't have used the flow's port for another flow since.
+bool Sidecar::mayReset(const FlowClaim& claim) const
+{
+    return std::chrono::seconds(claim.idleSeconds) < options_.maxResetIdle;
+}
+
 // With the reset the caller can reconnect at once; otherwise it would wait for its next request to time out.
 void Sidecar::resetCaller(const FlowClaim& claim, std::string_view reason)
 {
@@ -378,7 +393,7 @@
 
 // A restarted host may send packets on new flows before its first heartbeat, so flows with a host packet after `since`
 // may belong to the present incarnation and are kept. If the host does not hold such a flow, it returns the flow's next
-// packet.
+// packet. So are flows that may not be reset any more.
 void Sidecar::resetFlowsUnseenSince(base::TimePoint since, std::string_view reason, base::TimePoint now)
 {
     const auto recent = static_cast<std::uint32_t>(
@@ -387,9 +402,12 @@
     for (const auto& [key, record] : table_.records()) {
         if (record.hostLastSeen + recent >= secondsSinceStart(now))
             continue;
+        const auto claim = claimOf(key, record, now);
+        if (claim.proven && !mayReset(claim))
+            continue;
         keys.push_back(key);
-        if (record.state == core::FlowState::Open)
-            resetCaller(claimOf(key, record, now), reason);
+        if (claim.proven)
+            resetCaller(claim, reason);
     }
     for (const auto& key : keys)
         endFlow(key);
