Claims: which flow a claim or packet is of has a header of its own

Cause: the functions stood in owner_table.hpp, which the sidecar does not otherwise use. Change: moved to fleet/flow_claim, unchanged.

--- a/bench/interleaving_models.cpp
+++ b/bench/interleaving_models.cpp
@@ -1,7 +1,7 @@
 #include "interleaving_models.hpp"
 
 #include "celerystile/base/random.hpp"
-#include "celerystile/fleet/owner_table.hpp"
+#include "celerystile/fleet/flow_claim.hpp"
 
 #include <algorithm>
 #include <array>
--- /dev/null
+++ b/include/celerystile/fleet/flow_claim.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include "celerystile/fleet/message.hpp"
+
+/// @file
+/// @brief Which flow a claim or a packet is of. A caller may use its port again, so that several flows have the same
+/// addresses and ports one after the other; they differ in their hosts' initial sequence numbers and in their times.
+
+namespace celerystile::fleet {
+
+/// @return the time of the claimed flow's last packet, at the latest, if the claim is received at `now`.
+base::TimePoint lastSeenAt(const FlowClaim& claim, base::TimePoint now);
+
+/// @return the value for FlowClaim::idleSeconds of a flow with its last packet at `lastSeenAt`.
+std::uint32_t idleSecondsSince(base::TimePoint lastSeenAt, base::TimePoint now);
+
+/// @return whether a caller's packet with this acknowledgement can belong to the flow in which the host's initial
+/// sequence number was `hostSequence` (0: unknown) and the caller's last acknowledgement `callerAck`: it acknowledges a
+/// byte that the host has sent or may send next. Hosts choose their initial sequence numbers at random.
+bool belongsToFlow(std::uint32_t acknowledgement, std::uint32_t hostSequence, std::uint32_t callerAck);
+
+/// @return whether an acknowledgement number acknowledges a SYN+ACK with this sequence number.
+bool acknowledges(std::uint32_t acknowledgement, std::uint32_t hostSequence);
+
+} // namespace celerystile::fleet
--- a/include/celerystile/fleet/owner_table.hpp
+++ b/include/celerystile/fleet/owner_table.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "celerystile/core/routing.hpp"
-#include "celerystile/fleet/message.hpp"
+#include "celerystile/fleet/flow_claim.hpp"
 
 #include <boost/unordered/unordered_flat_map.hpp>
 #include <map>
@@ -94,18 +94,4 @@
     boost::unordered_flat_map<core::FlowKey, Flow, core::FlowKeyHash> flows_;
 };
 
-/// @return the time of the claimed flow's last packet, at the latest, if the claim is received at `now`.
-base::TimePoint lastSeenAt(const FlowClaim& claim, base::TimePoint now);
-
-/// @return the value for FlowClaim::idleSeconds of a flow with its last packet at `lastSeenAt`.
-std::uint32_t idleSecondsSince(base::TimePoint lastSeenAt, base::TimePoint now);
-
-/// @return whether a caller's packet with this acknowledgement can belong to the flow in which the host's initial
-/// sequence number was `hostSequence` (0: unknown) and the caller's last acknowledgement `callerAck`: it acknowledges a
-/// byte that the host has sent or may send next. Hosts choose their initial sequence numbers at random.
-bool belongsToFlow(std::uint32_t acknowledgement, std::uint32_t hostSequence, std::uint32_t callerAck);
-
-/// @return whether an acknowledgement number acknowledges a SYN+ACK with this sequence number.
-bool acknowledges(std::uint32_t acknowledgement, std::uint32_t hostSequence);
-
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -1,6 +1,6 @@
 #include "celerystile/fleet/sidecar.hpp"
 
-#include "celerystile/fleet/owner_table.hpp"
+#include "celerystile/fleet/flow_claim.hpp"
 
 #include <algorithm>
 #include <utility>
