Sidecar: checkpoints and held flows are as old as the time since they were written

Seen by callers: the reset of a flow whose port an earlier flow had, after a restart of the earlier one's sidecar. Found by asking how old a checkpoint may be.

Cause: a sidecar took what its predecessor's checkpoint names for as recent as the reading of it. The store keeps a checkpoint for 60 s after its author's end, for longer while it is down, and it may come back from an older copy. Flows that waited for the host's first heartbeat did not age either.

Change: a checkpoint has the time of day at which it was written, and its reader adds the time since to each flow's age; flows that wait for the first heartbeat age by that wait. Clocks may differ by seconds: an age below zero counts as zero, and an adopted flow stays for at least half the idle timeout, so that its next packet decides. checkpoint_read (6105) has written_at. A checkpoint of an earlier version has no time and is read as before.

Evidence: "flows held before the start age while they wait…" failed before in both parts (one reset; idleSeconds 0 instead of 20). "a checkpoint is as old as…" tests a function that is new.

--- a/apps/celerystiled/fleet_process.cpp
+++ b/apps/celerystiled/fleet_process.cpp
@@ -26,12 +26,6 @@
     constexpr std::chrono::seconds minLoggedSuspension { 1 }; // shorter ones recur while the store rejects some calls
     constexpr int exitFailure = 1;
 
-    std::uint64_t unixMilliseconds(const base::WallClock& clock)
-    {
-        const auto now = clock.now().time_since_epoch();
-        return static_cast<std::uint64_t>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-    }
-
     std::int64_t toMilliseconds(base::Duration duration)
     {
         return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count();
@@ -58,7 +52,7 @@
 
 FleetProcess::FleetProcess(const FleetSettings& settings, const base::WallClock& wallClock)
     : settings_(settings)
-    , epoch_(unixMilliseconds(wallClock))
+    , epoch_(base::unixMilliseconds(wallClock.now()))
     , processId_(base::makeProcessId(clock_.now()))
     , store_(settings.node.storeEndpoint, clock_, storeTimeout, core::hashName(settings.node.name) ^ processId_, *this)
     , stopSignals_(controlContext_, SIGTERM, SIGINT)
--- a/apps/celerystiled/fleet_sidecar.cpp
+++ b/apps/celerystiled/fleet_sidecar.cpp
@@ -1,6 +1,7 @@
 #include "celerystile/fleet/sidecar.hpp"
 
 #include "celerystile/fleet/configuration_replica.hpp"
+#include "celerystile/fleet/flow_claim.hpp"
 #include "celerystile/store/leased_entry.hpp"
 #include "evacuation_status.hpp"
 #include "fleet_process.hpp"
@@ -45,6 +46,7 @@
     public:
         FleetSidecar(const FleetSettings& settings, const base::WallClock& wallClock)
             : FleetProcess(settings, wallClock)
+            , wallClock_(wallClock)
             , transport_(trafficContext_, settings_.keyring)
             , sidecar_(makeOptions(settings, epoch_, processId_), *this, clock_.now())
             , registryEntry_(store_, clock_, controlContext_,
@@ -134,8 +136,9 @@
                 return logUnreadable(*flows, read.error());
             logEvent(Event::CheckpointRead,
                 { { "flows", std::to_string(read->flows.size()) }, { "born", std::to_string(read->born) },
+                    { "written_at", std::to_string(read->writtenAt) },
                     { "own", read->instance == fleet::instanceId(settings_.node.name) ? "yes" : "no" } });
-            postToTrafficThread([this, held = *read] {
+            postToTrafficThread([this, held = fleet::agedSinceWritten(*read, wallClock_.now())] {
                 sidecar_.onHeldFlows(held, clock_.now());
                 transport_.flush();
             });
@@ -157,10 +160,15 @@
                 return;
             checkpointedVersion_ = sidecar_.checkpointVersion();
             checkpointedAt_ = now;
-            asio::post(
-                controlContext_, [this, value = encodeToString(sidecar_.checkpoint(), settings_.keyring)]() mutable {
-                    checkpointEntry_.set(std::move(value));
-                });
+            asio::post(controlContext_,
+                [this, value = encodeCheckpoint()]() mutable { checkpointEntry_.set(std::move(value)); });
+        }
+
+        std::string encodeCheckpoint() const
+        {
+            auto held = sidecar_.checkpoint();
+            held.writtenAt = base::unixMilliseconds(wallClock_.now());
+            return encodeToString(std::move(held), settings_.keyring);
         }
 
         Task shutDown() override
@@ -171,7 +179,7 @@
                     sidecar_.announceRestart(clock_.now());
                     transport_.flush();
                     co_return std::pair { sidecar_.host().state(clock_.now()) == fleet::HostState::Gone,
-                        encodeToString(sidecar_.checkpoint(), settings_.keyring) };
+                        encodeCheckpoint() };
                 },
                 asio::use_awaitable);
             const bool gone = exitState.first;
@@ -425,6 +433,7 @@
                     { "epoch", std::to_string(record.epoch) } });
         }
 
+        const base::WallClock& wallClock_;
         FleetTransport transport_;
         fleet::Sidecar sidecar_;
         store::LeasedEntry registryEntry_;
--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -2,6 +2,7 @@
 
 #include "celerystile/base/random.hpp"
 #include "celerystile/fleet/balancer.hpp"
+#include "celerystile/fleet/flow_claim.hpp"
 #include "celerystile/fleet/sidecar.hpp"
 #include "celerystile/store/list_completeness.hpp"
 #include "interleaving_models.hpp"
@@ -294,6 +295,11 @@
             return unixStartMilliseconds + static_cast<std::uint64_t>(time.count());
         }
 
+        base::WallClock::TimePoint wallNow(const Instance& instance) const
+        {
+            return base::WallClock::TimePoint { milliseconds(unixNow(instance)) };
+        }
+
         bool isRunning(const Instance& instance) const { return now_ >= instance.frozenUntil; }
         bool faultFree(const Instance& instance) const { return now_ - instance.lastFaultAt >= contactBound; }
 
@@ -698,7 +704,7 @@
             }
             slot.predecessorRead = true;
             if (const auto flows = store_.checkpoints.find(slot.address); flows != store_.checkpoints.end())
-                slot.process->onHeldFlows(flows->second, now_);
+                slot.process->onHeldFlows(fleet::agedSinceWritten(flows->second, wallNow(slot)), now_);
         }
 
         void updateStoreEntry(Slot& slot)
@@ -718,11 +724,18 @@
                 slot.nextWrite = now_ + milliseconds(random_.below(1'500));
             }
             if (now_ >= slot.nextCheckpoint) {
-                store_.checkpoints[slot.address] = slot.process->checkpoint();
+                writeCheckpoint(slot);
                 slot.nextCheckpoint = now_ + checkpointInterval;
             }
         }
 
+        void writeCheckpoint(const Slot& slot)
+        {
+            auto& held = store_.checkpoints[slot.address];
+            held = slot.process->checkpoint();
+            held.writtenAt = unixNow(slot);
+        }
+
         void refreshHostList(BalancerNode& balancer)
         {
             if (!store_.available)
@@ -804,7 +817,7 @@
                 return;
             slot.process->announceRestart(now_);
             if (store_.available)
-                store_.checkpoints[slot.address] = slot.process->checkpoint();
+                writeCheckpoint(slot);
             startSidecar(slot, restartDelay());
         }
 
--- a/include/celerystile/base/clock_step.hpp
+++ b/include/celerystile/base/clock_step.hpp
@@ -2,6 +2,7 @@
 
 #include "celerystile/base/clock.hpp"
 
+#include <cstdint>
 #include <optional>
 
 /// @file
@@ -24,6 +25,9 @@
     TimePoint now() const override { return std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now()); }
 };
 
+/// @return the time of day in Unix milliseconds.
+std::uint64_t unixMilliseconds(WallClock::TimePoint time);
+
 /// @brief Compares the time of day with a monotonic clock. Not thread-safe.
 class ClockStepDetector {
 public:
--- a/include/celerystile/fleet/flow_claim.hpp
+++ b/include/celerystile/fleet/flow_claim.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "celerystile/base/clock_step.hpp"
 #include "celerystile/fleet/message.hpp"
 
 /// @file
@@ -14,6 +15,12 @@
 /// @return the value for FlowClaim::idleSeconds of a flow with its last packet at `lastSeenAt`.
 std::uint32_t idleSecondsSince(base::TimePoint lastSeenAt, base::TimePoint now);
 
+/// @return the flows as old as they are `age` later; nothing changes if it is negative.
+HeldFlows agedBy(HeldFlows held, base::Duration age);
+
+/// @return the flows of a checkpoint as old as they are at `now`, as far as the clocks of author and reader agree.
+HeldFlows agedSinceWritten(HeldFlows held, base::WallClock::TimePoint now);
+
 /// @return whether a caller's packet with this acknowledgement can belong to the flow in which the host's initial
 /// sequence number was `hostSequence` (0: unknown) and the caller's last acknowledgement `callerAck`: it acknowledges a
 /// byte that the host has sent or may send next. Hosts choose their initial sequence numbers at random.
--- a/include/celerystile/fleet/message.hpp
+++ b/include/celerystile/fleet/message.hpp
@@ -117,6 +117,7 @@
     std::uint64_t sequence = 0; ///< number of the last heartbeat that the predecessor received
     std::vector<FlowClaim> flows;
     std::uint32_t unattributed = 0; ///< number of flows at the end of the list that a later incarnation may have opened
+    std::uint64_t writtenAt = 0; ///< of a checkpoint, Unix milliseconds; the flows' ages are as of then. 0: as of now
 
     bool operator==(const HeldFlows&) const = default;
 };
--- a/include/celerystile/fleet/sidecar.hpp
+++ b/include/celerystile/fleet/sidecar.hpp
@@ -183,7 +183,8 @@
     /// @return the time of the next tick().
     base::TimePoint nextTick(base::TimePoint now) const;
 
-    /// @return the open flows, for a successor of this process; may be complete only after announceRestart().
+    /// @return the open flows, for a successor of this process, without the time of writing; may be complete only after
+    /// announceRestart().
     HeldFlows checkpoint() const;
 
     /// @return a number that changes whenever the result of checkpoint() changes.
@@ -234,6 +235,12 @@
         std::uint32_t openingLimit = 0; // 0: none
     };
 
+    // Received before the first heartbeat, without which it is not known whose flows they are.
+    struct PendingHeldFlows {
+        HeldFlows held;
+        base::TimePoint receivedAt {};
+    };
+
     // A flow that another incarnation of the host held before the start.
     struct UncertainFlow {
         FlowClaim claim;
@@ -340,7 +347,7 @@
     EvacuationTracker evacuation_;
     boost::unordered_flat_map<Endpoint, std::uint64_t, core::EndpointHash>
         noticedRevisions_; // of evacuation_ that a balancer is known to have
-    std::vector<HeldFlows> pendingHeldFlows_; // received before the first heartbeat
+    std::vector<PendingHeldFlows> pendingHeldFlows_;
     boost::unordered_flat_map<core::FlowKey, UncertainFlow, core::FlowKeyHash> uncertainFlows_;
     boost::unordered_flat_set<core::FlowKey, core::FlowKeyHash> unattributedFlows_; // opened after the last heartbeat
     std::vector<core::FlowKey> heldSinceReport_;
--- a/src/celerystile/base/clock_step.cpp
+++ b/src/celerystile/base/clock_step.cpp
@@ -2,6 +2,12 @@
 
 namespace celerystile::base {
 
+std::uint64_t unixMilliseconds(WallClock::TimePoint time)
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(time.time_since_epoch()).count());
+}
+
 ClockStepDetector::ClockStepDetector(const Clock& clock, const WallClock& wallClock)
     : clock_(clock)
     , wallClock_(wallClock)
--- a/src/celerystile/fleet/sidecar_port_reuse_test.cpp
+++ b/src/celerystile/fleet/sidecar_port_reuse_test.cpp
@@ -1,3 +1,4 @@
+#include "celerystile/fleet/flow_claim.hpp"
 #include "celerystile/fleet/sidecar.hpp"
 
 #include "fleet_test_support.hpp"
@@ -311,4 +312,42 @@
     CHECK(fixture.output.resets.size() == 1);
 }
 
+// Guards against flows that look as young as the first heartbeat of a host that was silent for long.
+TEST_CASE("flows held before the start age while they wait for the host's first heartbeat")
+{
+    Fixture fixture(0);
+    fixture.sidecar.onHeldFlows(
+        { 0, 500, false, 39, { { synOf(caller).key, hostSequence, hostSequence + 1, true } } }, fixture.now);
+    fixture.now += std::chrono::seconds(20);
+    SUBCASE("the host has restarted: none is reset")
+    {
+        fixture.heartbeat(1, 1'000);
+        CHECK(fixture.output.resets.empty());
+    }
+    SUBCASE("the host has not restarted: the claims are as old as the flows")
+    {
+        fixture.heartbeat(60, 500);
+        fixture.output.sent.clear();
+        fixture.sidecar.onHello({ balancer, 6, 3 }, fixture.now);
+        REQUIRE(fixture.output.sentOf<FlowReport>().size() == 1);
+        CHECK(fixture.output.sentOf<FlowReport>().front().held.front().idleSeconds == 20);
+    }
+}
+
+// Guards against checkpoints that are read long after they were written, when the store was away or has come back from
+// an older copy.
+TEST_CASE("a checkpoint is as old as the time since it was written")
+{
+    using std::chrono::seconds;
+    const base::WallClock::TimePoint writtenAt { std::chrono::hours(500'000) };
+    HeldFlows held { 0, 500, false, 39, { { synOf(caller).key, hostSequence, hostSequence + 1, true, 3 } } };
+    held.writtenAt = base::unixMilliseconds(writtenAt);
+    CHECK(agedSinceWritten(held, writtenAt).flows.front().idleSeconds == 3);
+    CHECK(agedSinceWritten(held, writtenAt + seconds(17)).flows.front().idleSeconds == 20);
+    CHECK(agedSinceWritten(held, writtenAt + std::chrono::hours(50)).flows.front().idleSeconds == maxIdleSeconds);
+    CHECK(agedSinceWritten(held, writtenAt - seconds(2)).flows.front().idleSeconds == 3); // the clock was set back
+    held.writtenAt = 0; // of an earlier version
+    CHECK(agedSinceWritten(held, writtenAt).flows.front().idleSeconds == 3);
+}
+
 } // namespace celerystile::fleet
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -126,8 +126,8 @@
         predecessorFlowsOpen_ = host_.replacedAnother();
     resetPredecessorFlows(now);
     if (host_.heard()) {
-        for (const auto& held : std::exchange(pendingHeldFlows_, {}))
-            adoptHeldFlows(held, now);
+        for (const auto& [held, receivedAt] : std::exchange(pendingHeldFlows_, {}))
+            adoptHeldFlows(agedBy(held, now - receivedAt), now);
     }
     resolveUncertainFlows(now);
     if (outcome == HeartbeatOutcome::FirstOfIncarnation || outcome == HeartbeatOutcome::Changed) {
@@ -215,7 +215,7 @@
     if (host_.heard())
         adoptHeldFlows(held, now);
     else
-        pendingHeldFlows_.push_back(held);
+        pendingHeldFlows_.push_back({ held, now });
 }
 
 bool Sidecar::checkpointWasComplete() const { return host_.known() && completeIncarnation_ == host_.born(); }
@@ -273,7 +273,9 @@
     record.hostIsn = claim.hostSequence;
     record.hostIsnKnown = claim.hostSequence != 0;
     record.callerAck = claim.callerAck;
-    record.lastSeen = secondsSinceStart(now) - claim.idleSeconds;
+    // A claim's age may come from another clock, so the flow stays long enough for its next packet.
+    const auto maxIdle = std::chrono::duration_cast<std::chrono::seconds>(options_.idleTimeout / 2).count();
+    record.lastSeen = secondsSinceStart(now) - std::min(claim.idleSeconds, static_cast<std::uint32_t>(maxIdle));
     table_.add(claim.key, record);
     if (!attributed)
         unattributedFlows_.insert(claim.key);
--- a/src/celerystile/peer/fleet_message.cpp
+++ b/src/celerystile/peer/fleet_message.cpp
@@ -258,7 +258,7 @@
         case schema::FleetMessage::HELD_FLOWS: {
             const auto held = from.getHeldFlows();
             return fleet::Message { fleet::HeldFlows { held.getInstance(), held.getBorn(), held.getComplete(),
-                held.getSequence(), read(held.getFlows()), held.getUnattributed() } };
+                held.getSequence(), read(held.getFlows()), held.getUnattributed(), held.getWrittenAt() } };
         }
         case schema::FleetMessage::SYN_DECLINED:
             return fleet::Message { read(from.getSynDeclined()) };
@@ -303,6 +303,7 @@
             held.setComplete(value.complete);
             held.setSequence(value.sequence);
             held.setUnattributed(value.unattributed);
+            held.setWrittenAt(value.writtenAt);
             write(held.initFlows(static_cast<unsigned>(value.flows.size())), value.flows);
         }
         void operator()(const fleet::FleetSnapshot& value)
--- a/src/celerystile/peer/fleet_message_test.cpp
+++ b/src/celerystile/peer/fleet_message_test.cpp
@@ -53,7 +53,7 @@
     roundTrip(fleet::FlowReport { host(), { claim(), claim() }, { claim() } });
     roundTrip(fleet::BalancerHello { endpoint("10.9.0.1:7720"), 4, 10, 9'600, true, 7, { 0x5eed, 11 }, 20 });
     roundTrip(fleet::SidecarHello { endpoint("10.9.0.1:7720") });
-    roundTrip(fleet::HeldFlows { 7, 12, true, 9, { claim() }, 1 });
+    roundTrip(fleet::HeldFlows { 7, 12, true, 9, { claim() }, 1, 1'700'000'000'000 });
     roundTrip(fleet::SynDeclined { claim().key });
     roundTrip(fleet::SynDeclined { claim().key, true });
     roundTrip(fleet::SynDeclined { claim().key, false, true });
--- a/src/celerystile/peer/schema/fleet.capnp
+++ b/src/celerystile/peer/schema/fleet.capnp
@@ -97,6 +97,7 @@
   instance @3 :UInt32;
   sequence @4 :UInt64;
   unattributed @5 :UInt32;
+  writtenAt @6 :UInt64;
 }
 
 struct EvacuationState {
--- a/src/celerystile/peer/schema/fleet.capnp.h
+++ b/src/celerystile/peer/schema/fleet.capnp.h
@@ -149,7 +149,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(db708e03ebf1fbc1, 4, 1)
+    CAPNP_DECLARE_STRUCT_HEADER(db708e03ebf1fbc1, 5, 1)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1114,6 +1114,8 @@
 
   inline  ::uint32_t getUnattributed() const;
 
+  inline  ::uint64_t getWrittenAt() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1164,6 +1166,9 @@
   inline  ::uint32_t getUnattributed();
   inline void setUnattributed( ::uint32_t value);
 
+  inline  ::uint64_t getWrittenAt();
+  inline void setWrittenAt( ::uint64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -2809,6 +2814,20 @@
       ::capnp::bounded<6>() * ::capnp::ELEMENTS, value);
 }
 
+inline  ::uint64_t HeldFlows::Reader::getWrittenAt() const {
+  return _reader.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint64_t HeldFlows::Builder::getWrittenAt() {
+  return _builder.getDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void HeldFlows::Builder::setWrittenAt( ::uint64_t value) {
+  _builder.setDataField< ::uint64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline  ::uint64_t EvacuationState::Reader::getRevision() const {
   return _reader.getDataField< ::uint64_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
