Explorer: callers leave their flows and use the ports again

Change: steps abort-flow, vanish-flow, half-close-flow and reuse-ports, the last after 60 s in which the other callers use their flows. The host's initial sequence number depends on the caller's too, and a host returns packets of another flow. FLOW holds for the host of the caller's present flow.

--- a/bench/interleaving_models.hpp
+++ b/bench/interleaving_models.hpp
@@ -97,11 +97,17 @@
     }
     void startRequest(TimePoint now);
 
+    /// @brief Ends the caller's use of the flow. @return its last packet, with the flag given, unless it is not open
+    std::optional<Segment> leave(bool Segment::*flag, TimePoint now);
+
     State state() const { return state_; }
     bool awaitingAnswer() const { return pending_.has_value(); }
     const FlowKey& key() const { return key_; }
     std::uint32_t hostSequence() const { return hostSequence_; }
 
+    /// @return when the caller has left the flow.
+    std::optional<TimePoint> leftAt() const { return leftAt_; }
+
 private:
     Segment makePacket(std::uint32_t bytes) const;
 
@@ -115,6 +121,7 @@
     unsigned attempts_ = 0;
     TimePoint startedAt_;
     TimePoint nextSendAt_;
+    std::optional<TimePoint> leftAt_;
 };
 
 /// @brief Model of the store: registry entries with leases, and checkpoints. Not thread-safe.
--- a/bench/interleaving_schedule.hpp
+++ b/bench/interleaving_schedule.hpp
@@ -48,6 +48,10 @@
     LoseHeartbeats, ///< a host's heartbeats do not arrive for 3 to 8 s, though it serves its flows
     Evacuate, ///< a failure domain is evacuated, unless the store is away
     Return, ///< the evacuation of a failure domain ends, unless the store is away
+    AbortFlow, ///< a caller resets an open flow, and leaves
+    VanishFlow, ///< a caller leaves an open flow without a packet
+    HalfCloseFlow, ///< a caller closes its side of an open flow, and leaves
+    ReusePorts, ///< after longer than any flow lasts, callers open flows on the ports of those that they left
     Count_,
 };
 
@@ -75,6 +79,9 @@
 /// @brief The kinds in which each instance may have a time of day of its own: OpenFlow to LateHeartbeat.
 std::vector<StepKind> kindsWithOwnClocks();
 
+/// @brief The kinds with which callers leave flows and use their ports again: AbortFlow to ReusePorts.
+std::vector<StepKind> kindsOfPortReuse();
+
 /// @brief All kinds.
 std::vector<StepKind> allKinds();
 
--- a/bench/interleaving_test.cpp
+++ b/bench/interleaving_test.cpp
@@ -289,6 +289,33 @@
     checkRandomSchedules(1'000, kinds);
 }
 
+// Guards against resets of a flow by a sidecar that held an earlier one with the same addresses and ports: its caller
+// had aborted, half-closed or left it.
+TEST_CASE("interleavings: ports that callers use again violate no invariant")
+{
+    SUBCASE("the earlier flow's sidecar was restarted before the flow opened")
+    {
+        checkNoViolations("kill-sidecar:453:567 open-flow:594:26 vanish-flow:79:21 reuse-ports:541:0", 105);
+    }
+    SUBCASE("the earlier flow's host was restarted")
+    {
+        checkNoViolations("open-flow:784:28 restart-host:210:776 vanish-flow:965:0 reuse-ports:91:94", 45);
+    }
+    SUBCASE("a balancer was suspended when the callers left")
+    {
+        checkNoViolations("open-flow:606:586 vanish-flow:639:1134 freeze-sidecar:954:39 half-close-flow:266:54 "
+                          "request:296:121 freeze-balancer:182:0 reuse-ports:694:341",
+            66);
+    }
+    SUBCASE("random schedules")
+    {
+        auto kinds = kindsWithOwnClocks();
+        const auto reuse = kindsOfPortReuse();
+        kinds.insert(kinds.end(), reuse.begin(), reuse.end());
+        checkRandomSchedules(1'000, kinds);
+    }
+}
+
 TEST_CASE("interleavings: every order of three events around an open flow violates no invariant")
 {
     std::vector<Step> alphabet;
