Claims: a packet does not belong to a flow of which no acknowledgement is known

Cause: a caller that aborts a flow right after the handshake proves its claim with the reset, which leaves the claim without an acknowledgement. Compared with 0, up to half of all packets seemed to lie between the host's initial sequence number and it.

--- a/bench/interleaving_test.cpp
+++ b/bench/interleaving_test.cpp
@@ -307,6 +307,13 @@
                           "request:296:121 freeze-balancer:182:0 reuse-ports:694:341",
             66);
     }
+    SUBCASE("the earlier flow's caller aborted it before any other packet, and its host was replaced")
+    {
+        checkNoViolations("request:292:7 open-flow:144:0 wait:684:4 kill-sidecar:706:68 drain-host:597:108 "
+                          "abort-flow:122:4 open-flow:210:318 take-over-clock-ahead:6:239 drain-host:932:37 "
+                          "reuse-ports:989:0",
+            11'003'607);
+    }
     SUBCASE("random schedules")
     {
         auto kinds = kindsWithOwnClocks();
--- a/src/celerystile/fleet/balancer_port_reuse_test.cpp
+++ b/src/celerystile/fleet/balancer_port_reuse_test.cpp
@@ -139,6 +139,19 @@
     }
 }
 
+// Guards against a claim without a known acknowledgement, to which half of all packets would belong.
+TEST_CASE("a claim that only the caller's reset has proven does not take packets of a later flow")
+{
+    Fixture fixture;
+    fixture.claims(first, { synOf(caller).key, earlierSequence });
+    auto reset = dataOf(caller, earlierSequence + 1, 0);
+    reset.rst = true;
+    fixture.packet(reset);
+    CHECK(fixture.sentTo(first, ForwardPurpose::Owned));
+    fixture.packet(dataOf(caller, laterSequence + 1));
+    CHECK(fixture.sentTo(first, ForwardPurpose::Lookup));
+}
+
 // Guards against resets of the later flow by a balancer, because the earlier flow's instance has lost its address.
 TEST_CASE("a packet of a later flow is not reset because the earlier flow's instance was replaced")
 {
