Claims: an unknown initial sequence number stands for any flow, in claims as in ends

A claim of the same sidecar that names the host's sequence number counted as one of another flow if the claim known so far did not, as after an adoption from the host's own packets; the known claim then kept no number. Change: both are compared in one function; a number that becomes known is kept. The lookup's parameter has a name that says what it is.

--- a/include/celerystile/fleet/balancer.hpp
+++ b/include/celerystile/fleet/balancer.hpp
@@ -209,7 +209,7 @@
     void recordRequest(const core::Segment& segment, const Endpoint& sidecar);
     void settlePending(const core::FlowKey& key, const HostRecord& host, base::TimePoint now);
     void lookUp(const core::Segment& segment, core::Bytes packet, base::TimePoint now,
-        std::optional<Endpoint> first = std::nullopt);
+        std::optional<Endpoint> firstCandidate = std::nullopt);
     BalancerHello makeHello(const Endpoint& sidecar, bool wantsFlows) const;
     EvacuationNotice makeNotice() const;
     void sendHello(const Endpoint& sidecar, bool wantsFlows = false);
--- a/src/celerystile/fleet/balancer.cpp
+++ b/src/celerystile/fleet/balancer.cpp
@@ -287,7 +287,7 @@
 }
 
 void Balancer::lookUp(
-    const core::Segment& segment, core::Bytes packet, base::TimePoint now, std::optional<Endpoint> first)
+    const core::Segment& segment, core::Bytes packet, base::TimePoint now, std::optional<Endpoint> firstCandidate)
 {
     const auto* route = routes_->find(segment.key.service);
     if (!route)
@@ -302,16 +302,16 @@
     forward.balancer = options_.self;
     forward.packet = packet;
     setUrgency(forward, segment);
-    if (hosts.empty() && !first)
+    if (hosts.empty() && !firstCandidate)
         return increment(BalancerCount::DropNoHost);
     const auto round = lookups_.nextRound(segment.key, now);
     const auto order = searchOrder(hosts, { segment.key.hash(), options_.failureDomain, now }, {});
     const auto parts = std::max<std::size_t>(1, (order.size() + maxCandidates - 1) / maxCandidates);
-    if (first)
-        forward.candidates.push_back(*first);
+    if (firstCandidate)
+        forward.candidates.push_back(*firstCandidate);
     for (auto at = round % parts * maxCandidates; at < order.size() && forward.candidates.size() < maxCandidates;
          ++at) {
-        if (order[at]->record.sidecar != first)
+        if (order[at]->record.sidecar != firstCandidate)
             forward.candidates.push_back(order[at]->record.sidecar);
     }
     increment(BalancerCount::ForwardedLookup);
--- a/src/celerystile/fleet/owner_table.cpp
+++ b/src/celerystile/fleet/owner_table.cpp
@@ -4,6 +4,16 @@
 
 namespace celerystile::fleet {
 
+namespace {
+
+    // Whether two initial sequence numbers of a host show that it has held two flows. 0: unknown.
+    bool differ(std::uint32_t hostSequence, std::uint32_t otherSequence)
+    {
+        return hostSequence != 0 && otherSequence != 0 && hostSequence != otherSequence;
+    }
+
+} // namespace
+
 ClaimOutcome OwnerTable::addClaim(const Owner& owner, const FlowClaim& claim, base::TimePoint now)
 {
     const auto seenAt = lastSeenAt(claim, now);
@@ -16,8 +26,7 @@
     }
     auto& flow = found->second;
     const bool sameSidecar = flow.primary.owner.sidecar == owner.sidecar;
-    const bool otherFlow
-        = sameSidecar ? claim.hostSequence != 0 && claim.hostSequence != flow.primary.hostSequence : claim.proven;
+    const bool otherFlow = sameSidecar ? differ(claim.hostSequence, flow.primary.hostSequence) : claim.proven;
     if (otherFlow && seenAt < flow.lastSeenAt)
         return ClaimOutcome::Outdated;
     if (otherFlow) {
@@ -30,6 +39,8 @@
         return ClaimOutcome::Applied;
     }
     flow.primary.owner = owner;
+    if (claim.hostSequence != 0)
+        flow.primary.hostSequence = claim.hostSequence;
     flow.lastSeenAt = std::max(flow.lastSeenAt, seenAt);
     if (claim.proven) {
         flow.proven = true;
@@ -45,9 +56,7 @@
     if (found == flows_.end())
         return;
     const auto isEnded = [&](const Claim& claim) {
-        const bool sameFlow
-            = ended.hostSequence == 0 || claim.hostSequence == 0 || claim.hostSequence == ended.hostSequence;
-        return claim.owner.sidecar == sidecar && sameFlow;
+        return claim.owner.sidecar == sidecar && !differ(claim.hostSequence, ended.hostSequence);
     };
     auto& flow = found->second;
     if (flow.competing && isEnded(*flow.competing)) {
--- a/src/celerystile/fleet/sidecar_reports.cpp
+++ b/src/celerystile/fleet/sidecar_reports.cpp
@@ -252,7 +252,7 @@
             uncertainFlows_.erase(uncertain); // the sources disagree
         if (table_.find(claim.key) || table_.size() >= options_.maxFlows)
             continue;
-        const bool undecided = claim.proven && !mayReset(claim); // its next packet decides
+        const bool undecided = claim.proven && !mayReset(claim); // the flow's next packet decides
         if (ended && (ofNamed || otherInstance) && !undecided) {
             if (claim.proven)
                 resetCaller(claim, "the host has restarted");
@@ -300,14 +300,14 @@
         if (record)
             claim = claimOf(key, *record, now);
         if (claim.proven && !mayReset(claim))
-            continue; // its next packet decides
+            continue; // the flow's next packet decides
         if (claim.proven) // otherwise another host may hold the flow
             resetCaller(claim, "the host has restarted");
         endFlow(key);
     }
 }
 
-// Whether the caller can't have used the flow's port for another flow since.
+// Whether the caller can be reset without a packet of the flow: it can't have used the port for another flow since.
 bool Sidecar::mayReset(const FlowClaim& claim) const
 {
     return std::chrono::seconds(claim.idleSeconds) < options_.maxResetIdle;
@@ -395,7 +395,7 @@
 
 // A restarted host may send packets on new flows before its first heartbeat, so flows with a host packet after `since`
 // may belong to the present incarnation and are kept. If the host does not hold such a flow, it returns the flow's next
-// packet. So are flows that may not be reset any more.
+// packet. So are flows that have been idle for too long to be reset without a packet of theirs.
 void Sidecar::resetFlowsUnseenSince(base::TimePoint since, std::string_view reason, base::TimePoint now)
 {
     const auto recent = static_cast<std::uint32_t>(
