--- a/bench/interleaving_world.cpp
+++ b/bench/interleaving_world.cpp
@@ -642,7 +642,7 @@
                     continue;
                 flow = CallerFlow(key, static_cast<std::uint32_t>(base::mix(++reusedPorts_ << 32U)), now_);
                 deliveries_.erase(key);
-                std::erase_if(offered_, [&](const auto& entry) { return entry.first == key; });
+                std::erase_if(offered_, [&reused = key](const auto& entry) { return entry.first == reused; });
             }
         }
 
