Sidecar: an adopted flow keeps no sequence number of an earlier one

Seen by callers: a flow reset, "the host does not hold the flow", found by the explorer in 1 of 30,000 schedules of all kinds.

Cause: a checkpoint named an earlier flow on the ports of the one that the host held. The host's packet corrected the record's acknowledgement, but its initial sequence number stayed that of the earlier flow, so that most packets of a third flow seemed to lie between the two.

Change: if the host's packet can't belong to the adopted claim, the initial sequence number is unknown from then on.

Evidence: "an adopted flow that turns out to be a later one…" failed before (the third flow's packet was delivered), and so did the schedule; both hold now, as do the six schedules found earlier.

--- a/src/celerystile/fleet/owner_table.cpp
+++ b/src/celerystile/fleet/owner_table.cpp
@@ -39,8 +39,7 @@
         return ClaimOutcome::Applied;
     }
     flow.primary.owner = owner;
-    if (claim.hostSequence != 0)
-        flow.primary.hostSequence = claim.hostSequence;
+    flow.primary.hostSequence = claim.hostSequence;
     flow.lastSeenAt = std::max(flow.lastSeenAt, seenAt);
     if (claim.proven) {
         flow.proven = true;
--- a/src/celerystile/fleet/sidecar.cpp
+++ b/src/celerystile/fleet/sidecar.cpp
@@ -210,7 +210,11 @@
     record->lastSeen = secondsSinceStart(now);
     record->hostLastSeen = record->lastSeen;
     if (isUnseen(*record) && !segment.syn && !segment.rst) {
-        record->callerAck = segment.sequence; // the caller acknowledges it next
+        if (!belongsToFlow(segment.sequence, record->hostIsn, record->callerAck)) {
+            record->hostIsn = 0; // the claim may have been of an earlier flow
+            record->hostIsnKnown = false;
+        }
+        record->callerAck = segment.sequence; // the caller acknowledges this byte next
         record->callerAckSeen = true;
     }
     if (segment.rst)
--- a/src/celerystile/fleet/sidecar_port_reuse_test.cpp
+++ b/src/celerystile/fleet/sidecar_port_reuse_test.cpp
@@ -194,6 +194,24 @@
     CHECK(fixture.output.resets.empty());
 }
 
+// Guards against a record with the sequence numbers of two flows, to which nearly all packets would belong.
+TEST_CASE("an adopted flow that turns out to be a later one is told apart from the next one as well")
+{
+    Fixture fixture(40);
+    HeldFlows held { 0, 1'000, false, 39, { { synOf(caller).key, hostSequence, hostSequence + 1, true } } };
+    fixture.sidecar.onHeldFlows(held, fixture.now);
+    fixture.packet(ForwardPurpose::Lookup, dataOf(caller, laterAck));
+    auto answer = dataOf(caller, 141);
+    answer.sequence = laterAck;
+    fixture.sidecar.onHostPacket(answer, packetBytes, fixture.now);
+    fixture.output.delivered.clear();
+    constexpr std::uint32_t nextAck = 2'000'000'000;
+    fixture.packet(ForwardPurpose::Lookup, dataOf(caller, nextAck));
+    CHECK(fixture.output.delivered.empty());
+    fixture.packet(ForwardPurpose::Owned, dataOf(caller, laterAck + 40));
+    CHECK(fixture.output.delivered.size() == 1);
+}
+
 // Guards against claims, counts and resets in the name of a flow that its caller has aborted.
 TEST_CASE("a caller's reset ends the flow: it is no longer counted, claimed, checkpointed or reset")
 {
